--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: demo test bench clean
+
+$(VENV)/installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.txt
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch $@
+
+demo: $(VENV)/installed
+	$(BIN)/python examples/demo.py
+
+test: $(VENV)/installed
+	$(BIN)/ruff format --check src examples benchmarks tools
+	$(BIN)/flake8 src examples benchmarks tools
+	$(BIN)/mypy
+	$(BIN)/python -m nose2
+
+bench: $(VENV)/installed
+	$(BIN)/python -m benchmarks
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,243 @@
+"""Runs Bulgaria's layout on loopback, loses one host, and counts.
+
+Exits non-zero if any request was lost or ran twice.
+"""
+
+import asyncio
+import collections
+import pathlib
+import subprocess
+import sys
+import time
+
+import aiohttp
+
+from savoryhold.standins.fleet import Fleet, Host, HostPlan
+
+ZONES = (
+    ('sofia', 'sofia-a'),
+    ('sofia', 'sofia-b'),
+    ('plovdiv', 'plovdiv-a'),
+    ('plovdiv', 'plovdiv-b'),
+)
+BOOKING_TARGETS = 5
+MEDIA_TARGETS = 4
+SHARDS = 60
+ROUNDS = 60
+PATIENTS = 200
+PAUSE_S = 0.05
+KILL_ROUND = 20
+LOST_HOST = 'booking-2'
+MS_PER_SECOND = 1000
+STATUS_OK = 200
+EXIT_BROKEN = 1
+
+
+class Tally:
+    """What became of the demo's requests."""
+
+    def __init__(self) -> None:
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.slowest_ms = 0.0
+        self.done: list[str] = []
+        self.refused: list[str] = []
+        self.wrong = 0
+        self.orders: set[str] = set()
+
+
+def plans() -> list[HostPlan]:
+    """Return the hosts of the layout, spread over the zones."""
+    hosts = []
+    for kind, count in (('booking', BOOKING_TARGETS), ('media', MEDIA_TARGETS)):
+        for num in range(count):
+            region, zone = ZONES[num % len(ZONES)]
+            hosts.append(HostPlan(f'{kind}-{num}', region, zone, kind))
+    return hosts
+
+
+def say(text: str) -> None:
+    """Print one line at once."""
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+def apply_config(fleet: Fleet) -> None:
+    """Print the example's configuration and apply it, as operators do."""
+    script = pathlib.Path(__file__).with_name('bulgaria.py')
+    document = fleet.folder / 'bulgaria.toml'
+    printed = subprocess.run(
+        [sys.executable, str(script)], check=True, capture_output=True
+    )
+    document.write_bytes(printed.stdout)
+    subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'savoryhold.cli.main',
+            f'--platform={fleet.platform_url}',
+            'apply',
+            str(document),
+            '--reason=first configuration',
+        ],
+        check=True,
+    )
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    tally: Tally,
+    method: str,
+    url: str,
+    request: str,
+) -> None:
+    """Send one request and count what became of it."""
+    started = time.monotonic()
+    headers = {'Idempotency-Key': request}
+    try:
+        async with session.request(method, url, headers=headers) as answer:
+            body = await answer.read()
+            verdict = answer.headers.get('X-Savoryhold-Verdict', 'none')
+    except aiohttp.ClientError:
+        verdict = 'broken-connection'
+        body = b''
+    took_ms = (time.monotonic() - started) * MS_PER_SECOND
+    tally.slowest_ms = max(tally.slowest_ms, took_ms)
+    tally.outcomes[verdict] += 1
+    if verdict == 'done':
+        tally.done.append(request)
+        tally.wrong += request.encode() not in body
+    if verdict == 'not-run':
+        tally.refused.append(request)
+
+
+def round_of(
+    fleet: Fleet, session: aiohttp.ClientSession, tally: Tally, num: int
+) -> list[asyncio.Task[None]]:
+    """Start one round: each live daemon gets a lookup, an order, a video."""
+    tasks = []
+    for place, host in enumerate(live(fleet)):
+        patient = f'p{(num * 7 + place * 31) % PATIENTS}'
+        base = f'{host.caller_url}/booking/patients/{patient}'
+        order = f'order-{num}-{place}'
+        tally.orders.add(order)
+        calls = (
+            ('GET', f'{base}/slots', f'look-{num}-{place}'),
+            ('POST', f'{base}/bookings', order),
+            ('GET', f'{host.caller_url}/media/videos/7', f'vid-{num}-{place}'),
+        )
+        tasks.extend(
+            asyncio.create_task(send(session, tally, *call)) for call in calls
+        )
+    return tasks
+
+
+def live(fleet: Fleet) -> list[Host]:
+    """Return the hosts whose daemon runs."""
+    return [
+        host
+        for host in fleet.hosts
+        if host.daemon is not None and host.daemon.poll() is None
+    ]
+
+
+async def lost_key(session: aiohttp.ClientSession, host: Host) -> str:
+    """Return a patient whose owner is the host that will be lost."""
+    for num in range(PATIENTS):
+        url = f'{host.admin_url}/admin/owner?service=booking&key=p{num}'
+        async with session.get(url) as answer:
+            fields = await answer.json()
+        if str(fields['owner']).startswith(f'{LOST_HOST}.'):
+            return f'p{num}'
+    raise LookupError(f'{LOST_HOST} owns none of the patients')
+
+
+async def measure_gap(
+    session: aiohttp.ClientSession, host: Host, patient: str
+) -> float:
+    """Return how long a lost key stays without an answer, in ms."""
+    started = time.monotonic()
+    url = f'{host.caller_url}/booking/patients/{patient}/slots'
+    headers = {'X-Savoryhold-Timeout-Ms': '100'}
+    while time.monotonic() - started < 20:
+        async with session.get(url, headers=headers) as answer:
+            await answer.read()
+            if answer.status == STATUS_OK:
+                break
+    return (time.monotonic() - started) * MS_PER_SECOND
+
+
+async def drive(fleet: Fleet, session: aiohttp.ClientSession) -> int:
+    """Run the demo's load and return the exit status."""
+    tally = Tally()
+    tasks: list[asyncio.Task[None]] = []
+    gap: asyncio.Task[float] | None = None
+    for num in range(ROUNDS):
+        if num == KILL_ROUND:
+            patient = await lost_key(session, fleet.hosts[0])
+            say(f'killing host {LOST_HOST}, which owns patient {patient}')
+            fleet.host(LOST_HOST).kill()
+            gap = asyncio.create_task(
+                measure_gap(session, fleet.hosts[0], patient)
+            )
+        tasks.extend(round_of(fleet, session, tally, num))
+        await asyncio.sleep(PAUSE_S)
+        if num % KILL_ROUND == 0:
+            say(
+                f'round {num} of {ROUNDS}: {sum(tally.outcomes.values())} ended'
+            )
+    await asyncio.gather(*tasks)
+    gap_ms = await gap if gap is not None else 0
+    return report(fleet, tally, gap_ms)
+
+
+def report(fleet: Fleet, tally: Tally, gap_ms: float) -> int:
+    """Print the table and return the exit status."""
+    runs = collections.Counter(line.request_id for line in fleet.journal())
+    doubled = sum(1 for order in tally.orders if runs[order] > 1)
+    lost = sum(1 for request in tally.done if not runs[request])
+    lied = sum(1 for request in tally.refused if runs[request])
+    rows = (
+        ('answered', tally.outcomes['done']),
+        ('refused as not run', tally.outcomes['not-run']),
+        ('may have run', tally.outcomes['may-have-run']),
+        ('broken connections', tally.outcomes['broken-connection']),
+        ('lost (answered, never ran)', lost),
+        ('doubled (orders run twice)', doubled),
+        ('refused as not run, but ran', lied),
+        ('answers to another request', tally.wrong),
+        ('slowest, ms', round(tally.slowest_ms)),
+        ('lost host: keys unavailable, ms', round(gap_ms)),
+    )
+    say('')
+    for name, count in rows:
+        say(f'{name:34}{count:>8}')
+    broken = lost or doubled or lied or tally.wrong
+    return EXIT_BROKEN if broken else 0
+
+
+async def run(fleet: Fleet) -> int:
+    """Bring the fleet up and drive it."""
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0)
+    ) as session:
+        await fleet.wait_store(session)
+        say('store stand-in is up; applying examples/bulgaria.py')
+        await asyncio.to_thread(apply_config, fleet)
+        started = time.monotonic()
+        await fleet.wait_ready(session, {'booking': SHARDS})
+        took_s = time.monotonic() - started
+        say(f'9 daemons ready, {SHARDS} shards owned, after {took_s:.1f} s')
+        return await drive(fleet, session)
+
+
+def main() -> None:
+    """Run the demo."""
+    fleet = Fleet(plans())
+    say('starting the store, 9 targets and 9 daemons')
+    with fleet.running():
+        status = asyncio.run(run(fleet))
+    sys.exit(status)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/examples/sri_lanka.py
@@ -0,0 +1,50 @@
+"""The Sri Lankan deployment: bookings by member, and case files.
+
+Prints the TOML that ``savoryhold apply`` takes.
+"""
+
+import sys
+
+from savoryhold import declare
+
+SLOTS = 12
+CONNECTIONS = 110
+
+
+def booking() -> declare.Service:
+    """Return the booking service, divided by member."""
+    service = declare.keyed_service(
+        'booking',
+        key=declare.key_in_path('/members/{key}/**'),
+        shards=60,
+        slots=SLOTS,
+        connections=CONNECTIONS,
+        timeout_ms=3000,
+    )
+    service = service.route(
+        'GET', '/members/{key}/slots', idempotent=True, runs='short'
+    )
+    service = service.route(
+        'GET', '/members/{key}/notes', idempotent=True, runs='short'
+    )
+    service = service.route(
+        'POST', '/members/{key}/bookings', idempotent=False, runs='short'
+    )
+    return service.route(
+        'POST', '/members/{key}/letters', idempotent=False, runs='short'
+    )
+
+
+def case_files() -> declare.Service:
+    """Return the case files, which any of their targets may serve."""
+    service = declare.unkeyed_service(
+        'case-files', slots=SLOTS, connections=CONNECTIONS, timeout_ms=30_000
+    )
+    service = service.route(
+        'GET', '/statements/**', idempotent=True, runs='short'
+    )
+    return service.route('GET', '/files/**', idempotent=True, runs='long')
+
+
+if __name__ == '__main__':
+    sys.stdout.write(declare.to_toml([booking(), case_files()]))
--- /dev/null
+++ b/src/savoryhold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/savoryhold/cli/client.py
@@ -0,0 +1,58 @@
+"""The command line's client of a daemon's admin interface."""
+
+from typing import Any
+
+import aiohttp
+
+from savoryhold.core.errors import SavoryholdError
+
+__all__ = ['AdminClient', 'AdminError']
+
+CALL_LIMIT_S = 5.0
+
+
+class AdminError(SavoryholdError):
+    """The daemon refused or was not reached."""
+
+
+class AdminClient:
+    """Calls ``/admin`` of one daemon.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the admin listener.
+    token : str
+        Bearer token, empty for none.
+    session : aiohttp.ClientSession
+        Session to send calls with.
+    """
+
+    def __init__(
+        self, url: str, token: str, session: aiohttp.ClientSession
+    ) -> None:
+        self._url = url.rstrip('/')
+        self._session = session
+        self._headers = {'Authorization': f'Bearer {token}'} if token else {}
+
+    async def get(self, page: str, **query: str) -> Any:
+        """Return the JSON of a page."""
+        return await self._call('GET', page, params=query)
+
+    async def post(self, page: str, **fields: Any) -> Any:
+        """Send JSON to a page and return its answer."""
+        return await self._call('POST', page, json=fields)
+
+    async def _call(self, method: str, page: str, **options: Any) -> Any:
+        url = f'{self._url}/admin/{page}'
+        timeout = aiohttp.ClientTimeout(total=CALL_LIMIT_S)
+        try:
+            async with self._session.request(
+                method, url, headers=self._headers, timeout=timeout, **options
+            ) as answer:
+                fields = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            raise AdminError(f'{url}: {exc!r}') from exc
+        if not answer.ok:
+            raise AdminError(f'{url}: {fields.get("error", answer.status)}')
+        return fields
--- /dev/null
+++ b/src/savoryhold/cli/commands.py
@@ -0,0 +1,216 @@
+"""What each command of the command line does."""
+
+import argparse
+import json
+import pathlib
+import sys
+from typing import Any
+
+import aiohttp
+
+from savoryhold.cli.apply import apply_service, diff_fields, read_current
+from savoryhold.cli.client import AdminClient
+from savoryhold.core.configuration import (
+    AcceptedConfig,
+    ServiceConfig,
+    parse_accepted,
+)
+from savoryhold.core.errors import ConfigurationError
+from savoryhold.core.ids import CONFIG_PREFIX
+from savoryhold.declare import Service, from_toml, to_toml
+from savoryhold.platform import PlatformClient
+
+__all__ = [
+    'run_apply',
+    'run_audit',
+    'run_check',
+    'run_diff',
+    'run_drain',
+    'run_move',
+    'run_owner',
+    'run_recover',
+    'run_show',
+    'run_status',
+]
+
+Options = argparse.Namespace
+EXIT_OK = 0
+EXIT_DIFFERS = 1
+
+
+def _print(options: Options, fields: Any, lines: list[str]) -> None:
+    if options.json:
+        sys.stdout.write(json.dumps(fields, indent=2) + '\n')
+        return
+    for line in lines:
+        sys.stdout.write(f'{line}\n')
+
+
+def _read_file(path: pathlib.Path) -> list[ServiceConfig]:
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigurationError(f'{path}: {exc}') from exc
+    return from_toml(text)
+
+
+async def run_check(options: Options) -> int:
+    """Check a configuration file."""
+    services = _read_file(options.file)
+    names = [service.name for service in services]
+    _print(options, {'valid': names}, [f'valid: {", ".join(names)}'])
+    return EXIT_OK
+
+
+async def run_diff(options: Options) -> int:
+    """Show how a file differs from what is in force."""
+    lines: list[str] = []
+    async with aiohttp.ClientSession() as session:
+        platform = PlatformClient(options.platform, session)
+        for service in _read_file(options.file):
+            current = await read_current(platform, service.name)
+            old = current.accepted.service if current.accepted else None
+            lines.extend(diff_fields(old, service))
+    _print(options, {'differences': lines}, lines or ['no differences'])
+    return EXIT_DIFFERS if lines else EXIT_OK
+
+
+async def run_apply(options: Options) -> int:
+    """Put a file's services in force."""
+    services = _read_file(options.file)
+    lines: list[str] = []
+    applied: list[dict[str, Any]] = []
+    async with aiohttp.ClientSession() as session:
+        platform = PlatformClient(options.platform, session)
+        for service in services:
+            base = await read_current(platform, service.name)
+            _check_base(options, service, base.revision)
+            done = await apply_service(platform, service, options.reason, base)
+            word = 'accepted' if done.changed else 'unchanged'
+            lines.append(f'{done.service}: revision {done.revision} {word}')
+            applied.append(
+                {
+                    'service': done.service,
+                    'revision': done.revision,
+                    'changed': done.changed,
+                }
+            )
+    _print(options, {'applied': applied}, lines)
+    return EXIT_OK
+
+
+async def run_show(options: Options) -> int:
+    """Show the configuration in the store."""
+    found = await _all_accepted(options)
+    fields = {
+        accepted.service.name: accepted.service.model_dump(
+            mode='json', by_alias=True
+        )
+        for accepted in found
+    }
+    text = to_toml(Service(accepted.service) for accepted in found)
+    _print(options, fields, [text.rstrip()])
+    return EXIT_OK
+
+
+async def run_audit(options: Options) -> int:
+    """Show who changed what, and why."""
+    found = await _all_accepted(options)
+    entries = [
+        {'service': accepted.service.name, **entry.model_dump()}
+        for accepted in found
+        for entry in accepted.audit
+    ]
+    lines = [
+        f'{entry["time"]} {entry["service"]} revision={entry["revision"]} '
+        f'parent={entry["parent"]} author={entry["author"]} '
+        f'digest={entry["digest"]} reason={entry["reason"]!r}'
+        for entry in entries
+    ]
+    _print(options, entries, lines)
+    return EXIT_OK
+
+
+async def run_status(options: Options) -> int:
+    """Show nodes, leases, shards and revisions."""
+    fields = await _admin(options, 'status')
+    lines = [
+        f'seen by {fields["node"]} (lease {fields["lease_ms"]} ms, '
+        f'{fields["held"]} shards held)',
+        f'{"NODE":28} {"STATE":8} {"ZONE":14} {"SHARDS":>6} '
+        f'{"OUT":>4} SERVICES STANDBY',
+    ]
+    lines.extend(
+        f'{node["node"]:28} {node["state"]:8} {node["zone"]:14} '
+        f'{node["shards"]:6} {node["outgoing"]:4} '
+        f'{",".join(node["services"]) or "-"} {node["standby"] or "-"}'
+        for node in fields['nodes']
+    )
+    lines.extend(
+        f'service {name}: revision {revision} in force here'
+        for name, revision in fields['revisions'].items()
+    )
+    _print(options, fields, lines)
+    return EXIT_OK
+
+
+async def run_owner(options: Options) -> int:
+    """Show which node owns a key."""
+    fields = await _admin(
+        options, 'owner', service=options.service, key=options.key
+    )
+    line = f'shard {fields["shard"]} epoch {fields["epoch"]}'
+    _print(options, fields, [f'{fields["owner"]} {line}'])
+    return EXIT_OK
+
+
+async def run_drain(options: Options) -> int:
+    """Have a node hand over its shards and leave."""
+    return await _order(options, 'drain', node=options.node)
+
+
+async def run_move(options: Options) -> int:
+    """Have a shard moved to another node."""
+    return await _order(
+        options,
+        'move',
+        service=options.service,
+        shard=options.shard,
+        target=options.node,
+    )
+
+
+async def run_recover(options: Options) -> int:
+    """Claim a lost node's record on the operator's word."""
+    return await _order(options, 'recover', node=options.node)
+
+
+async def _order(options: Options, page: str, **fields: Any) -> int:
+    async with aiohttp.ClientSession() as session:
+        client = AdminClient(options.admin, options.token, session)
+        done = await client.post(page, **fields)
+    _print(options, done, [f'{name}={done[name]}' for name in done])
+    return EXIT_OK
+
+
+async def _admin(options: Options, page: str, **query: str) -> Any:
+    async with aiohttp.ClientSession() as session:
+        client = AdminClient(options.admin, options.token, session)
+        return await client.get(page, **query)
+
+
+async def _all_accepted(options: Options) -> list[AcceptedConfig]:
+    async with aiohttp.ClientSession() as session:
+        platform = PlatformClient(options.platform, session)
+        seen = await platform.snapshot(CONFIG_PREFIX)
+    return [parse_accepted(found.text) for found in seen.objects if found.text]
+
+
+def _check_base(
+    options: Options, service: ServiceConfig, revision: int
+) -> None:
+    if options.base is not None and options.base != revision:
+        raise ConfigurationError(
+            f'service {service.name!r}: --base is {options.base}, but '
+            f'revision {revision} is in force'
+        )
--- /dev/null
+++ b/src/savoryhold/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the router: no sockets, files, timers or clock of its own."""
--- /dev/null
+++ b/src/savoryhold/core/admission.py
@@ -0,0 +1,271 @@
+"""Admission control of one target: slots, classes, queues and deadlines."""
+
+import dataclasses
+import enum
+from collections import OrderedDict, deque
+
+from savoryhold.core.configuration import AdmissionPolicy, ServiceClass
+
+__all__ = [
+    'AdmissionLimits',
+    'AdmissionQueue',
+    'Decision',
+    'Refusal',
+    'Ticket',
+]
+
+STANDING_MS = 100
+RAMP_START_SLOTS = 1
+SMOOTHING = 0.1
+
+
+class Refusal(enum.Enum):
+    """Why a request was not admitted."""
+
+    QUEUE_FULL = 'queue-full'
+    DEADLINE = 'deadline'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionLimits:
+    """Limits of one target."""
+
+    slots: int
+    long_share: float = 0.34
+    queue: int = 512
+    policy: AdmissionPolicy = AdmissionPolicy.ADAPTIVE
+
+    @property
+    def long_slots(self) -> int:
+        """Return how many slots long requests may hold at once."""
+        return max(1, int(self.slots * self.long_share))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that asks to be admitted.
+
+    Parameters
+    ----------
+    number : int
+        Unique in this process.
+    key : str
+        What fairness is kept between.
+    service_class : ServiceClass
+        ``SHORT`` or ``LONG``.
+    deadline : int
+        Time in ms after which the answer is of no use.
+    arrived_at : int
+        Time in ms.
+    """
+
+    number: int
+    key: str
+    service_class: ServiceClass
+    deadline: int
+    arrived_at: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decision:
+    """What became of a ticket; no refusal means that it is admitted."""
+
+    ticket: Ticket
+    refusal: Refusal | None = None
+
+
+class _ClassQueue:
+    """Waiting tickets of one class, fair between keys."""
+
+    def __init__(self, policy: AdmissionPolicy) -> None:
+        self._by_key: OrderedDict[str, deque[Ticket]] = OrderedDict()
+        self._policy = policy
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def oldest(self) -> int:
+        """Return the number of the ticket that has waited longest."""
+        return min(line[0].number for line in self._by_key.values())
+
+    def push(self, ticket: Ticket) -> None:
+        fair = self._policy is AdmissionPolicy.ADAPTIVE
+        line = self._by_key.setdefault(ticket.key if fair else '', deque())
+        line.append(ticket)
+        self._count += 1
+
+    def pop(self, now: int) -> Ticket:
+        """Return the next ticket; the newest of a key that stands long."""
+        name, line = next(iter(self._by_key.items()))
+        standing = now - line[0].arrived_at > STANDING_MS
+        newest = standing and self._policy is AdmissionPolicy.ADAPTIVE
+        ticket = line.pop() if newest else line.popleft()
+        self._rotate(name, line)
+        self._count -= 1
+        return ticket
+
+    def remove(self, ticket: Ticket) -> bool:
+        for name, line in self._by_key.items():
+            if ticket in line:
+                line.remove(ticket)
+                self._count -= 1
+                self._rotate(name, line)
+                return True
+        return False
+
+    def take_late(self, now: int, needed_ms: float) -> list[Ticket]:
+        """Remove and return tickets that can no longer be in time."""
+        late = [
+            ticket
+            for line in self._by_key.values()
+            for ticket in line
+            if now + needed_ms > ticket.deadline
+        ]
+        for ticket in late:
+            self.remove(ticket)
+        return late
+
+    def _rotate(self, name: str, line: deque[Ticket]) -> None:
+        if line:
+            self._by_key.move_to_end(name)
+        else:
+            self._by_key.pop(name)
+
+
+class AdmissionQueue:
+    """State machine that admits requests into a target's slots.
+
+    Parameters
+    ----------
+    limits : AdmissionLimits
+        Slots, classes and queue bounds.
+
+    Notes
+    -----
+    Long requests hold at most a share of the slots, so that some stay for
+    short ones.  A waiting line that stands longer than `STANDING_MS` is
+    served newest first, as those callers are still there (adaptive LIFO,
+    B. Maurer, "Fail at Scale", ACM Queue 13(8), 2015).
+    """
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        self._limits = limits
+        self._queues = {
+            ServiceClass.SHORT: _ClassQueue(limits.policy),
+            ServiceClass.LONG: _ClassQueue(limits.policy),
+        }
+        self._running = {ServiceClass.SHORT: 0, ServiceClass.LONG: 0}
+        self._mean_ms = {ServiceClass.SHORT: 0.0, ServiceClass.LONG: 0.0}
+        self._open_slots = RAMP_START_SLOTS
+        if limits.policy is AdmissionPolicy.FIFO:
+            self._open_slots = limits.slots
+
+    @property
+    def running(self) -> int:
+        """Return how many requests hold a slot."""
+        return sum(self._running.values())
+
+    @property
+    def waiting(self) -> int:
+        """Return how many requests wait for a slot."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    @property
+    def open_slots(self) -> int:
+        """Return how many slots the target has been given so far."""
+        return self._open_slots
+
+    def mean_ms(self, service_class: ServiceClass) -> float:
+        """Return the smoothed service time of a class in ms."""
+        return self._mean_ms[service_class]
+
+    def restart(self) -> None:
+        """Note that the target has started cold: ramp up again."""
+        if self._limits.policy is AdmissionPolicy.ADAPTIVE:
+            self._open_slots = RAMP_START_SLOTS
+
+    def offer(self, ticket: Ticket, now: int) -> list[Decision]:
+        """Queue a ticket and return all decisions that follow."""
+        queue = self._queues[ticket.service_class]
+        if len(queue) >= self._limits.queue:
+            return [Decision(ticket, Refusal.QUEUE_FULL)]
+        if self._cannot_finish(ticket, now):
+            return [Decision(ticket, Refusal.DEADLINE)]
+        queue.push(ticket)
+        return self._admit(now)
+
+    def finish(
+        self, ticket: Ticket, now: int, *, took_ms: int | None
+    ) -> list[Decision]:
+        """Free a ticket's slot.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            An admitted ticket.
+        now : int
+            Present time in ms.
+        took_ms : int or None
+            Time that the target needed; None if it gave no whole answer.
+        """
+        kind = ticket.service_class
+        self._running[kind] -= 1
+        if took_ms is not None:
+            mean = self._mean_ms[kind]
+            step = SMOOTHING * (took_ms - mean)
+            self._mean_ms[kind] = mean + step if mean else float(took_ms)
+            self._open_slots = min(self._open_slots + 1, self._limits.slots)
+        return self._admit(now)
+
+    def withdraw(self, ticket: Ticket) -> bool:
+        """Remove a waiting ticket; return whether it was waiting."""
+        return self._queues[ticket.service_class].remove(ticket)
+
+    def expire(self, now: int) -> list[Decision]:
+        """Refuse waiting tickets that can no longer be in time."""
+        if self._limits.policy is AdmissionPolicy.FIFO:
+            return []
+        return [
+            Decision(ticket, Refusal.DEADLINE)
+            for kind, queue in self._queues.items()
+            for ticket in queue.take_late(now, self._mean_ms[kind])
+        ]
+
+    def _cannot_finish(self, ticket: Ticket, now: int) -> bool:
+        if self._limits.policy is AdmissionPolicy.FIFO:
+            return False
+        return now + self._mean_ms[ticket.service_class] > ticket.deadline
+
+    def _admit(self, now: int) -> list[Decision]:
+        decisions = self.expire(now)
+        if self._limits.policy is AdmissionPolicy.FIFO:
+            decisions.extend(self._admit_fifo(now))
+            return decisions
+        long_slots = min(self._limits.long_slots, self._open_slots)
+        ceilings = {
+            ServiceClass.SHORT: self._open_slots,
+            ServiceClass.LONG: long_slots,
+        }
+        for kind, ceiling in ceilings.items():
+            queue = self._queues[kind]
+            while queue and self._has_room(kind, ceiling):
+                decisions.append(self._start(queue.pop(now)))
+        return decisions
+
+    def _admit_fifo(self, now: int) -> list[Decision]:
+        decisions = []
+        while self.waiting and self.running < self._limits.slots:
+            queue = min(
+                (line for line in self._queues.values() if line),
+                key=lambda line: line.oldest(),
+            )
+            decisions.append(self._start(queue.pop(now)))
+        return decisions
+
+    def _has_room(self, kind: ServiceClass, ceiling: int) -> bool:
+        return self.running < self._open_slots and self._running[kind] < ceiling
+
+    def _start(self, ticket: Ticket) -> Decision:
+        self._running[ticket.service_class] += 1
+        return Decision(ticket)
--- /dev/null
+++ b/src/savoryhold/core/balance.py
@@ -0,0 +1,112 @@
+"""Which shard a node offers to which other node, and when."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from savoryhold.core.ids import NodeId, ShardKey
+
+__all__ = ['BalancePolicy', 'Offer', 'choose_offer', 'join_share']
+
+NOISE = 1e-9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BalancePolicy:
+    """When a difference of load is worth a move.
+
+    Parameters
+    ----------
+    margin : float
+        Share by which one load must exceed the other.
+    floor : float
+        Smallest difference of load that counts, in requests a second.
+    """
+
+    margin: float = 0.15
+    floor: float = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A shard that should move, and where to."""
+
+    key: ShardKey
+    target: NodeId
+    gain: float
+
+
+def choose_offer(
+    shard_loads: Mapping[ShardKey, float],
+    peer_loads: Mapping[NodeId, float],
+    policy: BalancePolicy,
+) -> Offer | None:
+    """Return the move that best evens out this node and a peer.
+
+    Parameters
+    ----------
+    shard_loads : mapping of ShardKey to float
+        Load of each shard of this node, in requests a second.
+    peer_loads : mapping of NodeId to float
+        Load of each node that could take a shard.
+    policy : BalancePolicy
+        Margin and floor.
+
+    Returns
+    -------
+    Offer or None
+        A move that leaves the pair closer and does not reverse it.
+
+    Notes
+    -----
+    A shard of load s moved from load a to load b leaves the pair at
+    a - s and b + s; it is closer and not reversed if s is at most half of
+    the difference.  The largest such shard gains the most.
+    """
+    if not peer_loads or not shard_loads:
+        return None
+    mine = sum(shard_loads.values())
+    target = min(peer_loads, key=lambda node: (peer_loads[node], node))
+    gap = mine - peer_loads[target]
+    if gap <= max(policy.floor, policy.margin * mine):
+        return None
+    fitting = [
+        (load, key)
+        for key, load in shard_loads.items()
+        if NOISE < load <= gap / 2
+    ]
+    if not fitting:
+        return None
+    load, key = max(fitting)
+    return Offer(key, target, load)
+
+
+def join_share(
+    counts: Mapping[NodeId, int], joiner: NodeId
+) -> dict[NodeId, int]:
+    """Return how many shards each node gives to one that has too few.
+
+    Parameters
+    ----------
+    counts : mapping of NodeId to int
+        Shards owned by each node, the joiner included.
+    joiner : NodeId
+        The node that asks.
+
+    Returns
+    -------
+    dict of NodeId to int
+        Shards to ask of each node; the fullest give first.
+    """
+    fair = sum(counts.values()) // max(len(counts), 1)
+    missing = fair - counts.get(joiner, 0)
+    asked: dict[NodeId, int] = {}
+    left = dict(counts)
+    left.pop(joiner, None)
+    while missing > 0 and left:
+        fullest = max(left, key=lambda node: (left[node], node))
+        if left[fullest] <= fair:
+            break
+        left[fullest] -= 1
+        asked[fullest] = asked.get(fullest, 0) + 1
+        missing -= 1
+    return asked
--- /dev/null
+++ b/src/savoryhold/core/clock.py
@@ -0,0 +1,57 @@
+"""The project's clock: a monotonic count of milliseconds."""
+
+import time
+from typing import Protocol
+
+__all__ = ['Clock', 'ManualClock', 'MonotonicClock']
+
+NANOSECONDS_PER_MS = 1_000_000
+
+
+class Clock(Protocol):
+    """A source of monotonic time in milliseconds."""
+
+    def now(self) -> int:
+        """Return the present time in milliseconds."""
+
+
+class MonotonicClock:
+    """The host's monotonic clock, which also counts while paused."""
+
+    def now(self) -> int:
+        """Return the host's monotonic time in milliseconds."""
+        return time.monotonic_ns() // NANOSECONDS_PER_MS
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests.
+
+    Parameters
+    ----------
+    start : int
+        First reading in milliseconds.
+    """
+
+    def __init__(self, start: int = 0) -> None:
+        self._now = start
+
+    def now(self) -> int:
+        """Return the present reading in milliseconds."""
+        return self._now
+
+    def advance(self, delta_ms: int) -> None:
+        """Move the clock forward.
+
+        Parameters
+        ----------
+        delta_ms : int
+            Step in milliseconds, not negative.
+
+        Raises
+        ------
+        ValueError
+            If the step is negative.
+        """
+        if delta_ms < 0:
+            raise ValueError(f'delta_ms is {delta_ms}, expected 0 or more')
+        self._now += delta_ms
--- /dev/null
+++ b/src/savoryhold/core/errors.py
@@ -0,0 +1,120 @@
+"""Errors of the project; each says whether the request may have run."""
+
+from savoryhold.core.verdict import Verdict
+
+__all__ = [
+    'BadRequestError',
+    'ConfigurationError',
+    'DeadlineError',
+    'LinkError',
+    'MalformedMessageError',
+    'NotOwnerError',
+    'OverloadError',
+    'PlatformError',
+    'RequestError',
+    'SavoryholdError',
+    'UncertainError',
+    'UnknownServiceError',
+    'VersionConflictError',
+    'WriteUncertainError',
+]
+
+
+class SavoryholdError(Exception):
+    """Base of all errors of the project."""
+
+
+class ConfigurationError(SavoryholdError):
+    """A configuration or setting is not valid; the text names the field."""
+
+
+class MalformedMessageError(SavoryholdError):
+    """Bytes from another process do not decode to a known message."""
+
+
+class LinkError(SavoryholdError):
+    """A peer link failed.
+
+    Parameters
+    ----------
+    text : str
+        What happened.
+    sent : bool
+        Whether the message may have reached the peer.
+    """
+
+    def __init__(self, text: str, *, sent: bool) -> None:
+        super().__init__(text)
+        self.sent = sent
+
+
+class PlatformError(SavoryholdError):
+    """The platform's object API gave no usable answer; no write was sent."""
+
+
+class WriteUncertainError(PlatformError):
+    """A write was sent and its reply was lost; it may take effect."""
+
+
+class VersionConflictError(PlatformError):
+    """A conditional write named a version that is no longer present."""
+
+
+class RequestError(SavoryholdError):
+    """A caller's request ended without an answer from its target.
+
+    Parameters
+    ----------
+    text : str
+        Reason, shown to the caller.
+    retry_after_ms : int
+        When a new try may succeed; 0 says nothing.
+    """
+
+    verdict = Verdict.NOT_RUN
+    status = 503
+    code = 'unavailable'
+
+    def __init__(self, text: str, retry_after_ms: int = 0) -> None:
+        super().__init__(text)
+        self.retry_after_ms = retry_after_ms
+
+
+class BadRequestError(RequestError):
+    """The request is malformed."""
+
+    status = 400
+    code = 'bad-request'
+
+
+class UnknownServiceError(RequestError):
+    """The request names a service without configuration."""
+
+    status = 404
+    code = 'unknown-service'
+
+
+class NotOwnerError(RequestError):
+    """This node may not act as the owner of the shard now."""
+
+    code = 'not-owner'
+
+
+class OverloadError(RequestError):
+    """Admission control refused the request."""
+
+    code = 'overload'
+
+
+class DeadlineError(RequestError):
+    """The deadline passed before the request was sent to its target."""
+
+    code = 'deadline'
+
+
+class UncertainError(RequestError):
+    """The request was sent to a target and no whole answer came back."""
+
+    verdict = Verdict.MAY_HAVE_RUN
+    status = 504
+    code = 'uncertain'
--- /dev/null
+++ b/src/savoryhold/core/events.py
@@ -0,0 +1,145 @@
+"""Events that the ownership machine takes in."""
+
+import dataclasses
+import enum
+
+from savoryhold.core.ids import (
+    NodeId,
+    ObjectName,
+    ServiceName,
+    ShardKey,
+    Version,
+)
+from savoryhold.core.records import NodeRecord
+
+__all__ = [
+    'Event',
+    'HeartbeatAnswered',
+    'LeaveAsked',
+    'LedgerHanded',
+    'MoveAsked',
+    'RecordSeen',
+    'RecoverAsked',
+    'ServiceKnown',
+    'ServicesOffered',
+    'ShardDrained',
+    'SnapshotSeen',
+    'Tick',
+    'WriteEnded',
+    'WriteOutcome',
+]
+
+
+class WriteOutcome(enum.Enum):
+    """How a conditional write ended, as far as its sender knows."""
+
+    DONE = 'done'
+    CONFLICT = 'conflict'
+    UNCERTAIN = 'uncertain'
+    REFUSED = 'refused'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecordSeen:
+    """A version of an object was seen; `record` is None when deleted."""
+
+    name: ObjectName
+    version: Version
+    record: NodeRecord | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SnapshotSeen:
+    """All record objects of the store at one instant."""
+
+    entries: tuple[RecordSeen, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteEnded:
+    """The outcome of a `WriteObject` action."""
+
+    name: ObjectName
+    outcome: WriteOutcome
+    version: Version = Version(0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatAnswered:
+    """A standby promised, for the heartbeat sent at `sent_at`."""
+
+    standby: NodeId
+    sent_at: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceKnown:
+    """Configuration names a keyed service and its number of shards."""
+
+    service: ServiceName
+    shards: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServicesOffered:
+    """The local target's services changed."""
+
+    services: frozenset[ServiceName]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveAsked:
+    """A shard of this node shall move to another node."""
+
+    key: ShardKey
+    target: NodeId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardDrained:
+    """No request of a shard under move is running any more."""
+
+    key: ShardKey
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerHanded:
+    """A `HandLedger` action ended; `taken` says whether it was stored."""
+
+    name: ObjectName
+    target: NodeId
+    keys: frozenset[ShardKey]
+    taken: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaveAsked:
+    """This node shall hand over all its shards and end."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecoverAsked:
+    """An operator states that a node is gone and may be claimed."""
+
+    node: NodeId
+
+
+Event = (
+    Tick
+    | RecordSeen
+    | SnapshotSeen
+    | WriteEnded
+    | HeartbeatAnswered
+    | ServiceKnown
+    | ServicesOffered
+    | MoveAsked
+    | ShardDrained
+    | LedgerHanded
+    | LeaveAsked
+    | RecoverAsked
+)
--- /dev/null
+++ b/src/savoryhold/core/gossip.py
@@ -0,0 +1,119 @@
+"""News of versioned objects, and digests that find what is missing."""
+
+import dataclasses
+from collections.abc import Iterable, Iterator
+
+from savoryhold.core.hashing import hash64
+from savoryhold.core.ids import ObjectName, Version
+
+__all__ = ['BUCKETS', 'Digest', 'NewsItem', 'NewsTable']
+
+BUCKETS = 64
+# Digests travel as signed 64-bit integers.
+_MASK = (1 << 63) - 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsItem:
+    """A version of an object; `text` is None when it was deleted."""
+
+    name: ObjectName
+    version: Version
+    text: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Digest:
+    """One hash over the names and versions in each bucket."""
+
+    buckets: tuple[int, ...]
+
+    @property
+    def root(self) -> int:
+        """Return one hash over all buckets."""
+        joined = ','.join(str(bucket) for bucket in self.buckets)
+        return hash64(joined) & _MASK
+
+    def differing(self, other: 'Digest') -> list[int]:
+        """Return the numbers of the buckets that differ."""
+        pairs = zip(self.buckets, other.buckets, strict=True)
+        return [
+            num for num, (mine, theirs) in enumerate(pairs) if mine != theirs
+        ]
+
+
+class NewsTable:
+    """The newest version known of each object.
+
+    Notes
+    -----
+    A digest is the exclusive or of the hashes of all (name, version)
+    pairs of a bucket, so one change updates it in constant time.  Deleted
+    objects do not count in it, so that they can be forgotten in time.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[ObjectName, NewsItem] = {}
+        self._buckets = [0] * BUCKETS
+
+    def __len__(self) -> int:
+        """Return how many objects are known."""
+        return len(self._items)
+
+    def get(self, name: ObjectName) -> NewsItem | None:
+        """Return the newest version known of an object."""
+        return self._items.get(name)
+
+    def items(self) -> Iterator[NewsItem]:
+        """Iterate over the newest version of each object."""
+        yield from self._items.values()
+
+    def learn(self, item: NewsItem) -> bool:
+        """Take in a version; return whether it was news."""
+        known = self._items.get(item.name)
+        if known is not None and known.version >= item.version:
+            return False
+        self._toggle(known)
+        self._toggle(item)
+        self._items[item.name] = item
+        return True
+
+    def forget(self, name: ObjectName) -> None:
+        """Remove an object, as for a deletion that all have heard of."""
+        self._toggle(self._items.pop(name, None))
+
+    def digest(self) -> Digest:
+        """Return the digest of all objects."""
+        return Digest(tuple(self._buckets))
+
+    def versions(self, buckets: Iterable[int]) -> dict[ObjectName, Version]:
+        """Return the versions of the objects in some buckets."""
+        wanted = set(buckets)
+        return {
+            name: item.version
+            for name, item in self._items.items()
+            if _bucket(name) in wanted
+        }
+
+    def newer_than(
+        self, versions: dict[ObjectName, Version], buckets: Iterable[int]
+    ) -> list[NewsItem]:
+        """Return objects of some buckets that a peer lacks or has older."""
+        wanted = set(buckets)
+        return [
+            item
+            for name, item in self._items.items()
+            if _bucket(name) in wanted and versions.get(name, 0) < item.version
+        ]
+
+    def _toggle(self, item: NewsItem | None) -> None:
+        if item is not None and item.text is not None:
+            self._buckets[_bucket(item.name)] ^= _hash(item)
+
+
+def _bucket(name: ObjectName) -> int:
+    return hash64(name) % BUCKETS
+
+
+def _hash(item: NewsItem) -> int:
+    return hash64(f'{item.name}@{item.version}') & _MASK
--- /dev/null
+++ b/src/savoryhold/core/ledger.py
@@ -0,0 +1,225 @@
+"""Memory of request ids, so that a request runs at most once."""
+
+import dataclasses
+import enum
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from savoryhold.core.ids import NodeId, RequestId, ShardKey
+
+__all__ = [
+    'BackupLedger',
+    'KeptAnswer',
+    'Ledger',
+    'LedgerEntry',
+    'LedgerLimits',
+    'LedgerState',
+]
+
+ENTRY_BYTES = 400
+
+
+class LedgerState(enum.Enum):
+    """What is known of a request id."""
+
+    NEW = 'new'
+    RUNNING = 'running'
+    DONE = 'done'
+    UNKNOWN = 'unknown'
+    FULL = 'full'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerLimits:
+    """Bounds of a ledger."""
+
+    count: int = 200_000
+    size_bytes: int = 64_000_000
+    age_ms: int = 600_000
+    answer_bytes: int = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A target's whole answer, kept to be given again."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerEntry:
+    """One request id of one shard."""
+
+    key: ShardKey
+    request: RequestId
+    state: LedgerState
+    at: int
+    answer: KeptAnswer | None = None
+
+    @property
+    def size(self) -> int:
+        """Return the bytes that the entry counts for."""
+        return ENTRY_BYTES + (len(self.answer.body) if self.answer else 0)
+
+
+_Slot = tuple[ShardKey, RequestId]
+
+
+class Ledger:
+    """The owner's memory of non-idempotent requests.
+
+    Parameters
+    ----------
+    limits : LedgerLimits
+        Bounds; at a bound new requests are refused, never forgotten.
+    """
+
+    def __init__(self, limits: LedgerLimits | None = None) -> None:
+        self._limits = limits or LedgerLimits()
+        self._entries: OrderedDict[_Slot, LedgerEntry] = OrderedDict()
+        self._size = 0
+
+    def __len__(self) -> int:
+        """Return how many ids are kept."""
+        return len(self._entries)
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the bytes that all entries count for."""
+        return self._size
+
+    def begin(self, key: ShardKey, request: RequestId, now: int) -> LedgerEntry:
+        """Return what is known of an id, and note it as running if new.
+
+        Returns
+        -------
+        LedgerEntry
+            Its state is ``NEW`` if the request may run now, ``FULL`` if
+            the ledger has no room for it; else what is known.
+        """
+        self.expire(now)
+        known = self._entries.get((key, request))
+        if known is not None:
+            return known
+        limits = self._limits
+        room = self._size + ENTRY_BYTES <= limits.size_bytes
+        if len(self._entries) >= limits.count or not room:
+            return LedgerEntry(key, request, LedgerState.FULL, now)
+        self._put(LedgerEntry(key, request, LedgerState.RUNNING, now))
+        return LedgerEntry(key, request, LedgerState.NEW, now)
+
+    def finish(
+        self, key: ShardKey, request: RequestId, answer: KeptAnswer, now: int
+    ) -> None:
+        """Keep the answer of a request that ran.
+
+        Notes
+        -----
+        An answer that is too large, or for which there is no room, is not
+        kept; the id then says that the request ran and its answer is gone.
+        """
+        entry = LedgerEntry(key, request, LedgerState.DONE, now, answer)
+        too_large = len(answer.body) > self._limits.answer_bytes
+        room = self._size + len(answer.body) <= self._limits.size_bytes
+        if too_large or not room:
+            entry = LedgerEntry(key, request, LedgerState.UNKNOWN, now)
+        self._put(entry)
+
+    def uncertain(self, key: ShardKey, request: RequestId, now: int) -> None:
+        """Note that a request may have run."""
+        self._put(LedgerEntry(key, request, LedgerState.UNKNOWN, now))
+
+    def forget(self, key: ShardKey, request: RequestId) -> None:
+        """Remove an id whose request certainly did not run."""
+        entry = self._entries.pop((key, request), None)
+        if entry is not None:
+            self._size -= entry.size
+
+    def export(self, keys: frozenset[ShardKey]) -> list[LedgerEntry]:
+        """Return the entries of some shards; running ones as unknown."""
+        return [
+            _as_settled(entry)
+            for entry in self._entries.values()
+            if entry.key in keys
+        ]
+
+    def adopt(self, entries: Iterable[LedgerEntry]) -> None:
+        """Take in entries of another owner; own entries stay."""
+        for entry in entries:
+            if (entry.key, entry.request) not in self._entries:
+                self._put(entry)
+
+    def expire(self, now: int) -> None:
+        """Remove settled entries that are older than the age bound."""
+        oldest = now - self._limits.age_ms
+        while self._entries:
+            slot, entry = next(iter(self._entries.items()))
+            if entry.at >= oldest or entry.state is LedgerState.RUNNING:
+                return
+            self._entries.pop(slot)
+            self._size -= entry.size
+
+    def _put(self, entry: LedgerEntry) -> None:
+        slot = (entry.key, entry.request)
+        previous = self._entries.pop(slot, None)
+        if previous is not None:
+            self._size -= previous.size
+        self._entries[slot] = entry
+        self._size += entry.size
+
+
+class BackupLedger:
+    """The standby's memory of its holders' request ids.
+
+    Parameters
+    ----------
+    limits : LedgerLimits
+        Bounds over all holders; at a bound no more ids are accepted.
+    """
+
+    def __init__(self, limits: LedgerLimits | None = None) -> None:
+        self._limits = limits or LedgerLimits()
+        self._ids: OrderedDict[tuple[NodeId, ShardKey, RequestId], int] = (
+            OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return how many ids are kept."""
+        return len(self._ids)
+
+    def append(
+        self, holder: NodeId, key: ShardKey, request: RequestId, now: int
+    ) -> bool:
+        """Keep an id; return whether there was room for it."""
+        self.expire(now)
+        if len(self._ids) >= self._limits.count:
+            return False
+        self._ids[holder, key, request] = now
+        return True
+
+    def export(
+        self, holder: NodeId, keys: frozenset[ShardKey]
+    ) -> list[LedgerEntry]:
+        """Return a holder's ids of some shards, as unknown outcomes."""
+        return [
+            LedgerEntry(key, request, LedgerState.UNKNOWN, at)
+            for (node, key, request), at in self._ids.items()
+            if node == holder and key in keys
+        ]
+
+    def expire(self, now: int) -> None:
+        """Remove ids that are older than the age bound."""
+        oldest = now - self._limits.age_ms
+        while self._ids:
+            slot, at = next(iter(self._ids.items()))
+            if at >= oldest:
+                return
+            self._ids.pop(slot)
+
+
+def _as_settled(entry: LedgerEntry) -> LedgerEntry:
+    if entry.state is LedgerState.RUNNING:
+        return dataclasses.replace(entry, state=LedgerState.UNKNOWN)
+    return entry
--- /dev/null
+++ b/src/savoryhold/core/moves.py
@@ -0,0 +1,87 @@
+"""Planned moves of shards that this node holds."""
+
+import dataclasses
+import enum
+
+from savoryhold.core.ids import NodeId, ShardKey
+
+__all__ = ['MOVE_LIMIT_MS', 'Move', 'MoveState', 'MoveTable']
+
+MOVE_LIMIT_MS = 5000
+
+
+class MoveState(enum.Enum):
+    """State of a planned move, before its write."""
+
+    DRAINING = 'draining'
+    HANDING = 'handing'
+    READY = 'ready'
+
+
+NEXT_STATE = {
+    MoveState.DRAINING: MoveState.HANDING,
+    MoveState.HANDING: MoveState.READY,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Move:
+    """One shard on its way to another node."""
+
+    key: ShardKey
+    target: NodeId
+    started_at: int
+    state: MoveState = MoveState.DRAINING
+
+
+class MoveTable:
+    """Moves that have not been written yet."""
+
+    def __init__(self) -> None:
+        self._moves: dict[ShardKey, Move] = {}
+
+    def __contains__(self, key: ShardKey) -> bool:
+        """Return whether a shard is under move."""
+        return key in self._moves
+
+    def __len__(self) -> int:
+        """Return how many shards are under move."""
+        return len(self._moves)
+
+    def start(self, key: ShardKey, target: NodeId, now: int) -> None:
+        """Begin a move by draining the shard."""
+        self._moves[key] = Move(key, target, now)
+
+    def advance(self, key: ShardKey, state: MoveState) -> Move | None:
+        """Step a move on if it is in `state`; return it if it was."""
+        move = self._moves.get(key)
+        if move is None or move.state is not state:
+            return None
+        move.state = NEXT_STATE[state]
+        return move
+
+    def target_of(self, key: ShardKey) -> NodeId | None:
+        """Return where a shard is moving to."""
+        move = self._moves.get(key)
+        return None if move is None else move.target
+
+    def ready(self) -> list[Move]:
+        """Return the moves that only wait for their write."""
+        return [
+            move
+            for move in self._moves.values()
+            if move.state is MoveState.READY
+        ]
+
+    def overdue(self, now: int) -> list[Move]:
+        """Return unready moves that have taken longer than allowed."""
+        return [
+            move
+            for move in self._moves.values()
+            if move.state is not MoveState.READY
+            and now - move.started_at > MOVE_LIMIT_MS
+        ]
+
+    def remove(self, key: ShardKey) -> None:
+        """Forget a move."""
+        self._moves.pop(key, None)
--- /dev/null
+++ b/src/savoryhold/core/ownership.py
@@ -0,0 +1,241 @@
+"""The ownership machine: one node's lease, claims, grants and routes."""
+
+import dataclasses
+from functools import singledispatchmethod
+
+from savoryhold.core.actions import Action, TakeSnapshot
+from savoryhold.core.claimer import Claimer
+from savoryhold.core.events import (
+    Event,
+    HeartbeatAnswered,
+    LeaveAsked,
+    LedgerHanded,
+    MoveAsked,
+    RecordSeen,
+    RecoverAsked,
+    ServiceKnown,
+    ServicesOffered,
+    ShardDrained,
+    SnapshotSeen,
+    Tick,
+    WriteEnded,
+    WriteOutcome,
+)
+from savoryhold.core.holder import Holder
+from savoryhold.core.ids import NodeId, ShardKey, Version, node_object
+from savoryhold.core.records import NodeRecord, Profile
+from savoryhold.core.routing import Directory, Entry
+from savoryhold.core.standby import StandbyDuties
+
+__all__ = ['OwnershipMachine', 'PromiseAnswer']
+
+SNAPSHOT_EVERY_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromiseAnswer:
+    """Answer to a heartbeat: a promise, or a newer version to look at."""
+
+    promised: bool
+    newer: Entry | None = None
+
+
+class OwnershipMachine:
+    """All decisions of one node about who owns what.
+
+    Parameters
+    ----------
+    profile : Profile
+        What the node says of itself.
+    started_at : int
+        Present time in ms.
+
+    Notes
+    -----
+    `handle` takes an event and the time and returns actions; the machine
+    itself reads no clock and does no input or output.
+    """
+
+    def __init__(self, profile: Profile, started_at: int) -> None:
+        self.directory = Directory()
+        self.duties = StandbyDuties(started_at)
+        self.holder = Holder(profile, self.directory)
+        self.claimer = Claimer(profile, self.directory, self.duties, started_at)
+        self._snapshot_at = started_at
+
+    @property
+    def node(self) -> NodeId:
+        """Return this node's id."""
+        return self.holder.profile.node
+
+    def may_admit(self, key: ShardKey, now: int) -> bool:
+        """Return whether a new request of a shard may start here."""
+        return self.holder.may_admit(key, now)
+
+    def may_send(self, key: ShardKey, now: int) -> bool:
+        """Return whether bytes for a shard may go to the target now."""
+        return self.holder.may_send(key, now)
+
+    def heartbeat(
+        self, holder: NodeId, version: Version, now: int
+    ) -> PromiseAnswer:
+        """Answer a holder's heartbeat.
+
+        Parameters
+        ----------
+        holder : NodeId
+            The node that asks for a promise.
+        version : Version
+            Version of its record that the holder knows to be written.
+        now : int
+            Present time in ms.
+
+        Returns
+        -------
+        PromiseAnswer
+            A promise only if this node's own lease is valid, and no claim
+            of it can still take effect at that version.
+        """
+        entry = self.directory.entry(node_object(holder))
+        if entry is not None and entry.version > version:
+            return PromiseAnswer(promised=False, newer=entry)
+        if not self.holder.lease.is_valid(now) or self.holder.claimed:
+            return PromiseAnswer(promised=False)
+        if not self.duties.may_promise(holder, version):
+            return PromiseAnswer(promised=False)
+        self.claimer.cancel(node_object(holder))
+        self.duties.promise(holder, now)
+        return PromiseAnswer(promised=True)
+
+    @singledispatchmethod
+    def handle(self, event: Event, now: int) -> list[Action]:
+        """Take in an event.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        now : int
+            Present time in ms.
+
+        Returns
+        -------
+        list of Action
+            What the surroundings shall do, in order.
+
+        Raises
+        ------
+        TypeError
+            If the event is of an unknown type.
+        """
+        raise TypeError(f'event is {type(event).__name__}')
+
+    @handle.register
+    def _(self, event: Tick, now: int) -> list[Action]:
+        if self.holder.claimed or self.holder.gone:
+            return []
+        actions = self.holder.tick(now)
+        actions.extend(self.claimer.tick(now))
+        if now - self._snapshot_at >= SNAPSHOT_EVERY_MS:
+            actions.extend(self._ask_snapshot(now))
+        return actions
+
+    @handle.register
+    def _(self, event: RecordSeen, now: int) -> list[Action]:
+        newer = self.directory.observe(
+            event.name, event.version, event.record, now
+        )
+        actions: list[Action] = []
+        if event.name == self.holder.name:
+            actions.extend(self.holder.on_record(event))
+        if newer:
+            actions.extend(self._on_newer(event, now))
+        return actions
+
+    @handle.register
+    def _(self, event: SnapshotSeen, now: int) -> list[Action]:
+        snapshot = Directory()
+        actions: list[Action] = []
+        for entry in event.entries:
+            snapshot.observe(entry.name, entry.version, entry.record, now)
+            actions.extend(self.handle(entry, now))
+        self.claimer.on_synced()
+        self.holder.take_back(snapshot, now)
+        actions.extend(self.claimer.on_snapshot(snapshot, now))
+        return actions
+
+    @handle.register
+    def _(self, event: WriteEnded, now: int) -> list[Action]:
+        is_own = event.name == self.holder.name
+        written = self._record_under_write(event)
+        if is_own:
+            actions = self.holder.on_write(event, now)
+        else:
+            actions = self.claimer.on_write(event, now)
+        if event.outcome is WriteOutcome.DONE:
+            seen = RecordSeen(event.name, event.version, written)
+            actions.extend(self.handle(seen, now))
+        return actions
+
+    @handle.register
+    def _(self, event: HeartbeatAnswered, now: int) -> list[Action]:
+        return self.holder.on_promise(event)
+
+    @handle.register
+    def _(self, event: ServiceKnown, now: int) -> list[Action]:
+        self.claimer.on_service(event.service, event.shards, now)
+        return []
+
+    @handle.register
+    def _(self, event: ServicesOffered, now: int) -> list[Action]:
+        return self.holder.on_services(event.services, now)
+
+    @handle.register
+    def _(self, event: MoveAsked, now: int) -> list[Action]:
+        return self.holder.on_move(event, now)
+
+    @handle.register
+    def _(self, event: ShardDrained, now: int) -> list[Action]:
+        return self.holder.on_drained(event.key)
+
+    @handle.register
+    def _(self, event: LedgerHanded, now: int) -> list[Action]:
+        if event.name == self.holder.name:
+            return self.holder.on_handed(event, now)
+        return self.claimer.on_handed(event, now)
+
+    @handle.register
+    def _(self, event: LeaveAsked, now: int) -> list[Action]:
+        return self.holder.on_leave(now)
+
+    @handle.register
+    def _(self, event: RecoverAsked, now: int) -> list[Action]:
+        self.claimer.on_recover(event.node)
+        return []
+
+    def _on_newer(self, event: RecordSeen, now: int) -> list[Action]:
+        entry = self.directory.entry(event.name)
+        if entry is None or event.name == self.holder.name:
+            return []
+        self.claimer.on_record(entry, now)
+        if event.record is None:
+            return []
+        actions: list[Action] = []
+        for key, grant in event.record.outgoing.items():
+            if grant.owner == self.node:
+                actions.extend(self.holder.on_grant(key, grant.epoch, now))
+        return actions
+
+    def _record_under_write(self, event: WriteEnded) -> NodeRecord | None:
+        if event.name != self.holder.name:
+            return self.claimer.written(event.name)
+        pending = self.holder.lease.pending
+        if pending is None or self.holder.is_deleting:
+            return None
+        return pending.record
+
+    def _ask_snapshot(self, now: int) -> list[Action]:
+        self._snapshot_at = now
+        if self.holder.wants_snapshot() or self.claimer.wants_snapshot():
+            return [TakeSnapshot()]
+        return []
--- /dev/null
+++ b/src/savoryhold/core/paths.py
@@ -0,0 +1,84 @@
+"""Path templates such as ``/patients/{key}/slots`` and ``/media/**``."""
+
+import dataclasses
+import re
+
+from savoryhold.core.errors import ConfigurationError
+
+__all__ = ['PathTemplate']
+
+_PARAMETER = re.compile(r'\{([a-z][a-z0-9_]*)\}')
+_REST = '**'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PathTemplate:
+    """A compiled path template.
+
+    Parameters
+    ----------
+    text : str
+        Segments separated by ``/``: literal text, ``{name}`` for one
+        segment, or ``**`` at the end for any number of segments.
+
+    Raises
+    ------
+    ConfigurationError
+        If the text does not start with ``/``, repeats a name, or has
+        ``**`` before its end.
+
+    Examples
+    --------
+    >>> PathTemplate('/patients/{key}/**').match('/patients/7/slots')
+    {'key': '7'}
+    >>> PathTemplate('/patients/{key}').match('/doctors/7') is None
+    True
+    """
+
+    text: str
+    _pattern: re.Pattern[str] = dataclasses.field(
+        init=False, repr=False, compare=False
+    )
+
+    def __post_init__(self) -> None:
+        """Compile the template."""
+        if not self.text.startswith('/'):
+            raise ConfigurationError(
+                f'path template {self.text!r} does not start with "/"'
+            )
+        parts = self.text[1:].split('/')
+        if _REST in parts[:-1]:
+            raise ConfigurationError(
+                f'path template {self.text!r} has "**" before its end'
+            )
+        names = [found for part in parts for found in _names(part)]
+        if len(names) != len(set(names)):
+            raise ConfigurationError(
+                f'path template {self.text!r} repeats a name'
+            )
+        pattern = ''.join(_segment_pattern(part) for part in parts)
+        object.__setattr__(self, '_pattern', re.compile(pattern))
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Return the names of the template's parameters."""
+        return frozenset(self._pattern.groupindex)
+
+    def match(self, path: str) -> dict[str, str] | None:
+        """Return the parameters of a path, None if it does not match."""
+        found = self._pattern.fullmatch(path)
+        return None if found is None else found.groupdict()
+
+
+def _names(part: str) -> list[str]:
+    found = _PARAMETER.fullmatch(part)
+    return [found.group(1)] if found else []
+
+
+def _segment_pattern(part: str) -> str:
+    if part == _REST:
+        return '(?:/.*)?'
+    names = _names(part)
+    if names:
+        return f'/(?P<{names[0]}>[^/]+)'
+    return '/' + re.escape(part)
--- /dev/null
+++ b/src/savoryhold/core/retry.py
@@ -0,0 +1,76 @@
+"""Which failed requests may be tried again, and how often."""
+
+import dataclasses
+
+from savoryhold.core.errors import RequestError
+from savoryhold.core.verdict import Verdict
+
+__all__ = ['RetryBudget', 'backoff_ms', 'may_retry']
+
+FIRST_BACKOFF_MS = 20
+MAX_BACKOFF_MS = 200
+MAX_DOUBLINGS = 8
+
+
+def may_retry(exc: RequestError, *, idempotent: bool) -> bool:
+    """Return whether an error allows another try at any owner.
+
+    Parameters
+    ----------
+    exc : RequestError
+        How the last try ended.
+    idempotent : bool
+        Whether the request may run more than once.
+    """
+    if exc.status in {400, 404, 413}:
+        return False
+    return exc.verdict is Verdict.NOT_RUN or (
+        idempotent and exc.verdict is Verdict.MAY_HAVE_RUN
+    )
+
+
+def backoff_ms(attempt: int, jitter: float) -> int:
+    """Return the wait before a try.
+
+    Parameters
+    ----------
+    attempt : int
+        Number of tries so far.
+    jitter : float
+        A random number from 0 to 1.
+
+    Notes
+    -----
+    Exponential backoff with jitter over the upper half.
+    """
+    doubled = FIRST_BACKOFF_MS << min(attempt, MAX_DOUBLINGS)
+    ceiling = min(doubled, MAX_BACKOFF_MS)
+    return round(ceiling * (1 + jitter) / 2)
+
+
+@dataclasses.dataclass(slots=True)
+class RetryBudget:
+    """A token bucket filled by successes and emptied by retries.
+
+    Parameters
+    ----------
+    share : float
+        Retries allowed for each recent success.
+    reserve : float
+        Most tokens that can be saved.
+    """
+
+    share: float = 0.1
+    reserve: float = 50.0
+    tokens: float = 50.0
+
+    def succeeded(self) -> None:
+        """Add a success's share of a retry."""
+        self.tokens = min(self.tokens + self.share, self.reserve)
+
+    def spend(self) -> bool:
+        """Take one retry; return whether there was one left."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/src/savoryhold/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: tasks that own sockets and state, and their wiring."""
--- /dev/null
+++ b/src/savoryhold/daemon/metrics.py
@@ -0,0 +1,52 @@
+"""Counters and gauges that `/metrics` shows."""
+
+from collections.abc import Mapping
+
+from aioprometheus import render
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+
+__all__ = ['Metrics']
+
+LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+
+
+class Metrics:
+    """All metrics of one daemon."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = self._counter(
+            'savoryhold_requests_total', 'Callers requests by outcome.'
+        )
+        self.latency = Histogram(
+            'savoryhold_request_ms',
+            'Time from request to first byte of the answer, in ms.',
+            buckets=list(LATENCY_BUCKETS_MS),
+            registry=self._registry,
+        )
+        self.runs = self._counter(
+            'savoryhold_target_runs_total', 'Requests sent to the target.'
+        )
+        self.moves = self._counter(
+            'savoryhold_shard_changes_total', 'Shards taken and given.'
+        )
+        self.events = self._counter(
+            'savoryhold_events_total', 'Rejoins, strikes, replaced links.'
+        )
+        self._gauges: dict[str, Gauge] = {}
+
+    def gauge(self, name: str, doc: str, level: float, **labels: str) -> None:
+        """Set a gauge, which is made when first named."""
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(name, doc, registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set(dict(labels), level)
+
+    def render(self, accept: list[str]) -> tuple[bytes, Mapping[str, str]]:
+        """Return the exposition text and its headers."""
+        content, headers = render(self._registry, accept)
+        return content, headers
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self._registry)
--- /dev/null
+++ b/src/savoryhold/daemon/peers.py
@@ -0,0 +1,216 @@
+"""Answers to the calls that other daemons begin."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from savoryhold.core.clock import Clock
+from savoryhold.core.errors import LinkError, RequestError
+from savoryhold.core.exchange import RoutedAnswer
+from savoryhold.core.ids import (
+    NodeId,
+    RequestId,
+    ServiceName,
+    ShardId,
+    ShardKey,
+    Version,
+)
+from savoryhold.core.poison import Fingerprint, Strike
+from savoryhold.daemon.balancer import BalancerTask
+from savoryhold.daemon.convert import (
+    from_forward,
+    from_ledger_item,
+    news_from_entry,
+    news_to_entry,
+    to_answer,
+    to_error_answer,
+)
+from savoryhold.daemon.gossiper import GossipTask
+from savoryhold.daemon.node import NodeTask
+from savoryhold.daemon.owner import OwnerTask
+from savoryhold.daemon.service import DaemonService
+from savoryhold.daemon.streams import close_stream
+from savoryhold.peer import LinkStream, messages
+
+__all__ = ['PeerTask']
+
+CREDIT_CHUNKS = 8
+CREDIT_LIMIT_MS = 10_000
+
+
+class PeerTask:
+    """Handles messages from other daemons, one method a type.
+
+    Parameters
+    ----------
+    node : NodeTask
+        Ownership, news and the backup ledger.
+    owner : OwnerTask
+        Runs forwarded requests.
+    gossip : GossipTask
+        Answers digests.
+    balancer : BalancerTask
+        Answers offers.
+    service : DaemonService
+        Performs operators' orders.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self,
+        node: NodeTask,
+        owner: OwnerTask,
+        gossip: GossipTask,
+        balancer: BalancerTask,
+        service: DaemonService,
+        clock: Clock,
+    ) -> None:
+        self._service = service
+        self._node = node
+        self._owner = owner
+        self._gossip = gossip
+        self._balancer = balancer
+        self._clock = clock
+
+    async def handle(self, call: LinkStream, message: messages.Message) -> None:
+        """Answer one call."""
+        await self._on(message, call)
+
+    @singledispatchmethod
+    async def _on(self, message: messages.Message, call: LinkStream) -> None:
+        name = type(message).__name__
+        self._node.log.warning('peer_unexpected', peer=call.peer, kind=name)
+        call.send(messages.Ack(ok=False, text=f'{name} is not a call'))
+
+    @_on.register(messages.Probe)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        call.send(messages.Ack(ok=True, text=''))
+
+    @_on.register(messages.Heartbeat)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        machine = self._node.machine
+        answer = machine.heartbeat(
+            NodeId(message.holder),
+            Version(message.version),
+            self._clock.now(),
+        )
+        newer = []
+        if answer.newer is not None:
+            item = self._node.news.get(answer.newer.name)
+            newer = [news_to_entry(item)] if item else []
+        call.send(messages.Promise(promised=answer.promised, newer=newer))
+
+    @_on.register(messages.NewsBatch)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        for news in message.items:
+            self._node.learn(news_from_entry(news))
+        call.send(messages.Ack(ok=True, text=''))
+
+    @_on.register(messages.DigestSwap)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        call.send(self._gossip.answer_digest(message))
+
+    @_on.register(messages.Pull)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        call.send(self._gossip.answer_pull(message))
+
+    @_on.register(messages.LedgerAppend)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        now = self._clock.now()
+        holder = NodeId(message.holder)
+        kept = [
+            self._node.backup.append(
+                holder,
+                _shard_key(entry),
+                RequestId(entry.request_id),
+                now,
+            )
+            for entry in message.ids
+        ]
+        call.send(messages.Ack(ok=all(kept), text=''))
+
+    @_on.register(messages.LedgerHandover)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        now = self._clock.now()
+        self._owner.ledger.adopt(
+            from_ledger_item(entry, now) for entry in message.items or ()
+        )
+        call.send(messages.Ack(ok=True, text=''))
+
+    @_on.register(messages.StrikeNews)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        strike = Strike(Fingerprint(message.fingerprint), message.incident)
+        if self._owner.poison.strike(strike, self._clock.now()):
+            self._gossip.push_strike(strike)
+        call.send(messages.Ack(ok=True, text=''))
+
+    @_on.register(messages.MoveOffer)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        self._balancer.on_offer(
+            NodeId(message.node),
+            ServiceName(message.service_name),
+            message.wanted,
+        )
+        call.send(messages.Ack(ok=True, text=''))
+
+    @_on.register(messages.Order)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        try:
+            await self._service.on_order(message)
+        except RequestError as exc:
+            call.send(messages.Ack(ok=False, text=str(exc)))
+        else:
+            call.send(messages.Ack(ok=True, text=''))
+
+    @_on.register(messages.Forward)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        req = from_forward(message, self._clock)
+        work = asyncio.create_task(self._owner.handle(req))
+        gone = asyncio.create_task(call.cancelled.wait())
+        await asyncio.wait({work, gone}, return_when='FIRST_COMPLETED')
+        gone.cancel()
+        if not work.done():
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+            return
+        try:
+            answer = work.result()
+        except RequestError as exc:
+            call.send(to_error_answer(exc))
+            return
+        await self._send_answer(call, answer)
+
+    async def _send_answer(
+        self, call: LinkStream, answer: RoutedAnswer
+    ) -> None:
+        try:
+            call.send(to_answer(answer))
+            if answer.rest is not None:
+                await self._send_rest(call, answer)
+        finally:
+            await close_stream(answer.rest)
+
+    async def _send_rest(self, call: LinkStream, answer: RoutedAnswer) -> None:
+        credit = CREDIT_CHUNKS
+        assert answer.rest is not None
+        try:
+            async for chunk in answer.rest:
+                while not credit:
+                    credit += await _next_credit(call)
+                call.send(messages.Chunk(body=chunk, more=True, failed=False))
+                credit -= 1
+        except RequestError:
+            call.send(messages.Chunk(body=b'', more=False, failed=True))
+            return
+        call.send(messages.Chunk(body=b'', more=False, failed=False))
+
+
+async def _next_credit(call: LinkStream) -> int:
+    if call.cancelled.is_set():
+        raise LinkError('the caller is gone', sent=True)
+    message = await call.receive(CREDIT_LIMIT_MS)
+    return int(message.chunks)
+
+
+def _shard_key(entry: messages.Message) -> ShardKey:
+    return ShardKey(ServiceName(entry.service_name), ShardId(entry.shard))
--- /dev/null
+++ b/src/savoryhold/daemon/router.py
@@ -0,0 +1,232 @@
+"""The ingress side: finds the owner of a request and asks it."""
+
+import asyncio
+import dataclasses
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+
+from savoryhold.core.clock import Clock
+from savoryhold.core.errors import (
+    DeadlineError,
+    LinkError,
+    NotOwnerError,
+    OverloadError,
+    RequestError,
+    UncertainError,
+)
+from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
+from savoryhold.core.ids import NodeId
+from savoryhold.core.retry import RetryBudget, backoff_ms, may_retry
+from savoryhold.core.selection import LatencyTable, choose_of_two
+from savoryhold.daemon.convert import answer_headers, to_forward
+from savoryhold.daemon.errors_map import error_of
+from savoryhold.daemon.node import NodeTask
+from savoryhold.daemon.owner import OwnerTask
+from savoryhold.daemon.streams import HeldStream
+from savoryhold.peer import LinkStream, messages
+
+__all__ = ['RouterTask']
+
+GRACE_MS = 150
+PARK_MS = 100
+CHUNK_LIMIT_MS = 10_000
+CREDIT_CHUNKS = 8
+MIN_TRY_MS = 1
+
+
+class RouterTask:
+    """Routes callers' requests that enter at this daemon.
+
+    Parameters
+    ----------
+    node : NodeTask
+        Routes and addresses.
+    owner : OwnerTask
+        Serves what this node owns.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, node: NodeTask, owner: OwnerTask, clock: Clock) -> None:
+        self.budget = RetryBudget()
+        self.latencies = LatencyTable()
+        self.parked = 0
+        self.retries: Counter[str] = Counter()
+        self._node = node
+        self._owner = owner
+        self._clock = clock
+        self._limit = node.settings.limits.parked
+
+    async def handle(self, req: RoutedRequest) -> RoutedAnswer:
+        """Return the answer to a request.
+
+        Raises
+        ------
+        RequestError
+            With the verdict that is known, when no try brought an answer.
+        """
+        attempt = 0
+        while True:
+            try:
+                answer = await self._try(req)
+            except RequestError as exc:
+                await self._before_retry(req, exc, attempt)
+                attempt += 1
+                req = dataclasses.replace(req, repeated=True)
+            else:
+                self.budget.succeeded()
+                return answer
+
+    async def _before_retry(
+        self, req: RoutedRequest, exc: RequestError, attempt: int
+    ) -> None:
+        if not may_retry(exc, idempotent=req.idempotent):
+            raise exc
+        wait_ms = backoff_ms(attempt, random.random())
+        if self._clock.now() + wait_ms >= req.deadline:
+            raise exc
+        self.retries[exc.code] += 1
+        if isinstance(exc, NotOwnerError):
+            await self._park(exc, wait_ms)
+        elif self.budget.spend():
+            await asyncio.sleep(wait_ms / 1000)
+        else:
+            raise exc
+
+    async def _park(self, exc: RequestError, wait_ms: int) -> None:
+        # Nothing reached a target, so that this try costs no retry budget.
+        if self.parked >= self._limit:
+            raise OverloadError('too many requests wait for an owner') from exc
+        self.parked += 1
+        try:
+            await asyncio.sleep(wait_ms / 1000)
+        finally:
+            self.parked -= 1
+
+    async def _try(self, req: RoutedRequest) -> RoutedAnswer:
+        if self._clock.now() >= req.deadline:
+            raise DeadlineError('deadline passed before an owner was found')
+        owner = self._choose(req)
+        if owner == self._node.node:
+            return await self._owner.handle(req)
+        started = self._clock.now()
+        self.latencies.begin(owner)
+        try:
+            return await self._ask(owner, req)
+        except RequestError:
+            self.latencies.punish(owner)
+            raise
+        finally:
+            self.latencies.end(owner, self._clock.now() - started)
+
+    def _choose(self, req: RoutedRequest) -> NodeId:
+        directory = self._node.machine.directory
+        if req.shard is not None:
+            grant = directory.route(req.shard)
+            if grant is None:
+                raise NotOwnerError(f'shard {req.shard} has no owner yet')
+            return grant.owner
+        nodes = directory.offering(req.service)
+        here = [
+            record.node
+            for record in nodes
+            if record.profile.region == self._node.settings.node.region
+        ]
+        pool = here or [record.node for record in nodes]
+        choice = choose_of_two(pool, self.latencies, random.random)
+        if choice is None:
+            raise NotOwnerError(f'no target serves {req.service!r}')
+        return choice
+
+    async def _ask(self, owner: NodeId, req: RoutedRequest) -> RoutedAnswer:
+        sent = False
+        while True:
+            try:
+                return await self._ask_once(owner, req)
+            except LinkError as exc:
+                sent = sent or exc.sent
+                self._check_ask_again(owner, req, exc, sent=sent)
+            await asyncio.sleep(MIN_TRY_MS / 1000)
+
+    def _check_ask_again(
+        self,
+        owner: NodeId,
+        req: RoutedRequest,
+        exc: LinkError,
+        *,
+        sent: bool,
+    ) -> None:
+        """Raise unless the same owner may be asked for the same id again."""
+        if not sent:
+            raise NotOwnerError(f'owner {owner}: {exc}') from exc
+        late = self._clock.now() >= req.deadline
+        directory = self._node.machine.directory
+        keyed = req.shard is not None
+        if late or not keyed or not directory.is_live(owner) or not exc.sent:
+            raise UncertainError(f'owner {owner}: {exc}') from exc
+
+    async def _ask_once(
+        self, owner: NodeId, req: RoutedRequest
+    ) -> RoutedAnswer:
+        address = self._node.address_of(owner)
+        if address is None:
+            raise NotOwnerError(f'owner {owner} has no known address')
+        call = await self._node.pool.open(address)
+        now = self._clock.now()
+        try:
+            call.send(to_forward(req, now))
+            left_ms = max(req.deadline - now, MIN_TRY_MS) + GRACE_MS
+            first = await call.receive(left_ms)
+        except asyncio.CancelledError:
+            _cancel(call)
+            call.close()
+            raise
+        except LinkError:
+            call.close()
+            raise
+        return self._read_answer(call, first)
+
+    def _read_answer(
+        self, call: LinkStream, first: messages.Message
+    ) -> RoutedAnswer:
+        exc = error_of(first)
+        if exc is not None:
+            call.close()
+            raise exc
+        rest: AsyncIterator[bytes] | None = None
+        if first.more:
+            rest = HeldStream(_read_chunks(call), call.close)
+        else:
+            call.close()
+        return RoutedAnswer(
+            first.status, answer_headers(first), first.body or b'', rest
+        )
+
+
+def _cancel(call: LinkStream) -> None:
+    try:
+        call.send(messages.Cancel())
+    except LinkError:
+        # The link is gone, and with it the wish to cancel.
+        return
+
+
+async def _read_chunks(call: LinkStream) -> AsyncIterator[bytes]:
+    more = True
+    seen = 0
+    try:
+        while more:
+            chunk = await call.receive(CHUNK_LIMIT_MS)
+            if chunk.failed:
+                raise UncertainError('the answer broke off at its target')
+            seen += 1
+            more = chunk.more
+            if seen % (CREDIT_CHUNKS // 2) == 0:
+                call.send(messages.Credit(chunks=CREDIT_CHUNKS // 2))
+            yield chunk.body or b''
+    except LinkError as exc:
+        raise UncertainError(f'the answer broke off: {exc}') from exc
+    finally:
+        if more:
+            _cancel(call)
--- /dev/null
+++ b/src/savoryhold/peer/__init__.py
@@ -0,0 +1,14 @@
+"""Links between daemons: frames, messages and connections."""
+
+from savoryhold.peer.frames import Frame, FrameReader, pack_frame
+from savoryhold.peer.link import Link, LinkStream
+from savoryhold.peer.pool import PeerPool
+
+__all__ = [
+    'Frame',
+    'FrameReader',
+    'Link',
+    'LinkStream',
+    'PeerPool',
+    'pack_frame',
+]
--- /dev/null
+++ b/src/savoryhold/peer/frames.py
@@ -0,0 +1,88 @@
+"""Length-prefixed frames with a correlation id."""
+
+import dataclasses
+import struct
+
+import xxhash
+
+from savoryhold.core.errors import MalformedMessageError
+
+__all__ = ['MAX_FRAME_BYTES', 'Frame', 'FrameReader', 'pack_frame']
+
+MAX_FRAME_BYTES = 32_000_000
+REPLY_FLAG = 0x80
+_HEAD = struct.Struct('!IBQI')
+_LENGTH_BYTES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """One message on a link.
+
+    ``is_reply`` tells whether ``correlation`` was chosen by the receiver of
+    the frame (a reply to its call) or by the sender.
+    """
+
+    code: int
+    correlation: int
+    is_reply: bool
+    payload: bytes
+
+
+def pack_frame(frame: Frame) -> bytes:
+    """Return the bytes of a frame.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the frame is larger than `MAX_FRAME_BYTES`.
+    """
+    size = _HEAD.size - _LENGTH_BYTES + len(frame.payload)
+    if size > MAX_FRAME_BYTES:
+        raise MalformedMessageError(f'frame has {size} bytes')
+    kind = frame.code | (REPLY_FLAG if frame.is_reply else 0)
+    check = xxhash.xxh32_intdigest(frame.payload)
+    return _HEAD.pack(size, kind, frame.correlation, check) + frame.payload
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, received: bytes) -> list[Frame]:
+        """Take in bytes and return the frames that they complete.
+
+        Raises
+        ------
+        MalformedMessageError
+            If a length is not possible.
+        """
+        self._buffer += received
+        frames = []
+        start = 0
+        while len(self._buffer) - start >= _HEAD.size:
+            head = _HEAD.unpack_from(self._buffer, start)
+            self._check_size(head[0])
+            end = start + _LENGTH_BYTES + head[0]
+            if len(self._buffer) < end:
+                break
+            payload = bytes(self._buffer[start + _HEAD.size : end])
+            frames.append(_checked_frame(head, payload))
+            start = end
+        del self._buffer[:start]
+        return frames
+
+    def _check_size(self, size: int) -> None:
+        smallest = _HEAD.size - _LENGTH_BYTES
+        if not smallest <= size <= MAX_FRAME_BYTES:
+            raise MalformedMessageError(f'frame length {size} is not possible')
+
+
+def _checked_frame(head: tuple[int, ...], payload: bytes) -> Frame:
+    _, kind, correlation, check = head
+    if xxhash.xxh32_intdigest(payload) != check:
+        raise MalformedMessageError('frame checksum does not match')
+    is_reply = bool(kind & REPLY_FLAG)
+    return Frame(kind & ~REPLY_FLAG, correlation, is_reply, payload)
--- /dev/null
+++ b/src/savoryhold/peer/messages.thrift
@@ -0,0 +1,95 @@
+// Messages between daemons.
+
+struct Challenge { 1: string nonce }
+struct Hello { 1: string node, 2: string nonce, 3: string mac }
+struct Welcome { 1: string node, 2: string mac }
+struct Ack { 1: bool ok, 2: string text }
+struct Probe {}
+struct Cancel {}
+struct Credit { 1: i32 chunks }
+
+struct Header { 1: string name, 2: string content }
+
+struct Forward {
+  1: string request_id,
+  2: string service_name,
+  3: i32 shard,
+  4: string key,
+  5: string method,
+  6: string path,
+  7: list<Header> headers,
+  8: binary body,
+  9: i32 timeout_ms,
+  10: bool idempotent,
+  11: string service_class,
+  12: i64 fingerprint,
+  13: bool repeated,
+  14: string region,
+}
+
+struct Answer {
+  1: i32 status,
+  2: list<Header> headers,
+  3: binary body,
+  4: bool more,
+  5: string verdict,
+  6: string code,
+  7: string text,
+  8: i32 retry_after_ms,
+  9: i64 length,
+}
+
+struct Chunk { 1: binary body, 2: bool more, 3: bool failed }
+
+struct Heartbeat { 1: string holder, 2: i64 version }
+
+struct News { 1: string name, 2: i64 version, 3: bool deleted, 4: string text }
+
+struct Promise { 1: bool promised, 2: list<News> newer }
+
+struct NewsBatch { 1: list<News> items }
+
+struct NodeLoad {
+  1: string node,
+  2: double load,
+  3: i32 waiting,
+  4: i64 stamp,
+}
+
+struct DigestSwap {
+  1: i64 root,
+  2: list<i64> buckets,
+  3: list<NodeLoad> loads,
+}
+
+struct VersionEntry { 1: string name, 2: i64 version }
+
+struct Pull { 1: list<i32> buckets, 2: list<VersionEntry> versions }
+
+struct PullAnswer { 1: list<News> items, 2: list<string> wanted }
+
+struct LedgerId { 1: string service_name, 2: i32 shard, 3: string request_id }
+
+struct LedgerAppend { 1: string holder, 2: list<LedgerId> ids }
+
+struct LedgerItem {
+  1: LedgerId id,
+  2: i32 age_ms,
+  3: bool done,
+  4: i32 status,
+  5: list<Header> headers,
+  6: binary body,
+}
+
+struct LedgerHandover { 1: string source, 2: list<LedgerItem> items }
+
+struct StrikeNews { 1: i64 fingerprint, 2: string incident }
+
+struct MoveOffer { 1: string node, 2: string service_name, 3: i32 wanted }
+
+struct Order {
+  1: string kind,
+  2: string service_name,
+  3: i32 shard,
+  4: string target,
+}
--- /dev/null
+++ b/src/savoryhold/platform/__init__.py
@@ -0,0 +1,9 @@
+"""Client of the platform's object API."""
+
+from savoryhold.platform.client import (
+    ObjectVersion,
+    PlatformClient,
+    Snapshot,
+)
+
+__all__ = ['ObjectVersion', 'PlatformClient', 'Snapshot']
--- /dev/null
+++ b/src/savoryhold/platform/client.py
@@ -0,0 +1,219 @@
+"""Conditional reads and writes of objects over HTTP."""
+
+import dataclasses
+import json
+from collections import Counter
+from typing import Any
+
+import aiohttp
+
+from savoryhold.core.errors import (
+    MalformedMessageError,
+    PlatformError,
+    VersionConflictError,
+    WriteUncertainError,
+)
+from savoryhold.core.ids import ObjectName, Version
+
+__all__ = ['ObjectVersion', 'PlatformClient', 'Snapshot']
+
+MS_PER_SECOND = 1000
+CALL_LIMIT_MS = 1500
+WATCH_GRACE_MS = 2000
+STATUS_CONFLICT = 412
+STATUS_MISSING = 404
+STATUS_ERROR = 400
+STATUS_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectVersion:
+    """A version of an object; `text` is None when it is deleted."""
+
+    name: ObjectName
+    version: Version
+    text: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Objects or changes up to one store-wide revision."""
+
+    revision: Version
+    objects: tuple[ObjectVersion, ...]
+
+
+class PlatformClient:
+    """Talks to the object API.
+
+    Parameters
+    ----------
+    url : str
+        Base URL, such as ``http://127.0.0.1:7000``.
+    session : aiohttp.ClientSession
+        Session to send calls with.
+
+    Notes
+    -----
+    Each write says how it ended: done, conflict (`VersionConflictError`),
+    certainly not sent (`PlatformError`), or unknown
+    (`WriteUncertainError`).
+    """
+
+    def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
+        self.calls: Counter[str] = Counter()
+        self._url = url.rstrip('/')
+        self._session = session
+
+    async def read(self, name: ObjectName) -> ObjectVersion:
+        """Return an object's present version.
+
+        Returns
+        -------
+        ObjectVersion
+            With ``text`` None, at the store's revision, if it is missing.
+
+        Raises
+        ------
+        PlatformError
+            If the store gives no usable answer.
+        """
+        snapshot = await self.snapshot(name)
+        for found in snapshot.objects:
+            if found.name == name:
+                return found
+        return ObjectVersion(name, snapshot.revision, None)
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all objects of a prefix at one revision.
+
+        Raises
+        ------
+        PlatformError
+            If the store gives no usable answer.
+        """
+        answer = await self._get(
+            'list', '/objects', {'prefix': prefix}, CALL_LIMIT_MS
+        )
+        return _parse_snapshot(answer, 'objects')
+
+    async def watch(
+        self, prefix: str, after: Version, timeout_ms: int
+    ) -> Snapshot:
+        """Wait for changes after a revision.
+
+        Raises
+        ------
+        PlatformError
+            If the store gives no usable answer.
+        """
+        query = {
+            'prefix': prefix,
+            'after': str(after),
+            'timeout_ms': str(timeout_ms),
+        }
+        limit_ms = timeout_ms + WATCH_GRACE_MS
+        answer = await self._get('watch', '/watch', query, limit_ms)
+        return _parse_snapshot(answer, 'events')
+
+    async def write(
+        self, name: ObjectName, text: str, expect: Version | None
+    ) -> Version:
+        """Write an object if its version is `expect`; None creates it.
+
+        Returns
+        -------
+        Version
+            The new version.
+
+        Raises
+        ------
+        VersionConflictError
+            If another version is present.
+        WriteUncertainError
+            If the write may take effect.
+        PlatformError
+            If the write was certainly not sent.
+        """
+        return await self._change('PUT', name, text, expect)
+
+    async def delete(self, name: ObjectName, expect: Version) -> Version:
+        """Delete an object if its version is `expect`.
+
+        Raises
+        ------
+        VersionConflictError, WriteUncertainError, PlatformError
+            As for `write`.
+        """
+        return await self._change('DELETE', name, None, expect)
+
+    async def _get(
+        self, kind: str, path: str, query: dict[str, str], limit_ms: int
+    ) -> Any:
+        self.calls[kind] += 1
+        timeout = aiohttp.ClientTimeout(total=limit_ms / MS_PER_SECOND)
+        try:
+            async with self._session.get(
+                self._url + path, params=query, timeout=timeout
+            ) as answer:
+                if answer.status >= STATUS_ERROR:
+                    raise PlatformError(f'{kind}: status {answer.status}')
+                return await answer.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            raise PlatformError(f'{kind}: {exc!r}') from exc
+
+    async def _change(
+        self,
+        method: str,
+        name: ObjectName,
+        text: str | None,
+        expect: Version | None,
+    ) -> Version:
+        self.calls['write'] += 1
+        timeout = aiohttp.ClientTimeout(total=CALL_LIMIT_MS / MS_PER_SECOND)
+        condition = {'If-None-Match': '*'}
+        if expect is not None:
+            condition = {'If-Match': f'"{expect}"'}
+        try:
+            async with self._session.request(
+                method,
+                f'{self._url}/objects/{name}',
+                data=text,
+                headers=condition,
+                timeout=timeout,
+            ) as answer:
+                return _written_version(name, answer)
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformError(f'{name}: {exc!r}') from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise WriteUncertainError(f'{name}: {exc!r}') from exc
+
+
+def _written_version(
+    name: ObjectName, answer: aiohttp.ClientResponse
+) -> Version:
+    if answer.status in {STATUS_CONFLICT, STATUS_MISSING}:
+        raise VersionConflictError(f'{name}: version conflict')
+    if answer.status >= STATUS_SERVER_ERROR:
+        raise WriteUncertainError(f'{name}: status {answer.status}')
+    if answer.status >= STATUS_ERROR:
+        raise PlatformError(f'{name}: status {answer.status}')
+    try:
+        return Version(int(answer.headers['ETag'].strip('"')))
+    except (KeyError, ValueError) as exc:
+        raise WriteUncertainError(f'{name}: no usable ETag') from exc
+
+
+def _parse_snapshot(fields: Any, kind: str) -> Snapshot:
+    try:
+        objects = tuple(_parse_object(entry) for entry in fields[kind])
+        return Snapshot(Version(int(fields['revision'])), objects)
+    except (KeyError, TypeError, ValueError, MalformedMessageError) as exc:
+        raise PlatformError(f'malformed {kind}: {exc!r}') from exc
+
+
+def _parse_object(entry: Any) -> ObjectVersion:
+    content = entry['value']
+    text = None if content is None else json.dumps(content)
+    name = ObjectName(str(entry['name']))
+    return ObjectVersion(name, Version(int(entry['version'])), text)
--- /dev/null
+++ b/src/savoryhold/standins/fleet.py
@@ -0,0 +1,374 @@
+"""Starts a whole deployment on loopback, for the demo, tests and benchmarks.
+
+The system's own processes start no other process; this harness does.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from typing import Any
+
+import aiohttp
+import tomli_w
+
+__all__ = ['Fleet', 'Host', 'HostPlan', 'JournalLine', 'free_ports']
+
+SECRET = 'loopback-demo-secret'
+READY_LIMIT_S = 20.0
+POLL_S = 0.05
+STOP_LIMIT_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostPlan:
+    """One host: a daemon and, unless `service` is empty, its target."""
+
+    name: str
+    region: str
+    zone: str
+    service: str
+    slots: int = 6
+    work_ms: int = 5
+    checks_fence: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JournalLine:
+    """One run that a target wrote to its journal file."""
+
+    host: str
+    request_id: str
+    fence: str
+    path: str
+    start_ms: int
+
+
+class Host:
+    """The processes of one host.
+
+    Parameters
+    ----------
+    plan : HostPlan
+        What the host is.
+    folder : pathlib.Path
+        Where settings, logs and journals go.
+    ports : list of int
+        Ports for callers, peers, admin and target.
+    """
+
+    def __init__(
+        self, plan: HostPlan, folder: pathlib.Path, ports: list[int]
+    ) -> None:
+        self.plan = plan
+        self.callers, self.peers, self.admin, self.target_port = ports
+        self.daemon: subprocess.Popen[bytes] | None = None
+        self.target: subprocess.Popen[bytes] | None = None
+        self.journal = folder / f'{plan.name}.journal'
+        self.log = folder / f'{plan.name}.log'
+        self.settings = folder / f'{plan.name}.toml'
+
+    @property
+    def caller_url(self) -> str:
+        """Return the base URL for callers."""
+        return f'http://127.0.0.1:{self.callers}'
+
+    @property
+    def admin_url(self) -> str:
+        """Return the base URL for operators."""
+        return f'http://127.0.0.1:{self.admin}'
+
+    @property
+    def target_url(self) -> str:
+        """Return the base URL of the target."""
+        return f'http://127.0.0.1:{self.target_port}'
+
+    def write_settings(
+        self, platform: str, seeds: list[str], limits: dict[str, int]
+    ) -> None:
+        """Write the daemon's settings file."""
+        fields = {
+            'node': {
+                'host': self.plan.name,
+                'region': self.plan.region,
+                'zone': self.plan.zone,
+            },
+            'listen': {
+                'callers': f'127.0.0.1:{self.callers}',
+                'peers': f'127.0.0.1:{self.peers}',
+                'admin': f'127.0.0.1:{self.admin}',
+            },
+            'platform': {'url': platform},
+            'peers': {'secret': SECRET, 'seeds': seeds},
+            'limits': limits,
+        }
+        self.settings.write_text(tomli_w.dumps(fields), encoding='utf-8')
+
+    def start_daemon(self) -> None:
+        """Start the daemon; its log is added to."""
+        with self.log.open('ab') as log:
+            self.daemon = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'savoryhold.daemon.main',
+                    '--settings',
+                    str(self.settings),
+                ],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def start_target(self) -> None:
+        """Start the target stand-in, if the host has one."""
+        plan = self.plan
+        if not plan.service:
+            return
+        command = [
+            sys.executable,
+            '-m',
+            'savoryhold.standins.serve',
+            f'--parent={os.getpid()}',
+            'target',
+            f'--port={self.target_port}',
+            f'--service={plan.service}',
+            f'--companion=127.0.0.1:{self.admin}',
+            f'--slots={plan.slots}',
+            f'--work-ms={plan.work_ms}',
+            f'--journal={self.journal}',
+        ]
+        if plan.checks_fence:
+            command.append('--checks-fence')
+        with self.log.open('ab') as log:
+            self.target = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def signal(self, signum: signal.Signals) -> None:
+        """Send a signal to the host's processes that still run."""
+        for process in (self.daemon, self.target):
+            if process is not None and process.poll() is None:
+                process.send_signal(signum)
+
+    def kill(self) -> None:
+        """End the host's processes as a loss of power would."""
+        self.signal(signal.SIGKILL)
+        for process in (self.daemon, self.target):
+            if process is not None:
+                process.wait()
+
+    def read_journal(self) -> list[JournalLine]:
+        """Return all runs that the host's target recorded."""
+        if not self.journal.exists():
+            return []
+        lines = []
+        for text in self.journal.read_text(encoding='utf-8').splitlines():
+            fields = json.loads(text)
+            lines.append(
+                JournalLine(
+                    self.plan.name,
+                    fields['request_id'],
+                    fields['fence'],
+                    fields['path'],
+                    fields['start_ms'],
+                )
+            )
+        return lines
+
+
+class Fleet:
+    """A platform stand-in and some hosts.
+
+    Parameters
+    ----------
+    plans : list of HostPlan
+        The hosts.
+    limits : dict of str to int, optional
+        The daemons' ``limits`` section.
+    """
+
+    def __init__(
+        self, plans: list[HostPlan], limits: dict[str, int] | None = None
+    ) -> None:
+        self._folder = tempfile.TemporaryDirectory(prefix='savoryhold-')
+        self.folder = pathlib.Path(self._folder.name)
+        ports = free_ports(1 + 4 * len(plans))
+        self.store_port = ports[0]
+        self.store: subprocess.Popen[bytes] | None = None
+        self.hosts = [
+            Host(plan, self.folder, ports[1 + 4 * num : 5 + 4 * num])
+            for num, plan in enumerate(plans)
+        ]
+        seeds = [f'127.0.0.1:{host.peers}' for host in self.hosts]
+        for host in self.hosts:
+            others = [seed for seed in seeds if str(host.peers) not in seed]
+            host.write_settings(self.platform_url, others, limits or {})
+
+    @property
+    def platform_url(self) -> str:
+        """Return the base URL of the platform stand-in."""
+        return f'http://127.0.0.1:{self.store_port}'
+
+    @contextlib.contextmanager
+    def running(self) -> Iterator['Fleet']:
+        """Start everything, and end everything on the way out."""
+        try:
+            self.start()
+            yield self
+        finally:
+            self.stop()
+
+    def start(self) -> None:
+        """Start the store, the daemons and the targets."""
+        self.start_store()
+        for host in self.hosts:
+            host.start_daemon()
+            host.start_target()
+
+    def start_store(self) -> None:
+        """Start the platform stand-in."""
+        command = [
+            sys.executable,
+            '-m',
+            'savoryhold.standins.serve',
+            f'--parent={os.getpid()}',
+            'store',
+            f'--port={self.store_port}',
+        ]
+        with (self.folder / 'store.log').open('ab') as log:
+            self.store = subprocess.Popen(
+                command, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            )
+
+    def stop(self) -> None:
+        """End all processes and remove the folder."""
+        for host in self.hosts:
+            host.signal(signal.SIGCONT)
+            host.kill()
+        if self.store is not None and self.store.poll() is None:
+            self.store.kill()
+            self.store.wait()
+        self._folder.cleanup()
+
+    def host(self, name: str) -> Host:
+        """Return a host by name.
+
+        Raises
+        ------
+        KeyError
+            If there is none.
+        """
+        for host in self.hosts:
+            if host.plan.name == name:
+                return host
+        raise KeyError(name)
+
+    def journal(self) -> list[JournalLine]:
+        """Return the runs of all targets."""
+        return [line for host in self.hosts for line in host.read_journal()]
+
+    async def set_fault(
+        self, session: aiohttp.ClientSession, **fields: Any
+    ) -> None:
+        """Have the platform stand-in misbehave."""
+        url = f'{self.platform_url}/faults'
+        async with session.post(url, json=fields) as answer:
+            answer.raise_for_status()
+
+    async def status(
+        self, session: aiohttp.ClientSession, host: Host
+    ) -> dict[str, Any] | None:
+        """Return a daemon's status, None while it does not answer."""
+        url = f'{host.admin_url}/admin/status'
+        timeout = aiohttp.ClientTimeout(total=1)
+        try:
+            async with session.get(url, timeout=timeout) as answer:
+                found: dict[str, Any] = await answer.json()
+                return found
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    async def wait_store(self, session: aiohttp.ClientSession) -> None:
+        """Wait until the platform stand-in answers."""
+        await _until(lambda: self._store_answers(session), 'store is not up')
+
+    async def wait_ready(
+        self, session: aiohttp.ClientSession, services: dict[str, int]
+    ) -> None:
+        """Wait until all shards are owned and listed, by live nodes.
+
+        Parameters
+        ----------
+        session : aiohttp.ClientSession
+            Session to ask with.
+        services : dict of str to int
+            Shards of each keyed service.
+
+        Raises
+        ------
+        TimeoutError
+            If they are not within the limit.
+        """
+        wanted = sum(services.values())
+        await _until(
+            lambda: self._is_ready(session, wanted), 'fleet is not ready'
+        )
+
+    async def _store_answers(self, session: aiohttp.ClientSession) -> bool:
+        try:
+            async with session.get(f'{self.platform_url}/calls') as answer:
+                return answer.ok
+        except aiohttp.ClientError:
+            return False
+
+    async def _is_ready(
+        self, session: aiohttp.ClientSession, wanted: int
+    ) -> bool:
+        held = 0
+        for host in self.hosts:
+            if host.daemon is None or host.daemon.poll() is not None:
+                continue
+            found = await self.status(session, host)
+            if found is None or not found['lease_ms']:
+                return False
+            if host.plan.service and not found['target']:
+                return False
+            if not found['revisions']:
+                return False
+            held += found['held']
+            listed = sum(node['shards'] for node in found['nodes'])
+            offering = sum(1 for node in found['nodes'] if node['services'])
+            targets = sum(1 for peer in self.hosts if peer.plan.service)
+            if listed != wanted or offering < targets:
+                return False
+        return held == wanted
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind(('127.0.0.1', 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+async def _until(check: Any, complaint: str) -> None:
+    loop = asyncio.get_running_loop()
+    until = loop.time() + READY_LIMIT_S
+    while not await check():
+        if loop.time() > until:
+            raise TimeoutError(complaint)
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/src/savoryhold/target/client.py
@@ -0,0 +1,214 @@
+"""HTTP calls to the local target, with an honest verdict for each."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+
+from savoryhold.core.errors import (
+    NotOwnerError,
+    OverloadError,
+    UncertainError,
+)
+from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
+
+__all__ = ['TargetClient', 'TargetGoneError']
+
+MS_PER_SECOND = 1000
+CONNECT_LIMIT_MS = 300
+CHUNK_BYTES = 65536
+PROBE_LIMIT_MS = 200
+VERDICT_HEADER = 'X-Savoryhold-Verdict'
+_HOP_HEADERS = frozenset(
+    {
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'server',
+        'date',
+    }
+)
+
+MaySend = Callable[[], bool]
+
+
+class TargetGoneError(NotOwnerError):
+    """The target refused the connection: nothing was sent."""
+
+    code = 'target-gone'
+
+
+class TargetClient:
+    """Sends admitted requests to the target.
+
+    Parameters
+    ----------
+    connections : int
+        Most connections that the target accepts.
+    """
+
+    def __init__(self, connections: int) -> None:
+        tracing = aiohttp.TraceConfig(_trace_context)  # type: ignore
+        tracing.on_connection_create_end.append(_before_bytes)
+        tracing.on_connection_reuseconn.append(_before_bytes)
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=connections),
+            trace_configs=[tracing],
+            auto_decompress=False,
+        )
+
+    async def call(
+        self,
+        address: str,
+        req: RoutedRequest,
+        extra: dict[str, str],
+        may_send: MaySend,
+    ) -> RoutedAnswer:
+        """Send a request and return the answer's start.
+
+        Parameters
+        ----------
+        address : str
+            The target's ``ip:port``.
+        req : RoutedRequest
+            What to send.
+        extra : dict of str to str
+            Headers for the target: id, fence and deadline.
+        may_send : callable
+            Asked right before the first byte goes out.
+
+        Raises
+        ------
+        TargetGoneError
+            If no connection was made.
+        NotOwnerError
+            If `may_send` said no.
+        OverloadError
+            If the target says that it did not run the request.
+        UncertainError
+            If the request went out and no whole answer came back.
+        """
+        sent = SimpleNamespace(bytes=False, may_send=may_send)
+        headers = {name: text for name, text in req.headers}
+        headers.update(extra)
+        timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_LIMIT_MS / MS_PER_SECOND
+        )
+        try:
+            answer = await self._session.request(
+                req.method,
+                f'http://{address}{req.path}',
+                data=req.body,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+                trace_request_ctx=sent,
+                skip_auto_headers=('User-Agent', 'Content-Type'),
+            )
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            if sent.bytes:
+                raise UncertainError(f'target broke off: {exc!r}') from exc
+            raise TargetGoneError(f'target {address}: {exc!r}') from exc
+        return await _read_start(answer)
+
+    async def cancel(self, address: str, request: str) -> None:
+        """Tell the target that nobody waits for a request any more."""
+        url = f'http://{address}/.savoryhold/requests/{request}'
+        try:
+            async with self._session.delete(url, timeout=_probe_timeout()):
+                return
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # Cancellation is only a hint; the request's verdict stands.
+            return
+
+    async def grant(
+        self, address: str, shard: str, fence: int, valid_ms: int
+    ) -> bool:
+        """Tell a target that checks fences of a grant."""
+        url = f'http://{address}/.savoryhold/grants/{shard}'
+        fields = {'fence': fence, 'valid_ms': valid_ms}
+        try:
+            async with self._session.put(
+                url, json=fields, timeout=_probe_timeout()
+            ) as answer:
+                return answer.ok
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def refuses(self, address: str) -> bool:
+        """Return whether the target refuses new connections."""
+        host, _, port = address.rpartition(':')
+        try:
+            async with asyncio.timeout(PROBE_LIMIT_MS / MS_PER_SECOND):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+
+def _probe_timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / MS_PER_SECOND)
+
+
+def _trace_context(trace_request_ctx: Any = None) -> Any:
+    return trace_request_ctx
+
+
+async def _before_bytes(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    if context is None:
+        return
+    if not context.may_send():
+        raise NotOwnerError('lease or shard was lost before sending')
+    context.bytes = True
+
+
+async def _read_start(answer: aiohttp.ClientResponse) -> RoutedAnswer:
+    try:
+        start = await answer.content.read(CHUNK_BYTES)
+        whole = answer.content.at_eof()
+        while not whole and len(start) < CHUNK_BYTES:
+            more = await answer.content.read(CHUNK_BYTES)
+            start += more
+            whole = answer.content.at_eof()
+    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        answer.close()
+        raise UncertainError(f'answer broke off: {exc!r}') from exc
+    if answer.headers.get(VERDICT_HEADER) == 'not-run':
+        answer.release()
+        raise OverloadError(f'target refused with status {answer.status}')
+    headers = tuple(
+        (name, text)
+        for name, text in answer.headers.items()
+        if name.lower() not in _HOP_HEADERS
+    )
+    rest = None if whole else _read_rest(answer)
+    if whole:
+        answer.release()
+    return RoutedAnswer(answer.status, headers, start, rest)
+
+
+async def _read_rest(answer: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        async for chunk in answer.content.iter_chunked(CHUNK_BYTES):
+            yield chunk
+    except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        raise UncertainError(f'answer broke off: {exc!r}') from exc
+    finally:
+        answer.close()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools."""
