--- a/src/savoryhold/core/actions.py
+++ b/src/savoryhold/core/actions.py
@@ -2,7 +2,13 @@
 
 import dataclasses
 
-from savoryhold.core.ids import NodeId, ObjectName, ShardKey, Version
+from savoryhold.core.ids import (
+    NodeId,
+    ObjectName,
+    ShardKey,
+    Version,
+    WriteId,
+)
 from savoryhold.core.records import NodeRecord
 
 __all__ = [
@@ -25,10 +31,13 @@
 class WriteObject:
     """Write a record on condition; answered by `WriteEnded`.
 
+    ``number`` names this try and comes back in its `WriteEnded`.
     ``expect`` is the version that must be present, None for no object;
     ``record`` is None to delete.
     """
 
+    number: WriteId
+
     name: ObjectName
     record: NodeRecord | None
     expect: Version | None
--- a/src/savoryhold/core/claimer.py
+++ b/src/savoryhold/core/claimer.py
@@ -26,11 +26,12 @@
     ShardId,
     ShardKey,
     Version,
+    WriteId,
     Zone,
     node_object,
     service_object,
 )
-from savoryhold.core.lease import LEASE_MS
+from savoryhold.core.lease import LEASE_MS, NO_WRITE
 from savoryhold.core.records import NodeRecord, NodeState, Profile
 from savoryhold.core.ring import lowest
 from savoryhold.core.routing import Directory, Entry
@@ -70,6 +71,7 @@
     waiting: set[NodeId] = dataclasses.field(default_factory=set)
     handed: set[NodeId] = dataclasses.field(default_factory=set)
     failed: set[NodeId] = dataclasses.field(default_factory=set)
+    number: WriteId = NO_WRITE
     in_flight: bool = False
     uncertain: bool = False
     retry_at: int = 0
@@ -107,6 +109,7 @@
         self._recover: set[NodeId] = set()
         self._tidy_at = started_at
         self._synced = False
+        self._numbers = 0
 
     def on_synced(self) -> None:
         """Note that the store has been read whole once."""
@@ -161,7 +164,7 @@
 
     def on_write(self, event: WriteEnded, now: int) -> list[Action]:
         """Take in how a write to another node's record ended."""
-        plan = self._plans.get(event.name)
+        plan = self.plan_of(event)
         if plan is None:
             return []
         plan.in_flight = False
@@ -180,10 +183,12 @@
             self._claimed_at[plan.base.node] = now
         return []
 
-    def written(self, name: ObjectName) -> NodeRecord | None:
-        """Return the record that the write under way would leave."""
-        plan = self._plans.get(name)
-        return None if plan is None else plan.record
+    def plan_of(self, event: WriteEnded) -> Plan | None:
+        """Return the plan whose last try an outcome belongs to."""
+        plan = self._plans.get(event.name)
+        if plan is None or plan.number != event.number:
+            return None
+        return plan
 
     def wants_snapshot(self) -> bool:
         """Return whether a record in this node's care has lost grants."""
@@ -324,7 +329,9 @@
         plan.in_flight = True
         if plan.is_claim and plan.expect is not None:
             self._duties.claim_sent(plan.base.node, plan.expect)
-        return [WriteObject(plan.name, plan.record, plan.expect)]
+        self._numbers += 1
+        plan.number = WriteId(self._numbers)
+        return [WriteObject(plan.number, plan.name, plan.record, plan.expect)]
 
     def _in_care(self) -> list[Entry]:
         return [
--- a/src/savoryhold/core/events.py
+++ b/src/savoryhold/core/events.py
@@ -9,6 +9,7 @@
     ServiceName,
     ShardKey,
     Version,
+    WriteId,
 )
 from savoryhold.core.records import NodeRecord
 
@@ -64,6 +65,7 @@
 class WriteEnded:
     """The outcome of a `WriteObject` action."""
 
+    number: WriteId
     name: ObjectName
     outcome: WriteOutcome
     version: Version = Version(0)
--- a/src/savoryhold/core/holder.py
+++ b/src/savoryhold/core/holder.py
@@ -30,6 +30,7 @@
     ServiceName,
     ShardKey,
     Version,
+    WriteId,
     node_object,
 )
 from savoryhold.core.lease import HEARTBEAT_MS, LEASE_MS, HolderLease
@@ -74,6 +75,7 @@
         self._heartbeat_at = 0
         self._quiet_until = 0
         self._deleting = False
+        self._numbers = 0
 
     @property
     def is_deleting(self) -> bool:
@@ -142,7 +144,7 @@
     def on_write(self, event: WriteEnded, now: int) -> list[Action]:
         """Take in how a write of the own record ended."""
         pending = self.lease.pending
-        if pending is None:
+        if pending is None or pending.number != event.number:
             return []
         pending.in_flight = False
         pending.retry_at = now + RETRY_MS
@@ -300,13 +302,16 @@
                 self.moves.remove(key)
 
     def _write_action(self) -> WriteObject:
+        self._numbers += 1
+        number = WriteId(self._numbers)
         pending = self.lease.pending
         confirmed = self.lease.confirmed
-        if self._deleting or pending is None:
-            version = confirmed.version if confirmed else None
-            return WriteObject(self.name, None, version)
         expect = confirmed.version if confirmed else None
-        return WriteObject(self.name, pending.record, expect)
+        record = None
+        if pending is not None:
+            pending.number = number
+            record = None if self._deleting else pending.record
+        return WriteObject(number, self.name, record, expect)
 
     def _compose(self, now: int) -> NodeRecord:
         confirmed = self.lease.confirmed
--- a/src/savoryhold/core/lease.py
+++ b/src/savoryhold/core/lease.py
@@ -10,7 +10,7 @@
 
 import dataclasses
 
-from savoryhold.core.ids import NodeId, ShardKey, Version
+from savoryhold.core.ids import NodeId, ShardKey, Version, WriteId
 from savoryhold.core.records import NodeRecord
 
 __all__ = [
@@ -25,6 +25,7 @@
 LEASE_MS = 1000
 HEARTBEAT_MS = 250
 DRIFT_MS = 50
+NO_WRITE = WriteId(0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +43,7 @@
 
     record: NodeRecord
     first_sent_at: int
+    number: WriteId
     uncertain: bool = False
     in_flight: bool = True
     retry_at: int = 0
@@ -55,9 +57,10 @@
         self.pending: PendingWrite | None = None
         self._promised: dict[NodeId, int] = {}
 
-    def begin(self, record: NodeRecord, now: int) -> None:
+    def begin(self, record: NodeRecord, now: int) -> PendingWrite:
         """Note that a write of `record` is about to be sent."""
-        self.pending = PendingWrite(record, now)
+        self.pending = PendingWrite(record, now, NO_WRITE)
+        return self.pending
 
     def landed(self, version: Version) -> None:
         """Note that the pending write took effect at `version`."""
--- a/src/savoryhold/core/ownership.py
+++ b/src/savoryhold/core/ownership.py
@@ -23,7 +23,7 @@
 )
 from savoryhold.core.holder import Holder
 from savoryhold.core.ids import NodeId, ShardKey, Version, node_object
-from savoryhold.core.records import NodeRecord, Profile
+from savoryhold.core.records import Profile
 from savoryhold.core.routing import Directory, Entry
 from savoryhold.core.standby import StandbyDuties
 
@@ -166,14 +166,12 @@
 
     @handle.register
     def _(self, event: WriteEnded, now: int) -> list[Action]:
-        is_own = event.name == self.holder.name
-        written = self._record_under_write(event)
-        if is_own:
+        seen = self._written(event)
+        if event.name == self.holder.name:
             actions = self.holder.on_write(event, now)
         else:
             actions = self.claimer.on_write(event, now)
-        if event.outcome is WriteOutcome.DONE:
-            seen = RecordSeen(event.name, event.version, written)
+        if seen is not None:
             actions.extend(self.handle(seen, now))
         return actions
 
@@ -226,13 +224,21 @@
                 actions.extend(self.holder.on_grant(key, grant.epoch, now))
         return actions
 
-    def _record_under_write(self, event: WriteEnded) -> NodeRecord | None:
-        if event.name != self.holder.name:
-            return self.claimer.written(event.name)
-        pending = self.holder.lease.pending
-        if pending is None or self.holder.is_deleting:
+    def _written(self, event: WriteEnded) -> RecordSeen | None:
+        """Return what a write left in the store, if it is known."""
+        if event.outcome is not WriteOutcome.DONE:
             return None
-        return pending.record
+        if event.name == self.holder.name:
+            pending = self.holder.lease.pending
+            if pending is None or pending.number != event.number:
+                return None
+            record = None if self.holder.is_deleting else pending.record
+        else:
+            plan = self.claimer.plan_of(event)
+            if plan is None:
+                return None
+            record = plan.record
+        return RecordSeen(event.name, event.version, record)
 
     def _ask_snapshot(self, now: int) -> list[Action]:
         self._snapshot_at = now
--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -338,7 +338,9 @@
         except PlatformError as exc:
             self.log.warning('write_refused', error=str(exc))
             outcome = events.WriteOutcome.REFUSED
-        self.post(events.WriteEnded(action.name, outcome, version))
+        self.post(
+            events.WriteEnded(action.number, action.name, outcome, version)
+        )
         if outcome is events.WriteOutcome.DONE:
             item = NewsItem(action.name, version, text)
             if self.news.learn(item):
