--- a/examples/demo.py
+++ b/examples/demo.py
@@ -115,7 +115,7 @@
 ) -> list[asyncio.Task[None]]:
     """Start one round: each live daemon gets a lookup, an order, a video."""
     tasks = []
-    for place, host in enumerate(live(fleet)):
+    for place, host in enumerate(fleet.live_hosts()):
         patient = f'p{(num * 7 + place * 31) % PATIENTS}'
         base = f'{host.caller_url}/booking/patients/{patient}'
         order = f'order-{num}-{place}'
@@ -131,15 +131,6 @@
     return tasks
 
 
-def live(fleet: Fleet) -> list[Host]:
-    """Return the hosts whose daemon runs."""
-    return [
-        host
-        for host in fleet.hosts
-        if host.daemon is not None and host.daemon.poll() is None
-    ]
-
-
 async def lost_key(session: aiohttp.ClientSession, host: Host) -> str:
     """Return a patient whose owner is the host that will be lost."""
     for num in range(PATIENTS):
--- a/src/savoryhold/cli/client.py
+++ b/src/savoryhold/cli/client.py
@@ -51,8 +51,12 @@
                 method, url, headers=self._headers, timeout=timeout, **options
             ) as answer:
                 fields = await answer.json()
+                _check_answer(url, answer.ok, fields)
+                return fields
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             raise AdminError(f'{url}: {exc!r}') from exc
-        if not answer.ok:
-            raise AdminError(f'{url}: {fields.get("error", answer.status)}')
-        return fields
+
+
+def _check_answer(url: str, is_ok: bool, fields: Any) -> None:
+    if not is_ok:
+        raise AdminError(f'{url}: {fields.get("error", "no reason given")}')
--- a/src/savoryhold/core/balance.py
+++ b/src/savoryhold/core/balance.py
@@ -103,10 +103,14 @@
     left = dict(counts)
     left.pop(joiner, None)
     while missing > 0 and left:
-        fullest = max(left, key=lambda node: (left[node], node))
+        fullest = _fullest(left)
         if left[fullest] <= fair:
             break
         left[fullest] -= 1
         asked[fullest] = asked.get(fullest, 0) + 1
         missing -= 1
     return asked
+
+
+def _fullest(counts: Mapping[NodeId, int]) -> NodeId:
+    return max(counts, key=lambda node: (counts[node], node))
--- a/src/savoryhold/core/claimer.py
+++ b/src/savoryhold/core/claimer.py
@@ -212,17 +212,20 @@
         return actions
 
     def _due(self, now: int) -> list[Entry]:
-        due = []
-        for entry in self._directory.entries():
-            record = entry.record
-            if record is None or not record.is_live:
-                continue
-            if entry.name in self._plans or record.node == self._me.node:
-                continue
-            allowed_at = self._allowed_at(entry, record)
-            if allowed_at is not None and now >= allowed_at:
-                due.append(entry)
-        return due
+        return [
+            entry
+            for entry in self._directory.entries()
+            if entry.name not in self._plans and self._is_due(entry, now)
+        ]
+
+    def _is_due(self, entry: Entry, now: int) -> bool:
+        record = entry.record
+        if record is None or not record.is_live:
+            return False
+        if record.node == self._me.node:
+            return False
+        allowed_at = self._allowed_at(entry, record)
+        return allowed_at is not None and now >= allowed_at
 
     def _allowed_at(self, entry: Entry, record: NodeRecord) -> int | None:
         waits = self._duties.claim_due(record.node, entry.observed_at)
--- a/src/savoryhold/core/claims.py
+++ b/src/savoryhold/core/claims.py
@@ -52,7 +52,7 @@
         pool = pools[key.service]
         if not pool:
             continue
-        node = min(pool, key=lambda peer: (pool[peer], rank(peer)))
+        node = _least_loaded(pool)
         pool[node] += 1
         chosen[key] = node
     return chosen
@@ -105,11 +105,18 @@
 def settled_outgoing(
     record: NodeRecord, directory: Directory
 ) -> dict[ShardKey, Grant]:
-    """Return a record's grants that their new owners have not yet listed."""
+    """Return a record's grants that their new owners have not yet listed.
+
+    Notes
+    -----
+    A higher epoch anywhere shows that the grant was listed too, since an
+    owner must list a shard before it may hand it on.
+    """
     return {
         key: grant
         for key, grant in record.outgoing.items()
         if directory.listed(key) < grant.epoch
+        and not _is_passed(directory, key, grant)
     }
 
 
@@ -127,3 +134,12 @@
         for key, grant in settled_outgoing(record, directory).items()
         if not directory.is_live(grant.owner) and directory.route(key) == grant
     }
+
+
+def _is_passed(directory: Directory, key: ShardKey, grant: Grant) -> bool:
+    newest = directory.route(key)
+    return newest is not None and newest.epoch > grant.epoch
+
+
+def _least_loaded(pool: Mapping[NodeId, int]) -> NodeId:
+    return min(pool, key=lambda peer: (pool[peer], rank(peer)))
--- a/src/savoryhold/core/gossip.py
+++ b/src/savoryhold/core/gossip.py
@@ -9,8 +9,9 @@
 __all__ = ['BUCKETS', 'Digest', 'NewsItem', 'NewsTable']
 
 BUCKETS = 64
+_DIGEST_BITS = 63
 # Digests travel as signed 64-bit integers.
-_MASK = (1 << 63) - 1
+_MASK = (1 << _DIGEST_BITS) - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +55,7 @@
 
     def __init__(self) -> None:
         self._items: dict[ObjectName, NewsItem] = {}
-        self._buckets = [0] * BUCKETS
+        self._buckets = [0 for _ in range(BUCKETS)]
 
     def __len__(self) -> int:
         """Return how many objects are known."""
--- a/src/savoryhold/core/holder.py
+++ b/src/savoryhold/core/holder.py
@@ -296,10 +296,11 @@
         self.lease.begin(self._compose(now), now)
         self._dirty_at = None
         record = self.lease.pending.record if self.lease.pending else None
-        for key in list(self.held):
-            if record is not None and key in record.outgoing:
-                self._giving[key] = self.held.pop(key)
-                self.moves.remove(key)
+        given = record.outgoing if record else {}
+        leaving = set(self.held).intersection(given)
+        for held in sorted(leaving):
+            self._giving[held] = self.held.pop(held)
+            self.moves.remove(held)
 
     def _write_action(self) -> WriteObject:
         self._numbers += 1
@@ -371,7 +372,7 @@
         self.mark_dirty(now)
         for key, epoch in self._giving.items():
             self.held[key] = epoch
-        restored = [ResumeShard(key) for key in self._giving]
+        restored = [ResumeShard(kept) for kept in self._giving]
         self._giving.clear()
         return list(restored)
 
--- a/src/savoryhold/core/ledger.py
+++ b/src/savoryhold/core/ledger.py
@@ -61,7 +61,8 @@
     @property
     def size(self) -> int:
         """Return the bytes that the entry counts for."""
-        return ENTRY_BYTES + (len(self.answer.body) if self.answer else 0)
+        body = self.answer.body if self.answer else b''
+        return ENTRY_BYTES + len(body)
 
 
 _Slot = tuple[ShardKey, RequestId]
--- a/src/savoryhold/core/records.py
+++ b/src/savoryhold/core/records.py
@@ -54,6 +54,8 @@
     services: frozenset[ServiceName] = frozenset()
 
 
+_MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+
 Owned = Mapping[ShardKey, Epoch]
 Outgoing = Mapping[ShardKey, Grant]
 
@@ -114,7 +116,7 @@
     """
     try:
         return _decode_fields(json.loads(text))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except _MALFORMED as exc:
         raise MalformedMessageError(f'node record: {exc!r}') from exc
 
 
--- a/src/savoryhold/core/tests/world.py
+++ b/src/savoryhold/core/tests/world.py
@@ -26,6 +26,7 @@
 
 __all__ = ['DoubleOwnerError', 'LostShardError', 'World', 'walk']
 
+NOBODY: frozenset[int] = frozenset()
 SERVICE = ServiceName('booking')
 SHARDS = 4
 PLACES = 4
@@ -34,7 +35,9 @@
 HEAL_MS = 20_000
 HEAL_STEP_MS = 50
 STARVE_MS = 1300
-STARVE_STEP_MS = 100
+WARM_ROUNDS = 20
+ISOLATE_MS = 3500
+RUN_STEP_MS = 100
 FATE_LOST = 7
 FATE_LATE = 8
 
@@ -88,6 +91,7 @@
 
 
 Job = tuple[Node, OwnershipMachine, actions.Action]
+Reply = tuple[OwnershipMachine, events.Event]
 
 
 class World:
@@ -99,7 +103,7 @@
         self.cut: set[frozenset[int]] = set()
         self.jobs: list[Job] = []
         self.late: list[actions.WriteObject] = []
-        self.replies: list[tuple[OwnershipMachine, events.Event]] = []
+        self.replies: list[Reply] = []
         self.nodes: list[Node] = []
         self.epochs: dict[ShardKey, Epoch] = {}
         self.claims = 0
@@ -195,14 +199,49 @@
 
         Claims that others send meanwhile are late.
         """
-        for _ in range(STARVE_MS // STARVE_STEP_MS):
-            self.advance(STARVE_STEP_MS)
-            for node in list(self.nodes):
+        alone = frozenset({place})
+        self.run(STARVE_MS, deaf=alone, starved=alone, late=True)
+
+    def isolate(self, one: int, two: int) -> None:
+        """Cut two nodes off from all but each other, for some leases."""
+        pair = frozenset({one, two})
+        self.run(ISOLATE_MS, deaf=pair, starved=pair)
+
+    def deafen(self, place: int) -> None:
+        """Keep all news from a node for a while; all else works."""
+        self.run(ISOLATE_MS, deaf=frozenset({place}))
+
+    def run(
+        self,
+        delta_ms: int,
+        *,
+        deaf: frozenset[int],
+        starved: frozenset[int] = NOBODY,
+        late: bool = False,
+    ) -> None:
+        """Let time pass for all nodes, with some of them troubled.
+
+        Parameters
+        ----------
+        delta_ms : int
+            How long, in ms.
+        deaf : frozenset of int
+            Places that hear no news.
+        starved : frozenset of int
+            Places that reach only each other, and not the store.
+        late : bool
+            Whether writes to others' records are delayed.
+        """
+        for _ in range(delta_ms // RUN_STEP_MS):
+            self.advance(RUN_STEP_MS)
+            for node in tuple(self.nodes):
+                if node.place not in deaf:
+                    self._tell_newest(node)
                 self.tick(node.place)
-            for _ in range(len(self.jobs)):
-                self._starve_job(place)
-            while self.replies and self._deliver_first():
-                continue
+            for _ in tuple(self.jobs):
+                self._run_job(starved, late=late)
+            self._deliver_all()
+            self.check()
 
     def beat(self, place: int) -> None:
         """Let a node's heartbeats and their answers pass."""
@@ -212,28 +251,39 @@
             is_beat = isinstance(action, actions.SendHeartbeat)
             if is_beat and node.place == place:
                 self.perform(self.jobs.index(job), 0)
-        while self.replies and self._deliver_first():
-            continue
+        self._deliver_all()
 
-    def _starve_job(self, place: int) -> None:
+    def _run_job(self, starved: frozenset[int], *, late: bool) -> None:
         node, machine, action = self.jobs[0]
-        is_write = isinstance(action, actions.WriteObject)
-        if node.place == place:
-            self.perform(0, FATE_LOST)
-        elif is_write and action.name != f'node/{machine.node}':
-            self.perform(0, FATE_LATE)
-        else:
-            self.perform(0, 0)
-
-    def _deliver_first(self) -> bool:
-        for number in range(len(self.replies)):
-            count = len(self.replies)
-            self.deliver(number)
-            if len(self.replies) != count:
-                return True
-        return False
+        fate = 0
+        if node.place in starved:
+            fate = FATE_LOST
+            if isinstance(action, actions.SendHeartbeat):
+                guard = self._find(action.standby)
+                near = guard is not None and guard.place in starved
+                fate = 0 if near else FATE_LATE
+        elif isinstance(action, actions.WriteObject) and late:
+            is_own = action.name == f'node/{machine.node}'
+            fate = 0 if is_own else FATE_LATE
+        elif isinstance(action, actions.SendHeartbeat):
+            guard = self._find(action.standby)
+            far = guard is not None and guard.place in starved
+            fate = FATE_LATE if far else 0
+        self.perform(0, fate)
+
+    def _deliver_all(self) -> None:
+        progress = True
+        while progress:
+            progress = any(self._deliver_if_awake(one) for one in self.replies)
+
+    def _deliver_if_awake(self, reply: Reply) -> bool:
+        node = self._node_of(reply[0])
+        if node is not None and node.paused:
+            return False
+        self.deliver(self.replies.index(reply))
+        return True
 
-    def set_cut(self, one: int, two: int) -> None:
+    def toggle_cut(self, one: int, two: int) -> None:
         """Cut or mend the link between two nodes."""
         if one != two:
             self.cut ^= {frozenset({one, two})}
@@ -303,19 +353,24 @@
             if not self.owners(key):
                 raise LostShardError(f'{key} has no owner after healing')
 
+    def settle(self, rounds: int) -> None:
+        """Let some rounds pass without new faults."""
+        for _ in range(rounds):
+            self._fair_round()
+
     def _fair_round(self) -> None:
         self.advance(HEAL_STEP_MS)
         for node in list(self.nodes):
-            for seen in list(self.store.objects.values()):
-                self._handle(node, seen)
-            self._tell_deleted(node)
+            self._tell_newest(node)
             self.sync(node.place)
             self.tick(node.place)
         while self.jobs or self.replies:
             self.perform(0, 0)
             self.deliver(0)
 
-    def _tell_deleted(self, node: Node) -> None:
+    def _tell_newest(self, node: Node) -> None:
+        for present in tuple(self.store.objects.values()):
+            self._handle(node, present)
         for seen in self.store.history:
             if seen.record is None and seen.name not in self.store.objects:
                 self._handle(node, seen)
@@ -425,7 +480,13 @@
             )
         elif self.store.down or fate >= 7:
             return
-        elif isinstance(action, actions.ReadObject):
+        else:
+            self._answer_read(machine, action)
+
+    def _answer_read(
+        self, machine: OwnershipMachine, action: actions.Action
+    ) -> None:
+        if isinstance(action, actions.ReadObject):
             self.replies.append((machine, self._read(action.name)))
         elif isinstance(action, actions.TakeSnapshot):
             self._snapshot(machine)
@@ -467,10 +528,12 @@
 
 def _epochs(record: NodeRecord, key: ShardKey) -> list[Epoch]:
     found = []
-    if key in record.owned:
-        found.append(record.owned[key])
-    if key in record.outgoing:
-        found.append(record.outgoing[key].epoch)
+    owned = record.owned.get(key)
+    if owned is not None:
+        found.append(owned)
+    grant = record.outgoing.get(key)
+    if grant is not None:
+        found.append(grant.epoch)
     return found
 
 
@@ -491,11 +554,13 @@
         (2, lambda: world.land_late(number)),
         (2, lambda: world.pause(place)),
         (1, lambda: world.restart(place)),
-        (2, lambda: world.set_cut(place, other)),
+        (2, lambda: world.toggle_cut(place, other)),
         (1, world.outage),
         (4, lambda: world.move(place, other, number)),
         (1, lambda: world.leave(place)),
         (aim, lambda: world.starve(place)),
+        (aim, lambda: world.isolate(place, other)),
+        (aim, lambda: world.deafen(place)),
         (3 * aim, lambda: world.beat(place)),
         (3 * aim, lambda: world.land_late(number)),
     ]
@@ -515,8 +580,7 @@
     """
     source = random.Random(seed)
     world = World()
-    for _ in range(20):
-        world._fair_round()  # noqa: SLF001
+    world.settle(WARM_ROUNDS)
     for _ in range(steps):
         choices = _operations(world, source, aim)
         weights = [weight for weight, _ in choices]
--- a/src/savoryhold/daemon/gossiper.py
+++ b/src/savoryhold/daemon/gossiper.py
@@ -151,9 +151,9 @@
     def _choose_peer(self) -> NodeRecord | None:
         peers = self._peers()
         cfg = self._node.settings.node
-        here = [p for p in peers if p.profile.region == cfg.region]
-        zone = [p for p in here if p.profile.zone == cfg.zone]
-        remote = [p for p in peers if p.profile.region != cfg.region]
+        here = [peer for peer in peers if peer.profile.region == cfg.region]
+        zone = [peer for peer in here if peer.profile.zone == cfg.zone]
+        remote = [peer for peer in peers if peer.profile.region != cfg.region]
         if remote and random.random() < REMOTE_SHARE:
             return random.choice(remote)
         if zone and random.random() < ZONE_SHARE:
--- a/src/savoryhold/daemon/metrics.py
+++ b/src/savoryhold/daemon/metrics.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 
-from aioprometheus import render
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
 
 __all__ = ['Metrics']
 
--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -15,7 +15,6 @@
 )
 from savoryhold.core.classify import RouteClassifier
 from savoryhold.core.clock import Clock
-from savoryhold.core.configuration import ServiceClass
 from savoryhold.core.errors import (
     DeadlineError,
     NotOwnerError,
--- a/src/savoryhold/declare/document.py
+++ b/src/savoryhold/declare/document.py
@@ -55,9 +55,9 @@
         fields = tomllib.loads(text)
     except tomllib.TOMLDecodeError as exc:
         raise ConfigurationError(f'not TOML: {exc}') from exc
-    for name in fields:
-        if name not in {'format', 'services'}:
-            raise ConfigurationError(f'{name}: unknown field')
+    unknown = sorted(set(fields) - {'format', 'services'})
+    if unknown:
+        raise ConfigurationError(f'{unknown[0]}: unknown field')
     if fields.get('format') != FORMAT:
         raise ConfigurationError(f'format: expected {FORMAT}')
     services = fields.get('services')
--- a/src/savoryhold/gateway/admin.py
+++ b/src/savoryhold/gateway/admin.py
@@ -18,7 +18,9 @@
 __all__ = ['AdminBackend', 'admin_app']
 
 STATUS_UNAUTHORIZED = 401
+STATUS_OK = 200
 STATUS_BAD = 400
+POST = ('POST',)
 STATUS_UNAVAILABLE = 503
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -72,19 +74,19 @@
     pages = _Pages(backend, metrics, token)
     return Starlette(
         routes=[
-            Route('/v1/announce', pages.announce, methods=['POST']),
+            Route('/v1/announce', pages.announce, methods=POST),
             Route('/metrics', pages.metrics),
             Route('/healthz', pages.health),
             Route('/admin/status', pages.guarded(pages.status)),
             Route('/admin/owner', pages.guarded(pages.owner)),
-            Route('/admin/drain', pages.guarded(pages.drain), methods=['POST']),
-            Route('/admin/move', pages.guarded(pages.move), methods=['POST']),
+            Route('/admin/drain', pages.guarded(pages.drain), methods=POST),
+            Route('/admin/move', pages.guarded(pages.move), methods=POST),
             Route(
                 '/admin/recover',
                 pages.guarded(pages.recover),
-                methods=['POST'],
+                methods=POST,
             ),
-            Route('/admin/cut', pages.guarded(pages.cut), methods=['POST']),
+            Route('/admin/cut', pages.guarded(pages.cut), methods=POST),
         ]
     )
 
@@ -128,7 +130,7 @@
 
     async def health(self, req: Request) -> Response:
         healthy = self._backend.healthy()
-        status = 200 if healthy else STATUS_UNAVAILABLE
+        status = STATUS_OK if healthy else STATUS_UNAVAILABLE
         return JSONResponse({'healthy': healthy}, status_code=status)
 
     async def status(self, req: Request) -> Response:
--- a/src/savoryhold/peer/frames.py
+++ b/src/savoryhold/peer/frames.py
@@ -40,7 +40,8 @@
     size = _HEAD.size - _LENGTH_BYTES + len(frame.payload)
     if size > MAX_FRAME_BYTES:
         raise MalformedMessageError(f'frame has {size} bytes')
-    kind = frame.code | (REPLY_FLAG if frame.is_reply else 0)
+    flag = REPLY_FLAG if frame.is_reply else 0
+    kind = frame.code | flag
     check = xxhash.xxh32_intdigest(frame.payload)
     return _HEAD.pack(size, kind, frame.correlation, check) + frame.payload
 
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -114,7 +114,7 @@
 )
 _CODES = {kind: code for code, kind in _BY_CODE.items()}
 _GREETINGS = frozenset({Challenge, Hello, Welcome})
-_ENCODER = TCyBinaryProtocolFactory()
+_ENCODER = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
 _STRING_FIELD = struct.Struct('!BHI')
 _STRING_TYPE = 11
 
--- a/src/savoryhold/platform/client.py
+++ b/src/savoryhold/platform/client.py
@@ -8,7 +8,6 @@
 import aiohttp
 
 from savoryhold.core.errors import (
-    MalformedMessageError,
     PlatformError,
     VersionConflictError,
     WriteUncertainError,
@@ -208,7 +207,7 @@
     try:
         objects = tuple(_parse_object(entry) for entry in fields[kind])
         return Snapshot(Version(int(fields['revision'])), objects)
-    except (KeyError, TypeError, ValueError, MalformedMessageError) as exc:
+    except (KeyError, TypeError, ValueError) as exc:
         raise PlatformError(f'malformed {kind}: {exc!r}') from exc
 
 
--- a/src/savoryhold/standins/fleet.py
+++ b/src/savoryhold/standins/fleet.py
@@ -272,6 +272,14 @@
                 return host
         raise KeyError(name)
 
+    def live_hosts(self) -> list[Host]:
+        """Return the hosts whose daemon runs."""
+        return [
+            host
+            for host in self.hosts
+            if host.daemon is not None and host.daemon.poll() is None
+        ]
+
     def journal(self) -> list[JournalLine]:
         """Return the runs of all targets."""
         return [line for host in self.hosts for line in host.read_journal()]
@@ -334,35 +342,41 @@
         self, session: aiohttp.ClientSession, wanted: int
     ) -> bool:
         held = 0
-        for host in self.hosts:
-            if host.daemon is None or host.daemon.poll() is not None:
-                continue
+        for host in self.live_hosts():
             found = await self.status(session, host)
-            if found is None or not found['lease_ms']:
-                return False
-            if host.plan.service and not found['target']:
-                return False
-            if not found['revisions']:
+            if found is None or not self._is_settled(host, found, wanted):
                 return False
             held += found['held']
-            listed = sum(node['shards'] for node in found['nodes'])
-            offering = sum(1 for node in found['nodes'] if node['services'])
-            targets = sum(1 for peer in self.hosts if peer.plan.service)
-            if listed != wanted or offering < targets:
-                return False
         return held == wanted
 
+    def _is_settled(
+        self, host: Host, found: dict[str, Any], wanted: int
+    ) -> bool:
+        listed = sum(node['shards'] for node in found['nodes'])
+        offering = sum(1 for node in found['nodes'] if node['services'])
+        targets = sum(1 for peer in self.live_hosts() if peer.plan.service)
+        has_target = found['target'] or not host.plan.service
+        return all(
+            (
+                found['lease_ms'],
+                found['revisions'],
+                has_target,
+                listed == wanted,
+                offering >= targets,
+            )
+        )
+
 
 def free_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
     try:
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        for unbound in sockets:
+            unbound.bind(('127.0.0.1', 0))
+        return [bound.getsockname()[1] for bound in sockets]
     finally:
-        for sock in sockets:
-            sock.close()
+        for spent in sockets:
+            spent.close()
 
 
 async def _until(check: Any, complaint: str) -> None:
--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -170,7 +170,7 @@
 
 
 async def _before_bytes(
-    session: aiohttp.ClientSession, context: Any, params: Any
+    session: aiohttp.ClientSession, context: Any, details: Any
 ) -> None:
     if context is None:
         return
--- a/src/savoryhold/target/tracker.py
+++ b/src/savoryhold/target/tracker.py
@@ -7,6 +7,7 @@
 __all__ = ['Announcement', 'TargetTracker']
 
 SILENCE_MS = 3000
+DEFAULT_CONNECTIONS = 110
 
 
 class Announcement(BaseModel):
@@ -17,7 +18,7 @@
     service: str
     address: str
     slots: int = Field(gt=0)
-    connections: int = Field(110, gt=0)
+    connections: int = Field(DEFAULT_CONNECTIONS, gt=0)
     checks_fence: bool = False
     state: str = Field('ready', pattern='^(ready|draining)$')
 
--- a/tools/nose2_summary.py
+++ b/tools/nose2_summary.py
@@ -13,6 +13,8 @@
 
 KNOWN_RED = pathlib.Path(__file__).parents[1] / 'KNOWN-RED.txt'
 PREFIX = 'test: '
+PASSED = 'passed'
+SUBTEST = 'subtest'
 
 
 class Summary(events.Plugin):  # type: ignore[misc]
@@ -36,7 +38,9 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802
         """Count one outcome."""
-        if event.outcome == 'passed' or event.expected:
+        if event.outcome == SUBTEST and event.exc_info is None:
+            return
+        if event.outcome == PASSED or event.expected:
             self.passed += 1
         else:
             self.failed += 1
