--- a/src/savoryhold/core/balance.py
+++ b/src/savoryhold/core/balance.py
@@ -1,7 +1,8 @@
 """Which shard a node offers to which other node, and when."""
 
 import dataclasses
-from collections.abc import Mapping
+import math
+from collections.abc import Collection, Mapping
 
 from savoryhold.core.ids import NodeId, ShardKey
 
@@ -17,13 +18,27 @@
     Parameters
     ----------
     margin : float
-        Share by which one load must exceed the other.
-    floor : float
-        Smallest difference of load that counts, in requests a second.
+        Share of the own load by which it must exceed the other.
+    sigmas : float
+        Standard deviations of the measured difference that count as noise.
+    window_s : float
+        Time over which loads are measured, in seconds.
     """
 
-    margin: float = 0.15
-    floor: float = 2.0
+    margin: float = 0.1
+    sigmas: float = 3.0
+    window_s: float = 3.0
+
+    def threshold(self, mine: float, theirs: float) -> float:
+        """Return the difference of load that is worth a move.
+
+        Notes
+        -----
+        Counts of arrivals over a window vary as a Poisson variable does:
+        the difference of two rates has variance ``(a + b) / window``.
+        """
+        noise = math.sqrt((mine + theirs) / self.window_s)
+        return max(self.sigmas * noise, self.margin * mine)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +52,7 @@
 
 def choose_offer(
     shard_loads: Mapping[ShardKey, float],
+    settled: Collection[ShardKey],
     peer_loads: Mapping[NodeId, float],
     policy: BalancePolicy,
 ) -> Offer | None:
@@ -46,6 +62,8 @@
     ----------
     shard_loads : mapping of ShardKey to float
         Load of each shard of this node, in requests a second.
+    settled : collection of ShardKey
+        Shards that have been here long enough to be moved on.
     peer_loads : mapping of NodeId to float
         Load of each node that could take a shard.
     policy : BalancePolicy
@@ -67,12 +85,12 @@
     mine = sum(shard_loads.values())
     target = min(peer_loads, key=lambda node: (peer_loads[node], node))
     gap = mine - peer_loads[target]
-    if gap <= max(policy.floor, policy.margin * mine):
+    if gap <= policy.threshold(mine, peer_loads[target]):
         return None
     fitting = [
         (load, key)
         for key, load in shard_loads.items()
-        if NOISE < load <= gap / 2
+        if key in settled and NOISE < load <= gap / 2
     ]
     if not fitting:
         return None
--- a/src/savoryhold/core/holder.py
+++ b/src/savoryhold/core/holder.py
@@ -415,10 +415,11 @@
         return [*given, action]
 
     def _leave_step(self, now: int) -> list[Action]:
+        actions = self._move_away(now)
         if self.state is not NodeState.LEAVING:
-            return []
+            return actions
         if self.held or self._giving:
-            return self._move_away(now)
+            return actions
         if self._may_delete():
             self._deleting = True
             self.lease.begin(self._compose(now), now)
@@ -445,10 +446,17 @@
             for entry in self._directory.entries()
         )
 
+    def _should_go(self, key: ShardKey) -> bool:
+        if key in self.moves:
+            return False
+        if self.state is NodeState.LEAVING:
+            return True
+        return key.service not in self.profile.services
+
     def _move_away(self, now: int) -> list[Action]:
         actions: list[Action] = []
         free = LEAVE_MOVES_AT_ONCE - len(self.moves)
-        keys = [key for key in self.held if key not in self.moves]
+        keys = [key for key in self.held if self._should_go(key)]
         avoid = frozenset({self.profile.node})
         targets = spread(keys[: max(free, 0)], self._directory, avoid)
         for key, target in targets.items():
--- a/src/savoryhold/core/retry.py
+++ b/src/savoryhold/core/retry.py
@@ -5,7 +5,7 @@
 from savoryhold.core.errors import RequestError
 from savoryhold.core.verdict import Verdict
 
-__all__ = ['RetryBudget', 'backoff_ms', 'may_retry']
+__all__ = ['RetryBudget', 'Tries', 'backoff_ms', 'may_retry']
 
 FIRST_BACKOFF_MS = 20
 MAX_BACKOFF_MS = 200
@@ -48,6 +48,32 @@
     return round(ceiling * (1 + jitter) / 2)
 
 
+class Tries:
+    """The failed tries of one request.
+
+    Notes
+    -----
+    A request whose earlier try may have run is not refused as "not run"
+    because its last try did not.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.last: RequestError = RequestError('not tried')
+        self._uncertain: RequestError | None = None
+
+    def failed(self, exc: RequestError) -> None:
+        """Note how a try ended."""
+        self.count += 1
+        self.last = exc
+        if exc.verdict is Verdict.MAY_HAVE_RUN:
+            self._uncertain = exc
+
+    def outcome(self) -> RequestError:
+        """Return the error that holds for all tries together."""
+        return self._uncertain or self.last
+
+
 @dataclasses.dataclass(slots=True)
 class RetryBudget:
     """A token bucket filled by successes and emptied by retries.
--- a/src/savoryhold/daemon/balancer.py
+++ b/src/savoryhold/daemon/balancer.py
@@ -15,8 +15,9 @@
 
 __all__ = ['BalancerTask']
 
-SMOOTHING = 0.5
+SMOOTHING = 0.3
 COOLDOWN_MS = 1000
+RESIDENCE_MS = 5000
 CALL_LIMIT_MS = 500
 MS_PER_SECOND = 1000
 
@@ -52,6 +53,7 @@
         self._rates: dict[ShardKey, float] = {}
         self._measured_at = clock.now()
         self._moved_at = 0
+        self._since: dict[ShardKey, int] = {}
 
     async def run(self) -> None:
         """Look at the balance once a round until cancelled."""
@@ -79,6 +81,7 @@
         self._measured_at = now
         served, self._owner.served = self._owner.served, Counter()
         held = self._node.machine.holder.held
+        self._since = {key: self._since.get(key, now) for key in held}
         self._rates = {
             key: (1 - SMOOTHING) * self._rates.get(key, 0)
             + SMOOTHING * served[key] / seconds
@@ -128,7 +131,12 @@
                 for key, rate in self._rates.items()
                 if key.service == service
             }
-            offer = choose_offer(rates, peers, self._policy)
+            settled = {
+                key
+                for key in rates
+                if now - self._since.get(key, now) >= RESIDENCE_MS
+            }
+            offer = choose_offer(rates, settled, peers, self._policy)
             if offer is not None:
                 self.offers += 1
                 self._moved_at = now
--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -50,6 +50,8 @@
 MS_PER_SECOND = 1000
 HEARTBEAT_LIMIT_MS = 400
 HAND_LIMIT_MS = 250
+APPEND_LIMIT_MS = 150
+APPEND_PAUSE_MS = 20
 INCARNATION_BYTES = 4
 TOMBSTONE_MS = 21_600_000
 PRUNE_EVERY_MS = 60_000
@@ -185,21 +187,35 @@
         NotOwnerError
             If a standby does not confirm it.
         """
-        standbys = self.machine.holder.lease.standbys()
+        until = self.clock.now() + limit_ms
+        waiting = self.machine.holder.lease.standbys()
+        while waiting:
+            for standby in sorted(waiting):
+                await self._append(standby, key, request, until)
+            # A standby that was named meanwhile must know the id too.
+            named = self.machine.holder.lease.standbys()
+            waiting = named - waiting
+
+    async def _append(
+        self, standby: NodeId, key: ShardKey, request: RequestId, until: float
+    ) -> None:
         ledger_id = messages.LedgerId(
             service_name=key.service, shard=key.shard, request_id=request
         )
         message = messages.LedgerAppend(holder=self.node, ids=[ledger_id])
-        for standby in standbys:
+        while standby in self.machine.holder.lease.standbys():
             address = self.address_of(standby)
-            if address is None:
-                raise NotOwnerError(f'standby {standby} is unknown')
+            if address is None or self.clock.now() >= until:
+                raise NotOwnerError(f'standby {standby} does not confirm')
             try:
-                reply = await self.pool.call(address, message, limit_ms)
-            except LinkError as exc:
-                raise NotOwnerError(f'standby {standby}: {exc}') from exc
+                reply = await self.pool.call(address, message, APPEND_LIMIT_MS)
+            except LinkError:
+                # It may be lost; another one is named within half a lease.
+                await asyncio.sleep(APPEND_PAUSE_MS / MS_PER_SECOND)
+                continue
             if not reply.ok:
                 raise NotOwnerError(f'standby {standby} has no room')
+            return
 
     def _wake(self) -> None:
         self.changed.set()
--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -17,7 +17,7 @@
 )
 from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
 from savoryhold.core.ids import NodeId
-from savoryhold.core.retry import RetryBudget, backoff_ms, may_retry
+from savoryhold.core.retry import RetryBudget, Tries, backoff_ms, may_retry
 from savoryhold.core.selection import LatencyTable, choose_of_two
 from savoryhold.daemon.convert import answer_headers, to_forward
 from savoryhold.daemon.errors_map import error_of
@@ -29,7 +29,8 @@
 __all__ = ['RouterTask']
 
 GRACE_MS = 150
-PARK_MS = 100
+LOOK_MS = 100
+MS_PER_SECOND = 1000
 CHUNK_LIMIT_MS = 10_000
 CREDIT_CHUNKS = 8
 MIN_TRY_MS = 1
@@ -66,41 +67,40 @@
         RequestError
             With the verdict that is known, when no try brought an answer.
         """
-        attempt = 0
+        tries = Tries()
         while True:
             try:
                 answer = await self._try(req)
             except RequestError as exc:
-                await self._before_retry(req, exc, attempt)
-                attempt += 1
+                tries.failed(exc)
+                await self._before_retry(req, tries)
                 req = dataclasses.replace(req, repeated=True)
             else:
                 self.budget.succeeded()
                 return answer
 
-    async def _before_retry(
-        self, req: RoutedRequest, exc: RequestError, attempt: int
-    ) -> None:
-        if not may_retry(exc, idempotent=req.idempotent):
-            raise exc
-        wait_ms = backoff_ms(attempt, random.random())
-        if self._clock.now() + wait_ms >= req.deadline:
-            raise exc
+    async def _before_retry(self, req: RoutedRequest, tries: Tries) -> None:
+        exc = tries.last
+        wait_ms = backoff_ms(tries.count, random.random())
+        late = self._clock.now() + wait_ms >= req.deadline
+        if late or not may_retry(exc, idempotent=req.idempotent):
+            raise tries.outcome()
         self.retries[exc.code] += 1
         if isinstance(exc, NotOwnerError):
-            await self._park(exc, wait_ms)
+            await self._park(tries, wait_ms)
         elif self.budget.spend():
-            await asyncio.sleep(wait_ms / 1000)
+            await asyncio.sleep(wait_ms / MS_PER_SECOND)
         else:
-            raise exc
+            raise tries.outcome()
 
-    async def _park(self, exc: RequestError, wait_ms: int) -> None:
+    async def _park(self, tries: Tries, wait_ms: int) -> None:
         # Nothing reached a target, so that this try costs no retry budget.
         if self.parked >= self._limit:
-            raise OverloadError('too many requests wait for an owner') from exc
+            tries.failed(OverloadError('too many requests wait for an owner'))
+            raise tries.outcome()
         self.parked += 1
         try:
-            await asyncio.sleep(wait_ms / 1000)
+            await asyncio.sleep(wait_ms / MS_PER_SECOND)
         finally:
             self.parked -= 1
 
@@ -147,7 +147,7 @@
             except LinkError as exc:
                 sent = sent or exc.sent
                 self._check_ask_again(owner, req, exc, sent=sent)
-            await asyncio.sleep(MIN_TRY_MS / 1000)
+            await asyncio.sleep(MIN_TRY_MS / MS_PER_SECOND)
 
     def _check_ask_again(
         self,
@@ -157,15 +157,24 @@
         *,
         sent: bool,
     ) -> None:
-        """Raise unless the same owner may be asked for the same id again."""
+        """Raise unless the same owner may be asked for the same id again.
+
+        Notes
+        -----
+        A claimed owner sends nothing more, and its ledger's ids are with
+        the new owner, who knows whether the request may have run.
+        """
         if not sent:
             raise NotOwnerError(f'owner {owner}: {exc}') from exc
+        if req.shard is not None and not self._is_live(owner):
+            raise NotOwnerError(f'owner {owner} was claimed') from exc
         late = self._clock.now() >= req.deadline
-        directory = self._node.machine.directory
-        keyed = req.shard is not None
-        if late or not keyed or not directory.is_live(owner) or not exc.sent:
+        if late or req.shard is None or not exc.sent:
             raise UncertainError(f'owner {owner}: {exc}') from exc
 
+    def _is_live(self, owner: NodeId) -> bool:
+        return self._node.machine.directory.is_live(owner)
+
     async def _ask_once(
         self, owner: NodeId, req: RoutedRequest
     ) -> RoutedAnswer:
@@ -177,7 +186,7 @@
         try:
             call.send(to_forward(req, now))
             left_ms = max(req.deadline - now, MIN_TRY_MS) + GRACE_MS
-            first = await call.receive(left_ms)
+            first = await self._first_answer(call, owner, now + left_ms)
         except asyncio.CancelledError:
             _cancel(call)
             call.close()
@@ -187,6 +196,18 @@
             raise
         return self._read_answer(call, first)
 
+    async def _first_answer(
+        self, call: LinkStream, owner: NodeId, until: int
+    ) -> messages.Message:
+        while True:
+            left_ms = until - self._clock.now()
+            try:
+                return await call.receive(min(left_ms, LOOK_MS))
+            except LinkError:
+                ended = call.link.closed or left_ms <= LOOK_MS
+                if ended or not self._is_live(owner):
+                    raise
+
     def _read_answer(
         self, call: LinkStream, first: messages.Message
     ) -> RoutedAnswer:
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -130,6 +130,8 @@
 
     def data_received(self, received: bytes) -> None:
         """Take in bytes; garbage closes the link."""
+        if self._closed:
+            return
         self.last_received = asyncio.get_running_loop().time()
         try:
             for frame in self._reader.feed(received):
