Keep each standby's memory of request ids whole

Cause: fuzzing the ledger showed that an owner which had taken over ids did not pass them to its own standby, so that a second loss forgot them. Change: BackupTask sends the whole ledger to a standby that is new or after a handover, and new requests wait for it; handovers go in batches; no balance move while the store is slow or down.

--- a/src/savoryhold/core/ledger.py
+++ b/src/savoryhold/core/ledger.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from savoryhold.core.ids import NodeId, RequestId, ShardKey
 
@@ -14,6 +14,7 @@
     'LedgerEntry',
     'LedgerLimits',
     'LedgerState',
+    'in_batches',
 ]
 
 ENTRY_BYTES = 400
@@ -220,6 +221,22 @@
             self._ids.pop(slot)
 
 
+def in_batches(
+    entries: Iterable[LedgerEntry], limit_bytes: int
+) -> Iterator[list[LedgerEntry]]:
+    """Cut entries into batches of about `limit_bytes`; at least one."""
+    batch: list[LedgerEntry] = []
+    size = 0
+    for entry in entries:
+        if batch and size + entry.size > limit_bytes:
+            yield batch
+            batch = []
+            size = 0
+        batch.append(entry)
+        size += entry.size
+    yield batch
+
+
 def _as_settled(entry: LedgerEntry) -> LedgerEntry:
     if entry.state is LedgerState.RUNNING:
         return dataclasses.replace(entry, state=LedgerState.UNKNOWN)
--- a/src/savoryhold/daemon/balancer.py
+++ b/src/savoryhold/daemon/balancer.py
@@ -6,7 +6,7 @@
 from savoryhold.core import events
 from savoryhold.core.balance import BalancePolicy, choose_offer, join_share
 from savoryhold.core.clock import Clock
-from savoryhold.core.errors import LinkError
+from savoryhold.core.errors import LinkError, PlatformError
 from savoryhold.core.ids import NodeId, ServiceName, ShardKey
 from savoryhold.daemon.loads import LoadTable
 from savoryhold.daemon.node import NodeTask, jittered
@@ -18,6 +18,7 @@
 SMOOTHING = 0.3
 COOLDOWN_MS = 1000
 RESIDENCE_MS = 5000
+QUICK_STORE_MS = 100
 CALL_LIMIT_MS = 500
 MS_PER_SECOND = 1000
 
@@ -62,10 +63,14 @@
             await asyncio.sleep(jittered(pause_ms))
             self._measure()
             await self._ask_share()
-            self._offer()
+            await self._offer()
 
-    def on_offer(self, peer: NodeId, service: ServiceName, wanted: int) -> None:
+    async def on_offer(
+        self, peer: NodeId, service: ServiceName, wanted: int
+    ) -> None:
         """Move some shards to a node that has too few."""
+        if not await self._store_is_quick():
+            return
         machine = self._node.machine
         counts = self._counts(service)
         fair = sum(counts.values()) // max(len(counts), 1)
@@ -120,7 +125,22 @@
             # The next round asks again.
             return
 
-    def _offer(self) -> None:
+    async def _store_is_quick(self) -> bool:
+        """Return whether a move would be written soon.
+
+        Notes
+        -----
+        A shard is not served while the write that gives it away is under
+        way, so that no move is begun when the store is slow or down.
+        """
+        started = self._clock.now()
+        try:
+            await self._node.platform.read(self._node.machine.holder.name)
+        except PlatformError:
+            return False
+        return self._clock.now() - started < QUICK_STORE_MS
+
+    async def _offer(self) -> None:
         now = self._clock.now()
         if now - self._moved_at < COOLDOWN_MS:
             return
@@ -137,7 +157,7 @@
                 if now - self._since.get(key, now) >= RESIDENCE_MS
             }
             offer = choose_offer(rates, settled, peers, self._policy)
-            if offer is not None:
+            if offer is not None and await self._store_is_quick():
                 self.offers += 1
                 self._moved_at = now
                 self._node.post(events.MoveAsked(offer.key, offer.target))
--- a/src/savoryhold/daemon/convert.py
+++ b/src/savoryhold/daemon/convert.py
@@ -20,8 +20,10 @@
 from savoryhold.peer import messages
 
 __all__ = [
+    'answer_headers',
     'from_forward',
     'from_ledger_item',
+    'ledger_id',
     'news_from_entry',
     'news_to_entry',
     'to_answer',
@@ -123,14 +125,17 @@
     return _headers_in(message.headers)
 
 
+def ledger_id(key: ShardKey, request: RequestId) -> messages.Message:
+    """Return the message form of a request id."""
+    return messages.LedgerId(
+        service_name=key.service, shard=key.shard, request_id=request
+    )
+
+
 def to_ledger_item(entry: LedgerEntry, now: int) -> messages.Message:
     """Return the message form of a ledger entry."""
     item = messages.LedgerItem(
-        id=messages.LedgerId(
-            service_name=entry.key.service,
-            shard=entry.key.shard,
-            request_id=entry.request,
-        ),
+        id=ledger_id(entry.key, entry.request),
         age_ms=max(now - entry.at, 0),
         done=entry.answer is not None,
     )
--- a/src/savoryhold/daemon/main.py
+++ b/src/savoryhold/daemon/main.py
@@ -85,7 +85,7 @@
             TargetTracker(clock),
             clock,
             settings.limits,
-            self.node.back_up,
+            self.node.backups.append,
         )
         self.loads = LoadTable(clock)
         self.gossip = GossipTask(self.node, self.loads, clock)
@@ -132,6 +132,7 @@
             for work in (
                 self.node.run(),
                 self.node.tick(),
+                self.node.backups.run(),
                 self.watcher.run(),
                 self.gossip.push(),
                 self.gossip.swap(),
@@ -157,7 +158,7 @@
 
     def _connect(self) -> None:
         self.node.on_drain = self.owner.drain
-        self.node.export_ledger = self.owner.ledger.export
+        self.node.backups.export = self.owner.ledger.export
         self.node.on_rejoin = self._on_rejoin
         self.owner.on_idle = self._on_idle
         self.owner.on_target_gone = self._on_target_gone
--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -14,7 +14,6 @@
     ConfigurationError,
     LinkError,
     MalformedMessageError,
-    NotOwnerError,
     PlatformError,
     VersionConflictError,
     WriteUncertainError,
@@ -27,16 +26,16 @@
     NodeId,
     ObjectName,
     Region,
-    RequestId,
     ServiceName,
     ShardKey,
     Version,
     Zone,
 )
-from savoryhold.core.ledger import BackupLedger, LedgerEntry, LedgerLimits
+from savoryhold.core.ledger import BackupLedger, LedgerLimits, in_batches
 from savoryhold.core.ownership import OwnershipMachine
 from savoryhold.core.records import Profile, decode_record, encode_record
 from savoryhold.core.services import ConfigTable
+from savoryhold.daemon.backup import BackupTask
 from savoryhold.daemon.convert import news_from_entry, to_ledger_item
 from savoryhold.daemon.logs import get_log
 from savoryhold.daemon.metrics import Metrics
@@ -50,8 +49,7 @@
 MS_PER_SECOND = 1000
 HEARTBEAT_LIMIT_MS = 400
 HAND_LIMIT_MS = 250
-APPEND_LIMIT_MS = 150
-APPEND_PAUSE_MS = 20
+HANDOVER_BYTES = 4_000_000
 INCARNATION_BYTES = 4
 TOMBSTONE_MS = 21_600_000
 PRUNE_EVERY_MS = 60_000
@@ -104,9 +102,7 @@
         self.on_news: Callable[[NewsItem], None] = lambda news: None
         self.on_drain: Callable[[ShardKey], None] = lambda key: None
         self.on_rejoin: Callable[[OwnershipMachine], None] = lambda new: None
-        self.export_ledger: Callable[
-            [frozenset[ShardKey]], list[LedgerEntry]
-        ] = lambda keys: []
+        self.backups = BackupTask(lambda: self.machine, pool, clock)
         self.suspects: set[NodeId] = set()
         self.machine = self._new_machine(frozenset())
         self.log = get_log(node=self.machine.node)
@@ -177,46 +173,6 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def back_up(
-        self, key: ShardKey, request: RequestId, limit_ms: float
-    ) -> None:
-        """Have the standbys keep a request id.
-
-        Raises
-        ------
-        NotOwnerError
-            If a standby does not confirm it.
-        """
-        until = self.clock.now() + limit_ms
-        waiting = self.machine.holder.lease.standbys()
-        while waiting:
-            for standby in sorted(waiting):
-                await self._append(standby, key, request, until)
-            # A standby that was named meanwhile must know the id too.
-            named = self.machine.holder.lease.standbys()
-            waiting = named - waiting
-
-    async def _append(
-        self, standby: NodeId, key: ShardKey, request: RequestId, until: float
-    ) -> None:
-        ledger_id = messages.LedgerId(
-            service_name=key.service, shard=key.shard, request_id=request
-        )
-        message = messages.LedgerAppend(holder=self.node, ids=[ledger_id])
-        while standby in self.machine.holder.lease.standbys():
-            address = self.address_of(standby)
-            if address is None or self.clock.now() >= until:
-                raise NotOwnerError(f'standby {standby} does not confirm')
-            try:
-                reply = await self.pool.call(address, message, APPEND_LIMIT_MS)
-            except LinkError:
-                # It may be lost; another one is named within half a lease.
-                await asyncio.sleep(APPEND_PAUSE_MS / MS_PER_SECOND)
-                continue
-            if not reply.ok:
-                raise NotOwnerError(f'standby {standby} has no room')
-            return
-
     def _wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
@@ -449,19 +405,22 @@
         address = self.address_of(action.target)
         if address is None:
             return False
-        entries = self.export_ledger(action.keys)
         source = NodeId(action.name.removeprefix(NODE_PREFIX))
+        entries = self.backups.export(action.keys)
         entries.extend(self.backup.export(source, action.keys))
         now = self.clock.now()
-        handover = messages.LedgerHandover(
-            source=source,
-            items=[to_ledger_item(entry, now) for entry in entries],
-        )
-        try:
-            reply = await self.pool.call(address, handover, HAND_LIMIT_MS)
-        except LinkError:
-            return False
-        return bool(reply.ok)
+        for batch in in_batches(entries, HANDOVER_BYTES):
+            handover = messages.LedgerHandover(
+                source=source,
+                items=[to_ledger_item(entry, now) for entry in batch],
+            )
+            try:
+                reply = await self.pool.call(address, handover, HAND_LIMIT_MS)
+            except LinkError:
+                return False
+            if not reply.ok:
+                return False
+        return True
 
 
 def jittered(base_ms: int) -> float:
--- a/src/savoryhold/daemon/peers.py
+++ b/src/savoryhold/daemon/peers.py
@@ -135,6 +135,8 @@
         self._owner.ledger.adopt(
             from_ledger_item(entry, now) for entry in message.items or ()
         )
+        if message.items:
+            await self._node.backups.adopted()
         call.send(messages.Ack(ok=True, text=''))
 
     @_on.register(messages.StrikeNews)
@@ -146,12 +148,12 @@
 
     @_on.register(messages.MoveOffer)
     async def _(self, message: messages.Message, call: LinkStream) -> None:
-        self._balancer.on_offer(
+        call.send(messages.Ack(ok=True, text=''))
+        await self._balancer.on_offer(
             NodeId(message.node),
             ServiceName(message.service_name),
             message.wanted,
         )
-        call.send(messages.Ack(ok=True, text=''))
 
     @_on.register(messages.Order)
     async def _(self, message: messages.Message, call: LinkStream) -> None:
