Serve a standing queue newest first over all keys; look for late ones at pop

Cause: benchmarks.queueing peak: keys took turns even in a standing queue, so that old tickets were served just before their deadline, and each event scanned the whole queue. Change: among the newest few tickets the key served least recently goes first; late tickets are refused when popped or on the tick; keep-alive longer than callers' own.

--- a/src/savoryhold/core/admission.py
+++ b/src/savoryhold/core/admission.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import itertools
 from collections import OrderedDict, deque
 
 from savoryhold.core.configuration import AdmissionPolicy, ServiceClass
@@ -17,6 +18,8 @@
 STANDING_MS = 100
 RAMP_START_SLOTS = 1
 SMOOTHING = 0.1
+NEWEST_WINDOW = 8
+KEYS_REMEMBERED = 4096
 
 
 class Refusal(enum.Enum):
@@ -78,59 +81,69 @@
     """Waiting tickets of one class, fair between keys."""
 
     def __init__(self, policy: AdmissionPolicy) -> None:
+        self._tickets: OrderedDict[int, Ticket] = OrderedDict()
         self._by_key: OrderedDict[str, deque[Ticket]] = OrderedDict()
-        self._policy = policy
-        self._count = 0
+        self._served: OrderedDict[str, int] = OrderedDict()
+        self._turn = 0
+        self._adaptive = policy is AdmissionPolicy.ADAPTIVE
 
     def __len__(self) -> int:
-        return self._count
+        return len(self._tickets)
 
-    def oldest(self) -> int:
-        """Return the number of the ticket that has waited longest."""
-        return min(line[0].number for line in self._by_key.values())
+    def oldest(self) -> Ticket:
+        """Return the ticket that has waited longest."""
+        return next(iter(self._tickets.values()))
 
     def push(self, ticket: Ticket) -> None:
-        fair = self._policy is AdmissionPolicy.ADAPTIVE
-        line = self._by_key.setdefault(ticket.key if fair else '', deque())
-        line.append(ticket)
-        self._count += 1
+        self._tickets[ticket.number] = ticket
+        self._by_key.setdefault(ticket.key, deque()).append(ticket)
 
     def pop(self, now: int) -> Ticket:
-        """Return the next ticket; the newest of a key that stands long."""
-        name, line = next(iter(self._by_key.items()))
-        standing = now - line[0].arrived_at > STANDING_MS
-        newest = standing and self._policy is AdmissionPolicy.ADAPTIVE
-        ticket = line.pop() if newest else line.popleft()
-        self._rotate(name, line)
-        self._count -= 1
+        """Remove and return the ticket to serve next."""
+        ticket = self._choose(now)
+        self.remove(ticket)
+        self._turn += 1
+        self._served[ticket.key] = self._turn
+        self._served.move_to_end(ticket.key)
+        while len(self._served) > KEYS_REMEMBERED:
+            self._served.popitem(last=False)
         return ticket
 
     def remove(self, ticket: Ticket) -> bool:
-        for name, line in self._by_key.items():
-            if ticket in line:
-                line.remove(ticket)
-                self._count -= 1
-                self._rotate(name, line)
-                return True
-        return False
+        """Remove a ticket; return whether it was waiting."""
+        if self._tickets.pop(ticket.number, None) is None:
+            return False
+        line = self._by_key[ticket.key]
+        line.remove(ticket)
+        if line:
+            self._by_key.move_to_end(ticket.key)
+        else:
+            self._by_key.pop(ticket.key)
+        return True
 
     def take_late(self, now: int, needed_ms: float) -> list[Ticket]:
         """Remove and return tickets that can no longer be in time."""
         late = [
             ticket
-            for line in self._by_key.values()
-            for ticket in line
+            for ticket in self._tickets.values()
             if now + needed_ms > ticket.deadline
         ]
         for ticket in late:
             self.remove(ticket)
         return late
 
-    def _rotate(self, name: str, line: deque[Ticket]) -> None:
-        if line:
-            self._by_key.move_to_end(name)
-        else:
-            self._by_key.pop(name)
+    def _choose(self, now: int) -> Ticket:
+        if not self._adaptive:
+            return self.oldest()
+        if now - self.oldest().arrived_at <= STANDING_MS:
+            return next(iter(self._by_key.values()))[0]
+        newest = itertools.islice(
+            reversed(self._tickets.values()), NEWEST_WINDOW
+        )
+        return min(newest, key=self._last_turn)
+
+    def _last_turn(self, ticket: Ticket) -> int:
+        return self._served.get(ticket.key, 0)
 
 
 class AdmissionQueue:
@@ -144,9 +157,10 @@
     Notes
     -----
     Long requests hold at most a share of the slots, so that some stay for
-    short ones.  A waiting line that stands longer than `STANDING_MS` is
-    served newest first, as those callers are still there (adaptive LIFO,
-    B. Maurer, "Fail at Scale", ACM Queue 13(8), 2015).
+    short ones.  Keys take turns.  A queue that stands longer than
+    `STANDING_MS` is served newest first, as those callers are still there
+    (adaptive LIFO, B. Maurer, "Fail at Scale", ACM Queue 13(8), 2015); among
+    the `NEWEST_WINDOW` newest the key served least recently goes first.
     """
 
     def __init__(self, limits: AdmissionLimits) -> None:
@@ -238,10 +252,9 @@
         return now + self._mean_ms[ticket.service_class] > ticket.deadline
 
     def _admit(self, now: int) -> list[Decision]:
-        decisions = self.expire(now)
         if self._limits.policy is AdmissionPolicy.FIFO:
-            decisions.extend(self._admit_fifo(now))
-            return decisions
+            return self._admit_fifo(now)
+        decisions = []
         long_slots = min(self._limits.long_slots, self._open_slots)
         ceilings = {
             ServiceClass.SHORT: self._open_slots,
@@ -250,7 +263,11 @@
         for kind, ceiling in ceilings.items():
             queue = self._queues[kind]
             while queue and self._has_room(kind, ceiling):
-                decisions.append(self._start(queue.pop(now)))
+                ticket = queue.pop(now)
+                if self._cannot_finish(ticket, now):
+                    decisions.append(Decision(ticket, Refusal.DEADLINE))
+                else:
+                    decisions.append(self._start(ticket))
         return decisions
 
     def _admit_fifo(self, now: int) -> list[Decision]:
@@ -258,7 +275,7 @@
         while self.waiting and self.running < self._limits.slots:
             queue = min(
                 (line for line in self._queues.values() if line),
-                key=lambda line: line.oldest(),
+                key=lambda line: line.oldest().number,
             )
             decisions.append(self._start(queue.pop(now)))
         return decisions
--- a/src/savoryhold/daemon/main.py
+++ b/src/savoryhold/daemon/main.py
@@ -43,6 +43,8 @@
 TICK_MS = 50
 MS_PER_SECOND = 1000
 BACKLOG = 4096
+# Longer than callers keep idle connections, so that none is closed in use.
+KEEP_ALIVE_S = 75
 SEED_RETRY_MS = 500
 
 
@@ -231,6 +233,7 @@
             access_log=False,
             backlog=BACKLOG,
             lifespan='off',
+            timeout_keep_alive=KEEP_ALIVE_S,
             timeout_graceful_shutdown=max(
                 1, self.settings.limits.leave_ms // MS_PER_SECOND
             ),
