Save three tasks a request at the ingress

Cause: a profile of benchmarks.throughput shows the event loop's own task handling ahead of any function of ours.

--- a/src/savoryhold/gateway/callers.py
+++ b/src/savoryhold/gateway/callers.py
@@ -23,6 +23,7 @@
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 
 MS_PER_SECOND = 1000
+WATCH_AFTER_S = 0.05
 ID_BYTES = 12
 MAX_ID_LENGTH = 128
 MAX_HEADERS = 64
@@ -161,17 +162,15 @@
     async def _route(
         self, req: RoutedRequest, receive: Receive
     ) -> RoutedAnswer:
-        work = asyncio.ensure_future(self._router.handle(req))
-        gone = asyncio.ensure_future(_until_gone(receive))
+        watch = _CallerWatch(receive)
         try:
-            await asyncio.wait({work, gone}, return_when='FIRST_COMPLETED')
+            return await self._router.handle(req)
+        except asyncio.CancelledError:
+            if watch.gone:
+                raise CallerGone from None
+            raise
         finally:
-            gone.cancel()
-            if not work.done():
-                work.cancel()
-        if not work.done():
-            raise CallerGone
-        return work.result()
+            watch.close()
 
 
 def _headers_of(scope: Scope) -> dict[str, str]:
@@ -244,10 +243,35 @@
     return body
 
 
-async def _until_gone(receive: Receive) -> None:
-    message = await receive()
-    while message['type'] != 'http.disconnect':
-        message = await receive()
+class _CallerWatch:
+    """Cancels the present task when the caller closes its connection.
+
+    Most requests end sooner than the watch begins, which saves a task each.
+    """
+
+    def __init__(self, receive: Receive) -> None:
+        self.gone = False
+        self._receive = receive
+        self._serving = asyncio.current_task()
+        self._watching: asyncio.Task[None] | None = None
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(WATCH_AFTER_S, self._begin)
+
+    def close(self) -> None:
+        self._timer.cancel()
+        if self._watching is not None:
+            self._watching.cancel()
+
+    def _begin(self) -> None:
+        self._watching = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        message = await self._receive()
+        while message['type'] != 'http.disconnect':
+            message = await self._receive()
+        self.gone = True
+        if self._serving is not None:
+            self._serving.cancel()
 
 
 async def _send_answer(send: Send, request: str, answer: RoutedAnswer) -> None:
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import hmac
 import secrets
+from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import cast
 
@@ -26,7 +27,8 @@
         self.link = link
         self._correlation = correlation
         self._ours = ours
-        self._inbox: asyncio.Queue[messages.Message | None] = asyncio.Queue()
+        self._inbox: deque[messages.Message | None] = deque()
+        self._waiter: asyncio.Future[None] | None = None
         self.task: asyncio.Task[None] | None = None
         self.cancelled = asyncio.Event()
 
@@ -53,24 +55,39 @@
         LinkError
             If the link closes or no message comes in time.
         """
-        try:
-            message = await asyncio.wait_for(
-                self._inbox.get(), timeout_ms / MS_PER_SECOND
-            )
-        except TimeoutError:
-            raise LinkError('no reply in time', sent=True) from None
+        if not self._inbox:
+            await self._wait(timeout_ms)
+        if not self._inbox:
+            raise LinkError('no reply in time', sent=True)
+        message = self._inbox.popleft()
         if message is None:
             raise LinkError('link closed', sent=True)
         return message
 
     def deliver(self, message: messages.Message | None) -> None:
         """Put a received message, or None for the end, in the inbox."""
-        self._inbox.put_nowait(message)
+        self._inbox.append(message)
+        self._wake()
 
     def close(self) -> None:
         """Forget the call at this end."""
         self.link.forget(self._correlation, ours=self._ours)
 
+    async def _wait(self, timeout_ms: float) -> None:
+        # A future and a timer cost less than `asyncio.wait_for`'s task.
+        loop = asyncio.get_running_loop()
+        self._waiter = loop.create_future()
+        timer = loop.call_later(timeout_ms / MS_PER_SECOND, self._wake)
+        try:
+            await self._waiter
+        finally:
+            timer.cancel()
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
 
 class Link(asyncio.Protocol):
     """A connection between two daemons, greeted by a shared secret.
