Save two tasks a request at the owner; pass the path on as it came

Cause: the owner ran a request in a task inside a task, and watched for the caller in a third; the target client quoted the path once more. Change: a cancelled call cancels its one task; a lapse marks the call and cancels it; the target's URL is taken as encoded.

--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -5,6 +5,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from savoryhold.core.admission import (
     AdmissionLimits,
@@ -43,6 +44,7 @@
 MS_PER_SECOND = 1000
 REFUSED_RETRY_MS = 200
 LINGER_MS = 50
+LAPSED = 'the lease lapsed while running'
 
 Backup = Callable[[ShardKey, RequestId, int], Awaitable[None]]
 
@@ -54,11 +56,12 @@
     number: int
     req: RoutedRequest
     started_at: int
-    task: asyncio.Task[RoutedAnswer] | None = None
+    task: asyncio.Task[Any] | None = None
     ticket: Ticket | None = None
     queue: AdmissionQueue | None = None
     sent: bool = False
     answered: bool = False
+    lapsed: bool = False
 
 
 class OwnerTask:
@@ -285,26 +288,24 @@
         self._calls[number] = call
         if req.shard is not None:
             self._active[req.shard] += 1
-        call.task = asyncio.create_task(self._admit_and_call(call))
-        call.task.add_done_callback(lambda done: self._on_task_end(call))
+        call.task = asyncio.current_task()
         try:
-            return await call.task
+            answer = await self._admit_and_call(call)
         except asyncio.CancelledError:
-            if call.task.cancelled() and call.sent:
-                raise UncertainError('cancelled while running') from None
-            call.task.cancel()
+            self._release(call)
+            if call.lapsed and call.task is not None:
+                call.task.uncancel()
+                raise UncertainError(LAPSED) from None
             raise
-
-    def _on_task_end(self, call: RunningCall) -> None:
-        task = call.task
-        if task is None or task.cancelled() or task.exception() is not None:
+        except BaseException:
             self._release(call)
-            return
-        answer = task.result()
+            raise
         if answer.rest is None:
             self._release(call)
         else:
             answer.rest = HeldStream(answer.rest, lambda: self._release(call))
+        call.task = None
+        return answer
 
     def _release(self, call: RunningCall) -> None:
         now = self._clock.now()
@@ -466,7 +467,8 @@
 
 
 def _cancel(call: RunningCall) -> None:
-    if call.task is not None and not call.task.done():
+    if call.task is not None and not call.lapsed:
+        call.lapsed = True
         call.task.cancel()
 
 
--- a/src/savoryhold/daemon/peers.py
+++ b/src/savoryhold/daemon/peers.py
@@ -1,10 +1,9 @@
 """Answers to the calls that other daemons begin."""
 
-import asyncio
 from functools import singledispatchmethod
 
 from savoryhold.core.clock import Clock
-from savoryhold.core.errors import LinkError, RequestError
+from savoryhold.core.errors import RequestError
 from savoryhold.core.exchange import RoutedAnswer
 from savoryhold.core.ids import (
     NodeId,
@@ -167,16 +166,8 @@
     @_on.register(messages.Forward)
     async def _(self, message: messages.Message, call: LinkStream) -> None:
         req = from_forward(message, self._clock)
-        work = asyncio.create_task(self._owner.handle(req))
-        gone = asyncio.create_task(call.cancelled.wait())
-        await asyncio.wait({work, gone}, return_when='FIRST_COMPLETED')
-        gone.cancel()
-        if not work.done():
-            work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
-            return
         try:
-            answer = work.result()
+            answer = await self._owner.handle(req)
         except RequestError as exc:
             call.send(to_error_answer(exc))
             return
@@ -208,8 +199,6 @@
 
 
 async def _next_credit(call: LinkStream) -> int:
-    if call.cancelled.is_set():
-        raise LinkError('the caller is gone', sent=True)
     message = await call.receive(CREDIT_LIMIT_MS)
     return int(message.chunks)
 
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -30,7 +30,6 @@
         self._inbox: deque[messages.Message | None] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self.task: asyncio.Task[None] | None = None
-        self.cancelled = asyncio.Event()
 
     @property
     def peer(self) -> str:
@@ -69,6 +68,11 @@
         self._inbox.append(message)
         self._wake()
 
+    def cancel(self) -> None:
+        """Stop serving the call: its beginner is gone."""
+        if self.task is not None:
+            self.task.cancel()
+
     def close(self) -> None:
         """Forget the call at this end."""
         self.link.forget(self._correlation, ours=self._ours)
@@ -173,8 +177,7 @@
         for call in list(self._calls.values()):
             call.deliver(None)
         for served in list(self._served.values()):
-            served.cancelled.set()
-            served.deliver(None)
+            served.cancel()
 
     def open(self) -> LinkStream:
         """Return a new call to the peer."""
@@ -244,7 +247,7 @@
         served = self._served.get(correlation)
         if isinstance(message, messages.Cancel):
             if served is not None:
-                served.cancelled.set()
+                served.cancel()
             return
         if served is not None:
             served.deliver(message)
@@ -260,7 +263,7 @@
             await self._handler(served, message)
         except LinkError:
             # The peer went away; its own end reports that.
-            served.cancelled.set()
+            return
         finally:
             served.close()
 
--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import aiohttp
+from yarl import URL
 
 from savoryhold.core.errors import (
     NotOwnerError,
@@ -105,7 +106,7 @@
         try:
             answer = await self._session.request(
                 req.method,
-                f'http://{address}{req.path}',
+                URL(f'http://{address}{req.path}', encoded=True),
                 data=req.body,
                 headers=headers,
                 timeout=timeout,
