--- a/src/savoryhold/core/configuration.py
+++ b/src/savoryhold/core/configuration.py
@@ -62,14 +62,19 @@
     path: str | None = None
     header: str | None = None
 
+    @field_validator('path')
+    @classmethod
+    def _check_path(cls, text: str | None) -> str | None:
+        if text is None:
+            return None
+        if 'key' not in PathTemplate(_check_template(text)).names:
+            raise ValueError('does not contain {key}')
+        return text
+
     @model_validator(mode='after')
     def _check_one(self) -> 'KeyRule':
         if (self.path is None) == (self.header is None):
             raise ValueError('needs exactly one of path and header')
-        if self.path is not None:
-            _check_template(self.path)
-            if 'key' not in PathTemplate(self.path).names:
-                raise ValueError('path does not contain {key}')
         return self
 
 
--- a/src/savoryhold/core/retry.py
+++ b/src/savoryhold/core/retry.py
@@ -80,23 +80,25 @@
 
     Parameters
     ----------
-    share : float
-        Retries allowed for each recent success.
-    reserve : float
-        Most tokens that can be saved.
+    successes : int
+        Successes that earn one retry.
+    reserve : int
+        Most retries that can be saved.
+    earned : int
+        Successes saved so far.
     """
 
-    share: float = 0.1
-    reserve: float = 50.0
-    tokens: float = 50.0
+    successes: int = 10
+    reserve: int = 50
+    earned: int = 500
 
     def succeeded(self) -> None:
-        """Add a success's share of a retry."""
-        self.tokens = min(self.tokens + self.share, self.reserve)
+        """Count a success."""
+        self.earned = min(self.earned + 1, self.reserve * self.successes)
 
     def spend(self) -> bool:
         """Take one retry; return whether there was one left."""
-        if self.tokens < 1:
+        if self.earned < self.successes:
             return False
-        self.tokens -= 1
+        self.earned -= self.successes
         return True
--- /dev/null
+++ b/src/savoryhold/core/tests/test_admission.py
@@ -0,0 +1,162 @@
+"""Admission control: classes, fairness, deadlines and the ramp."""
+
+import itertools
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from savoryhold.core.admission import (
+    AdmissionLimits,
+    AdmissionQueue,
+    Decision,
+    Refusal,
+    Ticket,
+)
+from savoryhold.core.configuration import AdmissionPolicy, ServiceClass
+
+__all__ = ['TestAdmission']
+
+FAR = 1_000_000
+SLOTS = 6
+
+
+def warm(policy: AdmissionPolicy = AdmissionPolicy.ADAPTIVE) -> AdmissionQueue:
+    """Return a queue whose target has answered often enough."""
+    queue = AdmissionQueue(AdmissionLimits(SLOTS, queue=20, policy=policy))
+    for number in range(SLOTS):
+        first = ticket(-number - 1)
+        queue.offer(first, 0)
+        queue.finish(first, 0, took_ms=10)
+    return queue
+
+
+def ticket(
+    number: int,
+    key: str = 'key',
+    kind: ServiceClass = ServiceClass.SHORT,
+    deadline: int = FAR,
+    at: int = 0,
+) -> Ticket:
+    """Return a ticket."""
+    return Ticket(number, key, kind, deadline, at)
+
+
+def admitted(decisions: list[Decision]) -> list[int]:
+    """Return the numbers of the tickets that were admitted."""
+    return [one.ticket.number for one in decisions if one.refusal is None]
+
+
+class TestAdmission(unittest.TestCase):
+    """One target's queue."""
+
+    def test_cold_target_gets_one_request_first(self) -> None:
+        """Slots open one by one with the target's answers."""
+        queue = AdmissionQueue(AdmissionLimits(SLOTS))
+        first = queue.offer(ticket(1), 0)
+        second = queue.offer(ticket(2), 0)
+        self.assertEqual(admitted(first), [1])
+        self.assertEqual(admitted(second), [])
+        after = queue.finish(ticket(1), 5, took_ms=5)
+        self.assertEqual(admitted(after), [2])
+        self.assertEqual(queue.open_slots, 2)
+
+    def test_long_requests_leave_slots_for_short_ones(self) -> None:
+        """Exports hold at most their share."""
+        queue = warm()
+        for number in range(10):
+            queue.offer(ticket(number, kind=ServiceClass.LONG), 0)
+        self.assertEqual(queue.running, 2)
+        self.assertEqual(admitted(queue.offer(ticket(50), 0)), [50])
+
+    def test_fifo_lets_long_requests_take_all(self) -> None:
+        """The baseline has no classes."""
+        queue = warm(AdmissionPolicy.FIFO)
+        for number in range(10):
+            queue.offer(ticket(number, kind=ServiceClass.LONG), 0)
+        self.assertEqual(queue.running, SLOTS)
+
+    def test_late_request_is_refused_at_once(self) -> None:
+        """What cannot end in time does not wait."""
+        queue = warm()
+        found = queue.offer(ticket(1, deadline=5), 0)
+        self.assertEqual([one.refusal for one in found], [Refusal.DEADLINE])
+
+    def test_full_queue_refuses(self) -> None:
+        """The queue is bounded."""
+        queue = warm()
+        found: list[Decision] = []
+        for number in range(SLOTS + 21):
+            found = queue.offer(ticket(number), 0)
+        self.assertEqual([one.refusal for one in found], [Refusal.QUEUE_FULL])
+
+    def test_keys_take_turns(self) -> None:
+        """One busy key does not hold back another."""
+        queue = warm()
+        for number in range(SLOTS):
+            queue.offer(ticket(number), 0)
+        for busy in range(10, 15):
+            queue.offer(ticket(busy, 'busy'), 0)
+        queue.offer(ticket(20, 'calm'), 0)
+        order = [
+            admitted(queue.finish(ticket(0), 1, took_ms=1))[0] for _ in range(3)
+        ]
+        self.assertIn(20, order)
+
+    def test_standing_queue_serves_newest(self) -> None:
+        """In a queue that stands the newest callers are still there."""
+        queue = warm()
+        for number in range(SLOTS):
+            queue.offer(ticket(number), 0)
+        for number in range(10, 20):
+            queue.offer(ticket(number, f'k{number}', at=number * 30), 600)
+        found = queue.finish(ticket(0), 600, took_ms=10)
+        self.assertGreater(admitted(found)[0], 11)
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(('offer', 'long', 'finish', 'withdraw')),
+                st.integers(0, 3),
+                st.integers(1, 400),
+            ),
+            max_size=80,
+        )
+    )
+    def test_slots_and_tickets_are_conserved(
+        self, steps: list[tuple[str, int, int]]
+    ) -> None:
+        """No slot is used twice, and each ticket is decided once."""
+        queue = AdmissionQueue(AdmissionLimits(SLOTS, queue=10))
+        numbers = itertools.count()
+        waiting: dict[int, Ticket] = {}
+        running: dict[int, Ticket] = {}
+        now = 0
+        for kind, key, delta in steps:
+            now += delta // 10
+            decisions: list[Decision] = []
+            if kind in {'offer', 'long'}:
+                name = 'long' if kind == 'long' else 'short'
+                one = ticket(
+                    next(numbers),
+                    str(key),
+                    ServiceClass(name),
+                    now + delta,
+                    now,
+                )
+                waiting[one.number] = one
+                decisions = queue.offer(one, now)
+            elif kind == 'finish' and running:
+                done = running.pop(min(running))
+                decisions = queue.finish(done, now, took_ms=delta)
+            elif kind == 'withdraw' and waiting:
+                gone = waiting.pop(min(waiting))
+                self.assertTrue(queue.withdraw(gone))
+            for decision in decisions:
+                decided = waiting.pop(decision.ticket.number)
+                if decision.refusal is None:
+                    running[decided.number] = decided
+            self.assertEqual(queue.running, len(running))
+            self.assertEqual(queue.waiting, len(waiting))
+            self.assertLessEqual(queue.running, queue.open_slots)
--- /dev/null
+++ b/src/savoryhold/core/tests/test_decisions.py
@@ -0,0 +1,302 @@
+"""Small decisions: retries, poison, balance, gossip, records, selection."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from savoryhold.core import errors
+from savoryhold.core.balance import BalancePolicy, choose_offer, join_share
+from savoryhold.core.classify import RouteClassifier
+from savoryhold.core.configuration import ServiceClass
+from savoryhold.core.gossip import NewsItem, NewsTable
+from savoryhold.core.ids import (
+    Epoch,
+    NodeId,
+    ObjectName,
+    Region,
+    ServiceName,
+    ShardId,
+    ShardKey,
+    Version,
+    Zone,
+)
+from savoryhold.core.poison import PoisonGuard, Strike, fingerprint_of
+from savoryhold.core.records import (
+    Grant,
+    NodeRecord,
+    NodeState,
+    Profile,
+    decode_record,
+    encode_record,
+)
+from savoryhold.core.retry import RetryBudget, Tries, backoff_ms, may_retry
+from savoryhold.core.ring import choose_standby
+from savoryhold.core.selection import LatencyTable, choose_of_two
+
+__all__ = [
+    'TestBalance',
+    'TestGossip',
+    'TestPoison',
+    'TestRecords',
+    'TestRetry',
+    'TestSelection',
+]
+
+SERVICE = ServiceName('booking')
+names = st.sampled_from([ObjectName(f'node/{num}') for num in range(6)])
+items = st.builds(
+    NewsItem,
+    names,
+    st.integers(1, 9).map(Version),
+    st.sampled_from(('a', 'b', None)),
+)
+
+
+def shard(number: int) -> ShardKey:
+    """Return a shard."""
+    return ShardKey(SERVICE, ShardId(number))
+
+
+def profile(name: str, zone: str, region: str = 'sofia') -> Profile:
+    """Return a node's profile."""
+    return Profile(NodeId(name), f'{name}:1', Region(region), Zone(zone))
+
+
+class TestRetry(unittest.TestCase):
+    """Which errors allow another try."""
+
+    def test_only_safe_errors_are_retried(self) -> None:
+        """A request that may have run is retried only if idempotent."""
+        cases = (
+            (errors.NotOwnerError('x'), False, True),
+            (errors.OverloadError('x'), False, True),
+            (errors.UncertainError('x'), False, False),
+            (errors.UncertainError('x'), True, True),
+            (errors.BadRequestError('x'), True, False),
+            (errors.UnknownServiceError('x'), True, False),
+        )
+        for exc, idempotent, expected in cases:
+            with self.subTest(exc=exc, idempotent=idempotent):
+                self.assertIs(may_retry(exc, idempotent=idempotent), expected)
+
+    def test_uncertain_try_is_not_forgotten(self) -> None:
+        """A cut link's request was refused as not run after a second try."""
+        tries = Tries()
+        tries.failed(errors.UncertainError('cut'))
+        tries.failed(errors.NotOwnerError('no link'))
+        self.assertIsInstance(tries.outcome(), errors.UncertainError)
+
+    def test_budget_follows_successes(self) -> None:
+        """Retries stop when nothing succeeds."""
+        budget = RetryBudget(successes=10, reserve=2, earned=20)
+        self.assertEqual(
+            [budget.spend() for _ in range(3)], [True, True, False]
+        )
+        for _ in range(10):
+            budget.succeeded()
+        self.assertTrue(budget.spend())
+        self.assertFalse(budget.spend())
+
+    def test_backoff_is_bounded(self) -> None:
+        """Waits grow, with jitter, to a ceiling."""
+        waits = [backoff_ms(attempt, 1.0) for attempt in range(100)]
+        self.assertEqual(waits, sorted(waits))
+        self.assertEqual(max(waits), 200)
+
+
+class TestPoison(unittest.TestCase):
+    """Requests that crash their targets."""
+
+    def test_two_incidents_quarantine(self) -> None:
+        """News of one crash counts once, however often it arrives."""
+        guard = PoisonGuard()
+        print_ = fingerprint_of('booking', 'GET', '/x', b'')
+        self.assertTrue(guard.strike(Strike(print_, 'crash-1'), 0))
+        self.assertFalse(guard.strike(Strike(print_, 'crash-1'), 1))
+        self.assertFalse(guard.is_quarantined(print_, 2))
+        self.assertTrue(guard.strike(Strike(print_, 'crash-2'), 3))
+        self.assertTrue(guard.is_quarantined(print_, 4))
+        self.assertFalse(guard.is_quarantined(print_, 700_000))
+
+    def test_fingerprint_tells_requests_apart(self) -> None:
+        """Path, method and body all count."""
+        prints = {
+            fingerprint_of('booking', 'GET', '/x', b''),
+            fingerprint_of('booking', 'PUT', '/x', b''),
+            fingerprint_of('booking', 'GET', '/y', b''),
+            fingerprint_of('booking', 'GET', '/x', b'1'),
+        }
+        self.assertEqual(len(prints), 4)
+
+
+class TestBalance(unittest.TestCase):
+    """Which shard moves where."""
+
+    def test_noise_moves_nothing(self) -> None:
+        """Equal loads differ by chance."""
+        loads = {shard(num): 3.0 for num in range(10)}
+        peers = {NodeId('b'): 26.0}
+        self.assertIsNone(choose_offer(loads, loads, peers, BalancePolicy()))
+
+    def test_offer_does_not_reverse_the_pair(self) -> None:
+        """A shard that is more than half of the gap stays."""
+        loads = {shard(0): 900.0, shard(1): 200.0, shard(2): 50.0}
+        peers = {NodeId('b'): 500.0, NodeId('c'): 700.0}
+        offer = choose_offer(loads, loads, peers, BalancePolicy())
+        assert offer is not None
+        self.assertEqual((offer.key, offer.target), (shard(1), NodeId('b')))
+
+    def test_shard_that_just_came_stays(self) -> None:
+        """Shards do not go back and forth."""
+        loads = {shard(0): 900.0, shard(1): 200.0}
+        peers = {NodeId('b'): 100.0}
+        settled = {shard(0)}
+        self.assertIsNone(choose_offer(loads, settled, peers, BalancePolicy()))
+
+    @hypothesis.given(
+        st.dictionaries(
+            st.sampled_from([NodeId(f'n{num}') for num in range(8)]),
+            st.integers(0, 40),
+            min_size=2,
+        )
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_joiner_gets_its_share_only(
+        self, counts: dict[NodeId, int]
+    ) -> None:
+        """No more than 1/N of the shards move for a joiner."""
+        joiner = min(counts)
+        asked = join_share({**counts, joiner: 0}, joiner)
+        total = sum(counts.values()) - counts[joiner]
+        self.assertLessEqual(sum(asked.values()), total // len(counts))
+
+
+class TestGossip(unittest.TestCase):
+    """Digests and what they find."""
+
+    @hypothesis.given(
+        st.lists(items, max_size=30), st.lists(items, max_size=30)
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_exchange_makes_tables_equal(
+        self, ours: list[NewsItem], theirs: list[NewsItem]
+    ) -> None:
+        """After one exchange both know the newest live versions."""
+        one, two = NewsTable(), NewsTable()
+        for item in _consistent(ours):
+            one.learn(item)
+        for item in _consistent(theirs):
+            two.learn(item)
+        differing = one.digest().differing(two.digest())
+        for item in two.newer_than(one.versions(differing), differing):
+            one.learn(item)
+        for item in one.newer_than(two.versions(differing), differing):
+            two.learn(item)
+        self.assertEqual(one.digest(), two.digest())
+
+    def test_older_version_is_no_news(self) -> None:
+        """Nothing reverts."""
+        table = NewsTable()
+        name = ObjectName('config/booking')
+        self.assertTrue(table.learn(NewsItem(name, Version(5), 'new')))
+        self.assertFalse(table.learn(NewsItem(name, Version(4), 'old')))
+        kept = table.get(name)
+        assert kept is not None
+        self.assertEqual(kept.text, 'new')
+
+
+class TestRecords(unittest.TestCase):
+    """Node records as text."""
+
+    def test_round_trip(self) -> None:
+        """A record survives encoding."""
+        record = NodeRecord(
+            profile('a.1', 'z'),
+            NodeState.LEAVING,
+            None,
+            NodeId('b.1'),
+            {shard(1): Epoch(4)},
+            {shard(2): Grant(Epoch(3), NodeId('c.1'))},
+            7,
+        )
+        self.assertEqual(decode_record(encode_record(record)), record)
+
+    def test_garbage_is_refused(self) -> None:
+        """Each kind of garbage gives one clear error."""
+        texts = ('', '[]', '{}', '{"node": 1}', '"x"', '{"owned": 3}', 'null')
+        for text in texts:
+            with self.subTest(text=text):
+                with self.assertRaises(errors.MalformedMessageError):
+                    decode_record(text)
+
+    def test_standbys_are_in_the_other_zone(self) -> None:
+        """A zone's loss takes no record together with its standby."""
+        live = [
+            NodeRecord(profile(f'n{num}', f'z{num % 2}')) for num in range(10)
+        ]
+        live.append(NodeRecord(profile('far', 'z9', 'plovdiv')))
+        zones = {record.node: record.profile.zone for record in live}
+        guards = []
+        for record in live[:10]:
+            guard = choose_standby(record.profile, live, frozenset())
+            assert guard is not None
+            self.assertNotEqual(zones[guard], record.profile.zone)
+            guards.append(guard)
+        self.assertEqual(len(set(guards)), 10)
+        self.assertIsNone(choose_standby(live[10].profile, live, frozenset()))
+
+
+class TestSelection(unittest.TestCase):
+    """Targets of services without keys, and classes of routes."""
+
+    def test_better_of_two(self) -> None:
+        """The slower of two is not chosen."""
+        table = LatencyTable()
+        slow, quick = NodeId('slow'), NodeId('quick')
+        for _ in range(20):
+            for node, took_ms in ((slow, 90), (quick, 3)):
+                table.begin(node)
+                table.end(node, took_ms)
+        draws = iter((0.0, 0.9))
+        chosen = choose_of_two([slow, quick], table, lambda: next(draws))
+        self.assertEqual(chosen, quick)
+        self.assertIsNone(choose_of_two([], table, lambda: 0.5))
+
+    def test_failures_are_not_fast(self) -> None:
+        """A node that fails at once must not look good."""
+        table = LatencyTable()
+        bad, good = NodeId('bad'), NodeId('good')
+        for _ in range(10):
+            table.begin(bad)
+            table.punish(bad)
+            table.end(bad, 0)
+            table.begin(good)
+            table.end(good, 5)
+        self.assertGreater(table.cost(bad), table.cost(good))
+
+    def test_learned_class(self) -> None:
+        """A route that runs many times longer becomes long."""
+        classifier = RouteClassifier()
+        for _ in range(10):
+            classifier.observe('GET /slots', 5)
+            classifier.observe('GET /export', 900)
+        learned = ServiceClass.LEARNED
+        self.assertIs(
+            classifier.resolve('GET /export', learned), ServiceClass.LONG
+        )
+        self.assertIs(
+            classifier.resolve('GET /slots', learned), ServiceClass.SHORT
+        )
+
+
+def _consistent(found: list[NewsItem]) -> list[NewsItem]:
+    """Give each version of an object one text, as the store does."""
+    return [
+        NewsItem(
+            item.name,
+            item.version,
+            None if item.version % 3 == 0 else f'v{item.version}',
+        )
+        for item in found
+    ]
--- /dev/null
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -0,0 +1,200 @@
+"""Links: greeting, garbage, silence and calls, on loopback sockets."""
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from savoryhold.core.errors import LinkError, MalformedMessageError
+from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
+from savoryhold.peer.link import LinkStream
+
+__all__ = ['TestFrames', 'TestLinks', 'TestSilence']
+
+SECRET = b'a secret for tests'
+LIMIT_MS = 10_000
+
+
+class TestFrames(unittest.TestCase):
+    """Cutting bytes into frames."""
+
+    @hypothesis.given(
+        st.lists(st.binary(max_size=50), max_size=8), st.integers(1, 9)
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any_cut_gives_the_same_frames(
+        self, payloads: list[bytes], step: int
+    ) -> None:
+        """Frames do not depend on how the bytes arrive."""
+        frames = [
+            Frame(8, num, num % 2 == 0, payload)
+            for num, payload in enumerate(payloads)
+        ]
+        stream = b''.join(pack_frame(frame) for frame in frames)
+        reader = FrameReader()
+        found = [
+            frame
+            for start in range(0, len(stream), step)
+            for frame in reader.feed(stream[start : start + step])
+        ]
+        self.assertEqual(found, frames)
+
+    @hypothesis.given(st.binary(min_size=17, max_size=200))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    def test_garbage_raises_or_waits(self, garbage: bytes) -> None:
+        """Garbage never becomes a frame that its checksum does not fit."""
+        try:
+            frames = FrameReader().feed(garbage)
+        except MalformedMessageError:
+            return
+        self.assertEqual(frames, [])
+
+    @hypothesis.given(st.integers(1, 3), st.binary(max_size=120))
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+    def test_greeting_garbage_ends(self, code: int, garbage: bytes) -> None:
+        """The codec looped on truncated input from an unknown peer."""
+        try:
+            messages.decode(code, garbage)
+        except MalformedMessageError:
+            return
+
+
+async def answer(call: LinkStream, message: messages.Message) -> None:
+    """Answer probes; leave all else without an answer."""
+    if isinstance(message, messages.Probe):
+        call.send(messages.Ack(ok=True, text=call.peer))
+    else:
+        await call.receive(LIMIT_MS)
+
+
+class Relay:
+    """Forwards connections, and can lose track of those that are open."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+        self.lost = False
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one connection both ways."""
+        far_reader, far_writer = await asyncio.open_connection(
+            '127.0.0.1', self.port
+        )
+        self.writers.extend((writer, far_writer))
+        state = [False]
+        pumps = (
+            asyncio.create_task(self._pump(reader, far_writer, state)),
+            asyncio.create_task(self._pump(far_reader, writer, state)),
+        )
+        await asyncio.wait(pumps)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        state: list[bool],
+    ) -> None:
+        while chunk := await reader.read(65536):
+            state[0] = state[0] or self.lost
+            if not state[0]:
+                writer.write(chunk)
+
+
+class LinkCase(unittest.IsolatedAsyncioTestCase):
+    """A server pool and a client pool."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.server = PeerPool('server', SECRET, answer)
+        self.listener = await asyncio.get_running_loop().create_server(
+            self.server.accept, '127.0.0.1', 0
+        )
+        self.port = self.listener.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{self.port}'
+
+    async def asyncTearDown(self) -> None:
+        """Close the listener."""
+        self.listener.close()
+
+
+class TestLinks(LinkCase):
+    """Greeting and calls."""
+
+    async def test_call_and_answer(self) -> None:
+        """A peer with the secret is answered, and known by name."""
+        client = PeerPool('client', SECRET, answer)
+        reply = await client.call(self.address, messages.Probe(), LIMIT_MS)
+        self.assertEqual(reply.text, 'client')
+        client.close()
+
+    async def test_wrong_secret_is_refused(self) -> None:
+        """A peer without the secret gets no link."""
+        client = PeerPool('client', b'another secret', answer)
+        with self.assertRaises(LinkError) as caught:
+            await client.call(self.address, messages.Probe(), LIMIT_MS)
+        self.assertFalse(caught.exception.sent)
+
+    async def test_garbage_closes_the_connection(self) -> None:
+        """Garbage on the peer port ends that connection only."""
+        for garbage in (b'GET / HTTP/1.1\r\n\r\n', b'\xff' * 64, b'\0' * 64):
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', self.port
+            )
+            writer.write(garbage)
+            try:
+                await reader.read()
+            except ConnectionResetError:
+                pass
+            writer.close()
+        client = PeerPool('client', SECRET, answer)
+        await client.call(self.address, messages.Probe(), LIMIT_MS)
+        client.close()
+
+    async def test_cut_link_ends_calls_as_sent(self) -> None:
+        """A call in flight on a cut link may have arrived."""
+        client = PeerPool('client', SECRET, answer)
+        waiting = asyncio.create_task(
+            client.call(self.address, messages.Cancel(), LIMIT_MS)
+        )
+        await client.call(self.address, messages.Probe(), LIMIT_MS)
+        client.cut({self.address})
+        with self.assertRaises(LinkError) as caught:
+            await waiting
+        self.assertTrue(caught.exception.sent)
+        with self.assertRaises(LinkError) as refused:
+            await client.call(self.address, messages.Probe(), LIMIT_MS)
+        self.assertFalse(refused.exception.sent)
+
+
+class TestSilence(LinkCase):
+    """An open connection that something in between has lost."""
+
+    async def test_silent_link_is_replaced(self) -> None:
+        """Its calls end, and the next call has a new connection."""
+        relay = Relay(self.port)
+        between = await asyncio.start_server(relay.serve, '127.0.0.1', 0)
+        port = between.sockets[0].getsockname()[1]
+        address = f'127.0.0.1:{port}'
+        client = PeerPool('client', SECRET, answer)
+        watch = asyncio.create_task(client.watch_silence())
+        await client.call(address, messages.Probe(), LIMIT_MS)
+        relay.lost = True
+        lost = asyncio.create_task(
+            client.call(address, messages.Probe(), LIMIT_MS)
+        )
+        # The relay forgets what is open, and forwards what is new.
+        await asyncio.sleep(0.05)
+        relay.lost = False
+        with self.assertRaises(LinkError) as caught:
+            await lost
+        self.assertTrue(caught.exception.sent)
+        self.assertEqual(client.replaced, 1)
+        await client.call(address, messages.Probe(), LIMIT_MS)
+        watch.cancel()
+        client.close()
+        between.close()
+        for writer in relay.writers:
+            writer.close()
