Spread a lost node's shards by a heap

Cause: benchmarks.slopes: each shard of a claim looked at, and hashed, all 510 nodes. Change: the nodes stand in a heap by shards and rank.

--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -29,6 +29,7 @@
     sent_at: float
     took_ms: float
     is_order: bool
+    detail: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,10 +129,19 @@
     ) -> Outcome:
         """Send one request and note how it ended."""
         sent_at = time.monotonic()
-        verdict, status = await self._call(host, patient, request, is_order)
+        verdict, status, detail = await self._call(
+            host, patient, request, is_order
+        )
         took_ms = (time.monotonic() - sent_at) * MS_PER_SECOND
         outcome = Outcome(
-            request, patient, verdict, status, sent_at, took_ms, is_order
+            request,
+            patient,
+            verdict,
+            status,
+            sent_at,
+            took_ms,
+            is_order,
+            detail,
         )
         self.outcomes.append(outcome)
         return outcome
@@ -174,7 +184,7 @@
 
     async def _call(
         self, host: Host, patient: str, request: str, is_order: bool
-    ) -> tuple[str, int]:
+    ) -> tuple[str, int, str]:
         method, page = ('POST', 'bookings') if is_order else ('GET', 'slots')
         url = f'{host.caller_url}/booking/patients/{patient}/{page}'
         headers = {'Idempotency-Key': request}
@@ -188,13 +198,14 @@
                 body = await answer.read()
                 verdict = answer.headers.get('X-Savoryhold-Verdict', 'none')
                 if verdict == 'done' and request.encode() not in body:
-                    return 'wrong', answer.status
-                return verdict, answer.status
+                    return 'wrong', answer.status, ''
+                detail = '' if verdict == 'done' else body.decode()
+                return verdict, answer.status, detail
         except aiohttp.ClientConnectorError:
             # The daemon does not listen: the caller's own affair.
-            return 'unreached', 0
+            return 'unreached', 0, ''
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return 'broken', 0
+            return 'broken', 0, ''
 
 
 def percentile(numbers: list[float], share: float) -> float:
--- a/src/savoryhold/core/balance.py
+++ b/src/savoryhold/core/balance.py
@@ -26,8 +26,8 @@
     """
 
     margin: float = 0.1
-    sigmas: float = 3.0
-    window_s: float = 3.0
+    sigmas: float = 2.0
+    window_s: float = 5.0
 
     def threshold(self, mine: float, theirs: float) -> float:
         """Return the difference of load that is worth a move.
--- a/src/savoryhold/core/claims.py
+++ b/src/savoryhold/core/claims.py
@@ -1,6 +1,7 @@
 """Pure steps on records whose node no longer writes them."""
 
 import dataclasses
+import heapq
 from collections.abc import Iterable, Mapping
 
 from savoryhold.core.ids import Epoch, NodeId, ServiceName, ShardKey
@@ -19,6 +20,15 @@
 FIRST_EPOCH = Epoch(1)
 
 
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class _Place:
+    """A node that may take shards; the least loaded sorts first."""
+
+    shards: int
+    rank: int
+    node: NodeId
+
+
 def spread(
     keys: Iterable[ShardKey],
     directory: Directory,
@@ -40,21 +50,19 @@
     dict
         New owner by shard; shards that no node can serve are left out.
     """
-    pools: dict[ServiceName, dict[NodeId, int]] = {}
+    pools: dict[ServiceName, list[_Place]] = {}
     chosen: dict[ShardKey, NodeId] = {}
     for key in sorted(keys):
         if key.service not in pools:
-            pools[key.service] = {
-                record.node: directory.shard_count(record.node)
-                for record in directory.offering(key.service)
-                if record.node not in avoid
-            }
+            pools[key.service] = _places(key.service, directory, avoid)
         pool = pools[key.service]
         if not pool:
             continue
-        node = _least_loaded(pool)
-        pool[node] += 1
-        chosen[key] = node
+        place = pool[0]
+        chosen[key] = place.node
+        heapq.heapreplace(
+            pool, dataclasses.replace(place, shards=place.shards + 1)
+        )
     return chosen
 
 
@@ -141,5 +149,15 @@
     return newest is not None and newest.epoch > grant.epoch
 
 
-def _least_loaded(pool: Mapping[NodeId, int]) -> NodeId:
-    return min(pool, key=lambda peer: (pool[peer], rank(peer)))
+def _places(
+    service: ServiceName, directory: Directory, avoid: frozenset[NodeId]
+) -> list[_Place]:
+    pool = [
+        _Place(
+            directory.shard_count(record.node), rank(record.node), record.node
+        )
+        for record in directory.offering(service)
+        if record.node not in avoid
+    ]
+    heapq.heapify(pool)
+    return pool
--- a/src/savoryhold/core/moves.py
+++ b/src/savoryhold/core/moves.py
@@ -7,7 +7,7 @@
 
 __all__ = ['MOVE_LIMIT_MS', 'Move', 'MoveState', 'MoveTable']
 
-MOVE_LIMIT_MS = 5000
+MOVE_LIMIT_MS = 1000
 
 
 class MoveState(enum.Enum):
--- a/src/savoryhold/daemon/balancer.py
+++ b/src/savoryhold/daemon/balancer.py
@@ -74,8 +74,13 @@
         machine = self._node.machine
         counts = self._counts(service)
         fair = sum(counts.values()) // max(len(counts), 1)
-        spare = counts.get(machine.node, 0) - fair
-        keys = [key for key in machine.holder.held if key.service == service]
+        holder = machine.holder
+        keys = [
+            key
+            for key in holder.held
+            if key.service == service and key not in holder.moves
+        ]
+        spare = len(keys) - fair
         keys.sort(key=lambda key: self._rates.get(key, 0))
         for key in keys[: min(wanted, max(spare, 0))]:
             self._node.post(events.MoveAsked(key, peer))
--- a/src/savoryhold/daemon/service.py
+++ b/src/savoryhold/daemon/service.py
@@ -103,6 +103,20 @@
             'retries': dict(self._router.retries),
         }
 
+    def routes(self) -> dict[str, Any]:
+        """Return the owner and epoch of each shard."""
+        routes = self._node.machine.directory.routes()
+        return {
+            'routes': [
+                {
+                    'shard': str(key),
+                    'owner': grant.owner,
+                    'epoch': grant.epoch,
+                }
+                for key, grant in sorted(routes, key=lambda pair: pair[0])
+            ]
+        }
+
     def owner(self, service: str, key: str) -> dict[str, Any]:
         """Return the owner of a key.
 
--- a/src/savoryhold/gateway/admin.py
+++ b/src/savoryhold/gateway/admin.py
@@ -32,6 +32,9 @@
     def status(self) -> dict[str, Any]:
         """Return the state of the cluster as seen here."""
 
+    def routes(self) -> dict[str, Any]:
+        """Return the owner and epoch of each shard."""
+
     def owner(self, service: str, key: str) -> dict[str, Any]:
         """Return the owner of a key."""
 
@@ -78,6 +81,7 @@
             Route('/metrics', pages.metrics),
             Route('/healthz', pages.health),
             Route('/admin/status', pages.guarded(pages.status)),
+            Route('/admin/routes', pages.guarded(pages.routes)),
             Route('/admin/owner', pages.guarded(pages.owner)),
             Route('/admin/drain', pages.guarded(pages.drain), methods=POST),
             Route('/admin/move', pages.guarded(pages.move), methods=POST),
@@ -136,6 +140,9 @@
     async def status(self, req: Request) -> Response:
         return JSONResponse(self._backend.status())
 
+    async def routes(self, req: Request) -> Response:
+        return JSONResponse(self._backend.routes())
+
     async def owner(self, req: Request) -> Response:
         query = req.query_params
         found = self._backend.owner(query['service'], query['key'])
