Look up a node's duties when records change, not on each tick

Change: the records that a node may claim or look after are listed anew only when the directory or its claims change.

--- a/src/savoryhold/core/claimer.py
+++ b/src/savoryhold/core/claimer.py
@@ -31,7 +31,7 @@
     node_object,
     service_object,
 )
-from savoryhold.core.lease import LEASE_MS, NO_WRITE
+from savoryhold.core.lease import NO_WRITE
 from savoryhold.core.records import NodeRecord, NodeState, Profile
 from savoryhold.core.ring import lowest
 from savoryhold.core.routing import Directory, Entry
@@ -77,6 +77,15 @@
     retry_at: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Right:
+    """The right to claim a record, and what its waits count from."""
+
+    entry: Entry
+    holder: NodeId
+    since: int
+
+
 class Claimer:
     """State machine of this node's writes to records of others.
 
@@ -110,6 +119,10 @@
         self._tidy_at = started_at
         self._synced = False
         self._numbers = 0
+        self._claims = 0
+        self._refreshed = (-1, 0, 0)
+        self._duty_list: list[_Right] = []
+        self._care_list: list[Entry] = []
 
     def on_synced(self) -> None:
         """Note that the store has been read whole once."""
@@ -132,7 +145,7 @@
         if record is None:
             return
         if not record.is_live and record.claimant == self._me.node:
-            self._claimed_at.setdefault(record.node, now)
+            self._note_claimed(record.node, now)
 
     def cancel(self, name: ObjectName) -> None:
         """Give up a claim that was not sent: its holder is alive."""
@@ -180,7 +193,7 @@
         if event.outcome is WriteOutcome.CONFLICT:
             return [ReadObject(event.name)]
         if plan.is_claim:
-            self._claimed_at[plan.base.node] = now
+            self._note_claimed(plan.base.node, now)
         return []
 
     def plan_of(self, event: WriteEnded) -> Plan | None:
@@ -211,44 +224,61 @@
                 actions.extend(self._start_give(entry, keys, now))
         return actions
 
+    def _note_claimed(self, node: NodeId, now: int) -> None:
+        if node not in self._claimed_at:
+            self._claimed_at[node] = now
+            self._claims += 1
+
     def _due(self, now: int) -> list[Entry]:
+        self._refresh()
         return [
-            entry
-            for entry in self._directory.entries()
-            if entry.name not in self._plans and self._is_due(entry, now)
+            duty.entry
+            for duty in self._duty_list
+            if duty.entry.name not in self._plans
+            and now >= self._duties.claim_due(duty.holder, duty.since)
         ]
 
-    def _is_due(self, entry: Entry, now: int) -> bool:
-        record = entry.record
-        if record is None or not record.is_live:
-            return False
-        if record.node == self._me.node:
-            return False
-        allowed_at = self._allowed_at(entry, record)
-        return allowed_at is not None and now >= allowed_at
-
-    def _allowed_at(self, entry: Entry, record: NodeRecord) -> int | None:
-        waits = self._duties.claim_due(record.node, entry.observed_at)
+    def _refresh(self) -> None:
+        """Recompute which records concern this node, if anything changed."""
+        state = (self._directory.changes, self._claims, len(self._recover))
+        if state == self._refreshed:
+            return
+        self._refreshed = state
+        self._duty_list.clear()
+        self._care_list.clear()
+        for entry in self._directory.entries():
+            record = entry.record
+            if record is not None and record.node != self._me.node:
+                self._classify(entry, record)
+
+    def _classify(self, entry: Entry, record: NodeRecord) -> None:
+        if record.is_live:
+            since = self._right_since(record)
+            if since is not None:
+                waits = max(entry.observed_at, since)
+                self._duty_list.append(_Right(entry, record.node, waits))
+        elif self._steward(record) == self._me.node:
+            self._care_list.append(entry)
+
+    def _right_since(self, record: NodeRecord) -> int | None:
+        """Return since when this node may claim a record, None for never."""
         if record.node in self._recover:
-            return waits
+            return self._started_at
         if record.profile.address == self._me.address:
-            return waits
+            return self._started_at
         if record.standby is None:
             first = lowest(peer.node for peer in self._directory.active())
-            return waits if first == self._me.node else None
+            return self._started_at if first == self._me.node else None
         if record.standby == self._me.node:
-            return waits
-        return self._inherited_at(record.standby, waits)
+            return self._started_at
+        return self._inherited_at(record.standby)
 
-    def _inherited_at(self, standby: NodeId, waits: int) -> int | None:
+    def _inherited_at(self, standby: NodeId) -> int | None:
         seen = {standby}
         guard = self._directory.record_of(standby)
         while guard is not None and guard.claimant is not None:
             if guard.claimant == self._me.node:
-                claimed_at = self._claimed_at.get(guard.node)
-                if claimed_at is None:
-                    return None
-                return max(waits, claimed_at + LEASE_MS)
+                return self._claimed_at.get(guard.node)
             if guard.claimant in seen:
                 return None
             seen.add(guard.claimant)
@@ -337,13 +367,8 @@
         return [WriteObject(plan.number, plan.name, plan.record, plan.expect)]
 
     def _in_care(self) -> list[Entry]:
-        return [
-            entry
-            for entry in self._directory.entries()
-            if entry.record is not None
-            and not entry.record.is_live
-            and self._steward(entry.record) == self._me.node
-        ]
+        self._refresh()
+        return list(self._care_list)
 
     def _steward(self, record: NodeRecord) -> NodeId | None:
         claimant = record.claimant
