Balance on fresh loads and whole rates; shards follow their callers' region

Change: a node asks the target's present load, which counts what was offered to it; the first looks at a shard count in full; a newcomer takes its share by count before it shows a load; a shard may move to the region most of its requests enter by.

--- a/benchmarks/balance.py
+++ b/benchmarks/balance.py
@@ -7,25 +7,38 @@
 import asyncio
 import collections
 import random
+import re
 import sys
 import time
 
 import aiohttp
 
-from benchmarks.failures import SHARDS, Bench, apply_config, plans
-from savoryhold.standins.fleet import Fleet
+from benchmarks.failures import (
+    SHARDS,
+    Bench,
+    apply_config,
+    plans,
+    two_regions,
+)
+from savoryhold.standins.fleet import Fleet, Host
 
 __all__ = ['main']
 
 RATE = 300.0
 SECONDS = 10.0
 WINDOW_S = 4.0
+QUIET_S = 10.0
 HOT_KEYS = 11
 HOT_SHARE = 0.4
+SENT = re.compile(r'savoryhold_peer_bytes_sent\{region="([^"]*)"\} ([0-9.e+]+)')
 
 
 async def drive(
-    bench: Bench, hot: list[str], seconds: float, seed: int
+    bench: Bench,
+    hot: list[str],
+    seconds: float,
+    seed: int,
+    hosts: list[Host] | None = None,
 ) -> None:
     """Send lookups of which a share goes to some hot keys."""
     source = random.Random(seed)
@@ -37,7 +50,7 @@
         key = f'p{source.randrange(5000)}'
         if source.random() < HOT_SHARE:
             key = source.choice(hot)
-        host = source.choice(bench.fleet.live_hosts())
+        host = source.choice(hosts or bench.fleet.live_hosts())
         await asyncio.sleep(max(0, started + due - time.monotonic()))
         url = f'{host.caller_url}/booking/patients/{key}/slots'
         tasks.append(asyncio.create_task(look_up(bench, url)))
@@ -84,9 +97,45 @@
         )
 
 
+async def region_follow(bench: Bench, seconds: float) -> None:
+    """Send all requests by one region; count shards that are there."""
+    region = 'plovdiv'
+    hosts = [host for host in bench.fleet.hosts if host.plan.region == region]
+    for _ in range(2):
+        before = await link_bytes(bench)
+        await drive(bench, ['p1'], seconds, 3, hosts)
+        sent = await link_bytes(bench) - before
+        url = f'{hosts[0].admin_url}/admin/routes'
+        async with bench.session.get(url) as answer:
+            fields = await answer.json()
+        names = {host.plan.name for host in hosts}
+        there = sum(
+            route['owner'].partition('.')[0] in names
+            for route in fields['routes']
+        )
+        say(
+            f'callers_in={region} shards_there={there} of={SHARDS} '
+            f'link_bytes_per_s={sent / seconds:.0f}'
+        )
+
+
+async def link_bytes(bench: Bench) -> float:
+    """Return the bytes sent between regions so far."""
+    total = 0.0
+    for host in bench.fleet.live_hosts():
+        async with bench.session.get(f'{host.admin_url}/metrics') as answer:
+            text = await answer.text()
+        for region, count in SENT.findall(text):
+            if region != host.plan.region:
+                total += float(count)
+    return total
+
+
 async def join(bench: Bench) -> None:
     """Kill a host, bring it back, and count what moves for the joiner."""
     host = bench.fleet.hosts[-1]
+    # The load is gone by then, so that only the joiner's share moves.
+    await asyncio.sleep(QUIET_S)
     host.kill()
     await bench.ready()
     before = await epochs(bench)
@@ -105,9 +154,9 @@
     sys.stdout.flush()
 
 
-async def run(options: argparse.Namespace) -> None:
-    """Run both measures on one fleet."""
-    fleet = Fleet(plans())
+async def run(options: argparse.Namespace, *, follow: bool) -> None:
+    """Run the measures on one fleet."""
+    fleet = Fleet(two_regions() if follow else plans())
     connector = aiohttp.TCPConnector(limit=0)
     with fleet.running():
         async with aiohttp.ClientSession(connector=connector) as session:
@@ -115,6 +164,9 @@
             await fleet.wait_store(session)
             await asyncio.to_thread(apply_config, fleet)
             await bench.ready()
+            if follow:
+                await region_follow(bench, options.seconds)
+                return
             await hot_change(bench, options.seconds)
             await join(bench)
 
@@ -123,7 +175,9 @@
     """Run the measures."""
     parser = argparse.ArgumentParser(prog='python -m benchmarks.balance')
     parser.add_argument('--seconds', type=float, default=SECONDS)
-    asyncio.run(run(parser.parse_args()))
+    options = parser.parse_args()
+    asyncio.run(run(options, follow=False))
+    asyncio.run(run(options, follow=True))
 
 
 if __name__ == '__main__':
--- a/src/savoryhold/core/balance.py
+++ b/src/savoryhold/core/balance.py
@@ -4,11 +4,23 @@
 import math
 from collections.abc import Collection, Mapping
 
-from savoryhold.core.ids import NodeId, ShardKey
-
-__all__ = ['BalancePolicy', 'Offer', 'choose_offer', 'join_share']
+from savoryhold.core.ids import NodeId, Region, ShardKey
+
+__all__ = [
+    'BalancePolicy',
+    'HomeTable',
+    'LoadView',
+    'Offer',
+    'choose_homeward',
+    'choose_offer',
+    'join_share',
+]
 
 NOISE = 1e-9
+HOME_SHARE = 0.6
+HOME_MIN_RATE = 0.5
+HOME_OVERLOAD = 2.0
+SMOOTHING = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,24 +62,44 @@
     gain: float
 
 
-def choose_offer(
-    shard_loads: Mapping[ShardKey, float],
-    settled: Collection[ShardKey],
-    peer_loads: Mapping[NodeId, float],
-    policy: BalancePolicy,
-) -> Offer | None:
-    """Return the move that best evens out this node and a peer.
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadView:
+    """What one node knows of the loads of a service.
 
     Parameters
     ----------
-    shard_loads : mapping of ShardKey to float
+    shards : mapping of ShardKey to float
         Load of each shard of this node, in requests a second.
     settled : collection of ShardKey
         Shards that have been here long enough to be moved on.
-    peer_loads : mapping of NodeId to float
+    peers : mapping of NodeId to float
         Load of each node that could take a shard.
-    policy : BalancePolicy
-        Margin and floor.
+    regions : mapping of NodeId to Region
+        Region of each of these nodes.
+    homes : mapping of ShardKey to Region
+        Region that most requests of a shard enter by, where there is one.
+    """
+
+    shards: Mapping[ShardKey, float]
+    settled: Collection[ShardKey]
+    peers: Mapping[NodeId, float]
+    regions: Mapping[NodeId, Region] = dataclasses.field(default_factory=dict)
+    homes: Mapping[ShardKey, Region] = dataclasses.field(default_factory=dict)
+
+    @property
+    def total(self) -> float:
+        """Return the load of all shards of this node."""
+        return sum(self.shards.values())
+
+    def may_go(self, key: ShardKey, target: NodeId) -> bool:
+        """Return whether a shard may move without leaving its callers."""
+        home = self.homes.get(key)
+        in_home = home is None or home == self.regions.get(target)
+        return in_home and key in self.settled
+
+
+def choose_offer(view: LoadView, policy: BalancePolicy) -> Offer | None:
+    """Return the move that best evens out this node and a peer.
 
     Returns
     -------
@@ -80,22 +112,88 @@
     a - s and b + s; it is closer and not reversed if s is at most half of
     the difference.  The largest such shard gains the most.
     """
-    if not peer_loads or not shard_loads:
-        return None
-    mine = sum(shard_loads.values())
-    target = min(peer_loads, key=lambda node: (peer_loads[node], node))
-    gap = mine - peer_loads[target]
-    if gap <= policy.threshold(mine, peer_loads[target]):
-        return None
-    fitting = [
-        (load, key)
-        for key, load in shard_loads.items()
-        if key in settled and NOISE < load <= gap / 2
+    mine = view.total
+    peers = sorted(view.peers, key=lambda node: (view.peers[node], node))
+    for target in peers:
+        gap = mine - view.peers[target]
+        if gap <= policy.threshold(mine, view.peers[target]):
+            return None
+        fitting = [
+            (load, key)
+            for key, load in view.shards.items()
+            if NOISE < load <= gap / 2 and view.may_go(key, target)
+        ]
+        if fitting:
+            load, key = max(fitting)
+            return Offer(key, target, load)
+    return None
+
+
+def choose_homeward(view: LoadView, here: Region) -> Offer | None:
+    """Return a move of a shard to the region of its callers.
+
+    Parameters
+    ----------
+    view : LoadView
+        Loads and homes.
+    here : Region
+        Region of this node.
+
+    Returns
+    -------
+    Offer or None
+        The busiest shard whose home is another region, and the least loaded
+        node there, unless that node is already far busier than this one.
+    """
+    away = [
+        (view.shards[key], key)
+        for key in view.settled
+        if key in view.shards and view.homes.get(key, here) != here
     ]
-    if not fitting:
-        return None
-    load, key = max(fitting)
-    return Offer(key, target, load)
+    for load, key in sorted(away, reverse=True):
+        home = view.homes[key]
+        nodes = [node for node in view.peers if view.regions[node] == home]
+        if not nodes:
+            continue
+        target = _idlest(nodes, view.peers)
+        if view.peers[target] <= HOME_OVERLOAD * view.total + load:
+            return Offer(key, target, load)
+    return None
+
+
+class HomeTable:
+    """Smoothed rates of each shard's requests, by region of entry."""
+
+    def __init__(self) -> None:
+        self._rates: dict[ShardKey, dict[Region, float]] = {}
+
+    def measure(
+        self,
+        held: Collection[ShardKey],
+        counts: Mapping[ShardKey, Mapping[Region, int]],
+        seconds: float,
+    ) -> None:
+        """Take in the requests counted since the last time."""
+        self._rates = {
+            key: _smoothed(
+                self._rates.get(key, {}), counts.get(key, {}), seconds
+            )
+            for key in held
+        }
+
+    def homes(self) -> dict[ShardKey, Region]:
+        """Return the region that most requests of a shard enter by."""
+        found: dict[ShardKey, Region] = {}
+        for key, rates in self._rates.items():
+            total = sum(rates.values())
+            main = [
+                region
+                for region, rate in rates.items()
+                if total >= HOME_MIN_RATE and rate > HOME_SHARE * total
+            ]
+            if main:
+                found[key] = main[0]
+        return found
 
 
 def join_share(
@@ -132,3 +230,18 @@
 
 def _fullest(counts: Mapping[NodeId, int]) -> NodeId:
     return max(counts, key=lambda node: (counts[node], node))
+
+
+def _smoothed(
+    old: Mapping[Region, float], counts: Mapping[Region, int], seconds: float
+) -> dict[Region, float]:
+    regions = {*old, *counts}
+    return {
+        region: (1 - SMOOTHING) * old.get(region, 0)
+        + SMOOTHING * counts.get(region, 0) / seconds
+        for region in regions
+    }
+
+
+def _idlest(nodes: list[NodeId], loads: Mapping[NodeId, float]) -> NodeId:
+    return min(nodes, key=lambda node: (loads[node], node))
--- a/src/savoryhold/core/tests/test_decisions.py
+++ b/src/savoryhold/core/tests/test_decisions.py
@@ -1,12 +1,20 @@
 """Small decisions: retries, poison, balance, gossip, records, selection."""
 
+import dataclasses
 import unittest
 
 import hypothesis
 from hypothesis import strategies as st
 
 from savoryhold.core import errors
-from savoryhold.core.balance import BalancePolicy, choose_offer, join_share
+from savoryhold.core.balance import (
+    BalancePolicy,
+    HomeTable,
+    LoadView,
+    choose_homeward,
+    choose_offer,
+    join_share,
+)
 from savoryhold.core.classify import RouteClassifier
 from savoryhold.core.configuration import ServiceClass
 from savoryhold.core.gossip import NewsItem, NewsTable
@@ -137,13 +145,14 @@
         """Equal loads differ by chance."""
         loads = {shard(num): 3.0 for num in range(10)}
         peers = {NodeId('b'): 26.0}
-        self.assertIsNone(choose_offer(loads, loads, peers, BalancePolicy()))
+        view = LoadView(loads, loads, peers)
+        self.assertIsNone(choose_offer(view, BalancePolicy()))
 
     def test_offer_does_not_reverse_the_pair(self) -> None:
         """A shard that is more than half of the gap stays."""
         loads = {shard(0): 900.0, shard(1): 200.0, shard(2): 50.0}
         peers = {NodeId('b'): 500.0, NodeId('c'): 700.0}
-        offer = choose_offer(loads, loads, peers, BalancePolicy())
+        offer = choose_offer(LoadView(loads, loads, peers), BalancePolicy())
         assert offer is not None
         self.assertEqual((offer.key, offer.target), (shard(1), NodeId('b')))
 
@@ -152,7 +161,29 @@
         loads = {shard(0): 900.0, shard(1): 200.0}
         peers = {NodeId('b'): 100.0}
         settled = {shard(0)}
-        self.assertIsNone(choose_offer(loads, settled, peers, BalancePolicy()))
+        view = LoadView(loads, settled, peers)
+        self.assertIsNone(choose_offer(view, BalancePolicy()))
+
+    def test_shard_goes_to_the_region_of_its_callers(self) -> None:
+        """It ends up where its requests enter, and stays there."""
+        homes = HomeTable()
+        far = Region('plovdiv')
+        for _ in range(8):
+            homes.measure(
+                [shard(0), shard(1)],
+                {shard(0): {far: 9}, shard(1): {far: 2, Region('sofia'): 2}},
+                1,
+            )
+        self.assertEqual(homes.homes(), {shard(0): far})
+        node = NodeId('far')
+        loads = {shard(0): 9.0, shard(1): 4.0}
+        view = LoadView(loads, loads, {node: 1.0}, {node: far}, homes.homes())
+        offer = choose_homeward(view, Region('sofia'))
+        assert offer is not None
+        self.assertEqual((offer.key, offer.target), (shard(0), node))
+        self.assertIsNone(choose_homeward(view, far))
+        other = dataclasses.replace(view, regions={node: Region('sofia')})
+        self.assertFalse(other.may_go(shard(0), node))
 
     @hypothesis.given(
         st.dictionaries(
--- a/src/savoryhold/daemon/balancer.py
+++ b/src/savoryhold/daemon/balancer.py
@@ -1,10 +1,19 @@
 """Moves shards towards an even load."""
 
 import asyncio
+import dataclasses
 from collections import Counter
 
 from savoryhold.core import events
-from savoryhold.core.balance import BalancePolicy, choose_offer, join_share
+from savoryhold.core.balance import (
+    BalancePolicy,
+    HomeTable,
+    LoadView,
+    Offer,
+    choose_homeward,
+    choose_offer,
+    join_share,
+)
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import LinkError, PlatformError
 from savoryhold.core.ids import NodeId, ServiceName, ShardKey
@@ -19,6 +28,18 @@
 COOLDOWN_MS = 1000
 RESIDENCE_MS = 5000
 QUICK_STORE_MS = 100
+NEWCOMER_MS = 8000
+RESERVED_MS = 3000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reserved:
+    """Load that another node may be about to move here."""
+
+    until: int
+    load: float
+
+
 CALL_LIMIT_MS = 500
 MS_PER_SECOND = 1000
 
@@ -53,7 +74,11 @@
         self._policy = BalancePolicy()
         self._rates: dict[ShardKey, float] = {}
         self._measured_at = clock.now()
+        self._started_at = clock.now()
+        self._looks: dict[ShardKey, int] = {}
+        self._reserved: list[_Reserved] = []
         self._moved_at = 0
+        self._homes = HomeTable()
         self._since: dict[ShardKey, int] = {}
 
     async def run(self) -> None:
@@ -81,7 +106,8 @@
             if key.service == service and key not in holder.moves
         ]
         spare = len(keys) - fair
-        keys.sort(key=lambda key: self._rates.get(key, 0))
+        mean = sum(self._rates.get(key, 0) for key in keys) / max(len(keys), 1)
+        keys.sort(key=lambda key: abs(self._rates.get(key, 0) - mean))
         for key in keys[: min(wanted, max(spare, 0))]:
             self._node.post(events.MoveAsked(key, peer))
 
@@ -91,13 +117,23 @@
         self._measured_at = now
         served, self._owner.served = self._owner.served, Counter()
         held = self._node.machine.holder.held
+        entered, self._owner.entered = self._owner.entered, {}
+        self._homes.measure(held, entered, seconds)
         self._since = {key: self._since.get(key, now) for key in held}
+        self._looks = {key: self._looks.get(key, 0) + 1 for key in held}
         self._rates = {
-            key: (1 - SMOOTHING) * self._rates.get(key, 0)
-            + SMOOTHING * served[key] / seconds
-            for key in held
+            key: self._smoothed(key, served[key] / seconds) for key in held
         }
-        self._loads.set_own(self._node.node, sum(self._rates.values()))
+        if now - self._started_at >= NEWCOMER_MS:
+            # A newcomer takes its share by count first, then by load.
+            self._loads.set_own(self._node.node, sum(self._rates.values()))
+
+    def _smoothed(self, key: ShardKey, rate: float) -> float:
+        # The first looks at a shard count in full, so that one which has
+        # just come does not seem idle.
+        weight = max(SMOOTHING, 1 / self._looks[key])
+        old = self._rates.get(key, 0)
+        return old + weight * (rate - old)
 
     def _counts(self, service: ServiceName) -> dict[NodeId, int]:
         directory = self._node.machine.directory
@@ -150,23 +186,73 @@
         if now - self._moved_at < COOLDOWN_MS:
             return
         for service in self._node.machine.holder.profile.services:
-            peers = self._peer_loads(service)
-            rates = {
-                key: rate
-                for key, rate in self._rates.items()
-                if key.service == service
-            }
-            settled = {
-                key
-                for key in rates
-                if now - self._since.get(key, now) >= RESIDENCE_MS
-            }
-            offer = choose_offer(rates, settled, peers, self._policy)
-            if offer is not None and await self._store_is_quick():
+            view = self._view(service, now)
+            region = self._node.machine.holder.profile.region
+            offer = choose_homeward(view, region)
+            offer = offer or choose_offer(view, self._policy)
+            if offer is None or not await self._still_holds(view, offer):
+                continue
+            if await self._store_is_quick():
                 self.offers += 1
                 self._moved_at = now
                 self._node.post(events.MoveAsked(offer.key, offer.target))
 
+    async def _still_holds(self, view: LoadView, offer: Offer) -> bool:
+        """Ask the target's present load, and whether the move still helps.
+
+        Notes
+        -----
+        Gossiped figures are seconds old, so that several nodes would choose
+        one target; it counts what has been offered to it.
+        """
+        address = self._node.address_of(offer.target)
+        if address is None:
+            return False
+        query = messages.LoadQuery(
+            service_name=offer.key.service, load=offer.gain
+        )
+        try:
+            reply = await self._node.pool.call(address, query, CALL_LIMIT_MS)
+        except LinkError:
+            return False
+        fresh = dataclasses.replace(view, peers={offer.target: reply.load})
+        if view.homes.get(offer.key) == view.regions.get(offer.target):
+            return True
+        again = choose_offer(fresh, self._policy)
+        return again is not None
+
+    def answer_load(self, query: messages.Message) -> messages.Message:
+        """Return this node's load, and reserve what is offered to it."""
+        now = self._clock.now()
+        self._reserved = [held for held in self._reserved if held.until > now]
+        offered = sum(held.load for held in self._reserved)
+        self._reserved.append(_Reserved(now + RESERVED_MS, query.load))
+        total = sum(self._rates.values()) + offered
+        return messages.NodeLoad(
+            node=self._node.node, load=total, waiting=0, stamp=0
+        )
+
+    def _view(self, service: ServiceName, now: int) -> LoadView:
+        rates = {
+            key: rate
+            for key, rate in self._rates.items()
+            if key.service == service
+        }
+        return LoadView(
+            rates,
+            {
+                key
+                for key in rates
+                if now - self._since.get(key, now) >= RESIDENCE_MS
+            },
+            self._peer_loads(service),
+            {
+                record.node: record.profile.region
+                for record in self._node.machine.directory.offering(service)
+            },
+            self._homes.homes(),
+        )
+
     def _peer_loads(self, service: ServiceName) -> dict[NodeId, float]:
         loads: dict[NodeId, float] = {}
         for record in self._node.machine.directory.offering(service):
--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -24,7 +24,13 @@
     UncertainError,
 )
 from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
-from savoryhold.core.ids import RequestId, ServiceName, ShardId, ShardKey
+from savoryhold.core.ids import (
+    Region,
+    RequestId,
+    ServiceName,
+    ShardId,
+    ShardKey,
+)
 from savoryhold.core.ledger import (
     KeptAnswer,
     Ledger,
@@ -102,7 +108,7 @@
         self.on_target_gone: Callable[[list[Strike]], None] = lambda hit: None
         self.accepting = True
         self.served: Counter[ShardKey] = Counter()
-        self.regions: Counter[tuple[ShardKey, str]] = Counter()
+        self.entered: dict[ShardKey, Counter[Region]] = {}
         self.busy_ms = 0
         self._configs = configs
         self._clock = clock
@@ -344,7 +350,8 @@
     def _count(self, req: RoutedRequest) -> None:
         if req.shard is not None:
             self.served[req.shard] += 1
-            self.regions[req.shard, req.region] += 1
+            entered = self.entered.setdefault(req.shard, Counter())
+            entered[req.region] += 1
 
     async def _admission(self, queue: AdmissionQueue, ticket: Ticket) -> None:
         fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
--- a/src/savoryhold/daemon/peers.py
+++ b/src/savoryhold/daemon/peers.py
@@ -154,6 +154,10 @@
             message.wanted,
         )
 
+    @_on.register(messages.LoadQuery)
+    async def _(self, message: messages.Message, call: LinkStream) -> None:
+        call.send(self._balancer.answer_load(message))
+
     @_on.register(messages.Order)
     async def _(self, message: messages.Message, call: LinkStream) -> None:
         try:
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -30,6 +30,7 @@
     'LedgerHandover',
     'LedgerId',
     'LedgerItem',
+    'LoadQuery',
     'Message',
     'MoveOffer',
     'News',
@@ -71,6 +72,7 @@
 LedgerHandover = _structs.LedgerHandover
 LedgerId = _structs.LedgerId
 LedgerItem = _structs.LedgerItem
+LoadQuery = _structs.LoadQuery
 MoveOffer = _structs.MoveOffer
 News = _structs.News
 NewsBatch = _structs.NewsBatch
@@ -108,6 +110,8 @@
             StrikeNews,
             MoveOffer,
             Order,
+            LoadQuery,
+            NodeLoad,
         ),
         start=1,
     )
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -93,3 +93,6 @@
   3: i32 shard,
   4: string target,
 }
+
+// Asks for a node's load before a shard of some load is moved there.
+struct LoadQuery { 1: string service_name, 2: double load }
