--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -57,8 +57,8 @@
 
     async def key_on(self, owner: Host, asked: Host) -> str:
         """Return a patient that a host owns."""
-        for num in range(500):
-            patient = f'p{num}'
+        for num in range(5000):
+            patient = f'p{num % 500}'
             if await self.owner_of(asked, patient) == owner.plan.name:
                 return patient
         raise LookupError(owner.plan.name)
@@ -229,6 +229,45 @@
     return [f'gap_ms={gap:.0f}', load.verdicts().line()]
 
 
+async def target_frozen(bench: Bench) -> list[str]:
+    """SIGSTOP a target beside its live daemon, and let it go on."""
+    load = bench.load()
+    background = asyncio.create_task(load.run(14))
+    await asyncio.sleep(2)
+    host = bench.fleet.hosts[1]
+    patient = await bench.key_on(host, bench.fleet.hosts[0])
+    assert host.target is not None
+    host.target.send_signal(signal.SIGSTOP)
+    gap = await bench.gap_ms(bench.fleet.hosts[0], patient)
+    await asyncio.sleep(4)
+    host.target.send_signal(signal.SIGCONT)
+    await background
+    return [f'gap_ms={gap:.0f}', load.verdicts().line()]
+
+
+async def leave_with_export(bench: Bench) -> list[str]:
+    """SIGTERM a daemon while its target runs a long export."""
+    host = bench.fleet.hosts[1]
+    asked = bench.fleet.hosts[0]
+    patient = await bench.key_on(host, asked)
+    url = f'{asked.caller_url}/booking/patients/{patient}/archive?ms=4000'
+    export = asyncio.create_task(bench.session.get(url))
+    load = bench.load()
+    background = asyncio.create_task(load.run(8))
+    await asyncio.sleep(1)
+    load.avoid.add(host.plan.name)
+    assert host.daemon is not None
+    host.daemon.send_signal(signal.SIGTERM)
+    status = await asyncio.to_thread(host.daemon.wait, 60)
+    answer = await export
+    await answer.read()
+    await background
+    return [
+        f'exit={status} export_status={answer.status}',
+        load.verdicts().line(),
+    ]
+
+
 async def leave(bench: Bench) -> list[str]:
     """SIGTERM a daemon under load: nothing is cut, exit status 0."""
     load = bench.load()
@@ -261,6 +300,8 @@
         zone_lost,
         regions_cut,
         target_crash,
+        target_frozen,
+        leave_with_export,
         leave,
     )
 }
--- a/src/savoryhold/daemon/balancer.py
+++ b/src/savoryhold/daemon/balancer.py
@@ -152,11 +152,12 @@
         me = self._node.node
         for service in self._node.machine.holder.profile.services:
             counts = self._counts(service)
+            if me not in counts or service in self._has_share:
+                continue
             missing = join_share(counts, me)
-            if missing and service not in self._has_share and me in counts:
-                for peer, wanted in missing.items():
-                    await self._ask(peer, service, wanted)
-            elif sum(counts.values()):
+            for peer, wanted in missing.items():
+                await self._ask(peer, service, wanted)
+            if sum(counts.values()) and not missing:
                 # From now on load decides, not the number of shards.
                 self._has_share.add(service)
 
--- a/src/savoryhold/daemon/peers.py
+++ b/src/savoryhold/daemon/peers.py
@@ -29,6 +29,7 @@
 from savoryhold.daemon.service import DaemonService
 from savoryhold.daemon.streams import close_stream
 from savoryhold.peer import LinkStream, messages
+from savoryhold.peer.packing import pack
 
 __all__ = ['PeerTask']
 
@@ -175,26 +176,32 @@
         except RequestError as exc:
             call.send(to_error_answer(exc))
             return
-        await self._send_answer(call, answer)
+        far = req.region != self._node.settings.node.region
+        await self._send_answer(call, answer, far=far)
 
     async def _send_answer(
-        self, call: LinkStream, answer: RoutedAnswer
+        self, call: LinkStream, answer: RoutedAnswer, *, far: bool
     ) -> None:
+        first = to_answer(answer)
+        if far:
+            first.body, first.packed = pack(answer.body)
         try:
-            call.send(to_answer(answer))
+            call.send(first)
             if answer.rest is not None:
-                await self._send_rest(call, answer)
+                await self._send_rest(call, answer, far=far)
         finally:
             await close_stream(answer.rest)
 
-    async def _send_rest(self, call: LinkStream, answer: RoutedAnswer) -> None:
+    async def _send_rest(
+        self, call: LinkStream, answer: RoutedAnswer, *, far: bool
+    ) -> None:
         credit = CREDIT_CHUNKS
         assert answer.rest is not None
         try:
             async for chunk in answer.rest:
                 while not credit:
                     credit += await _next_credit(call)
-                call.send(messages.Chunk(body=chunk, more=True, failed=False))
+                call.send(_chunk(chunk, far=far))
                 credit -= 1
         except RequestError:
             call.send(messages.Chunk(body=b'', more=False, failed=True))
@@ -202,6 +209,13 @@
         call.send(messages.Chunk(body=b'', more=False, failed=False))
 
 
+def _chunk(body: bytes, *, far: bool) -> messages.Message:
+    packed = False
+    if far:
+        body, packed = pack(body)
+    return messages.Chunk(body=body, more=True, failed=False, packed=packed)
+
+
 async def _next_credit(call: LinkStream) -> int:
     message = await call.receive(CREDIT_LIMIT_MS)
     return int(message.chunks)
--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -10,6 +10,7 @@
 from savoryhold.core.errors import (
     DeadlineError,
     LinkError,
+    MalformedMessageError,
     NotOwnerError,
     OverloadError,
     RequestError,
@@ -25,6 +26,7 @@
 from savoryhold.daemon.owner import OwnerTask
 from savoryhold.daemon.streams import HeldStream
 from savoryhold.peer import LinkStream, messages
+from savoryhold.peer.packing import unpack
 
 __all__ = ['RouterTask']
 
@@ -215,14 +217,13 @@
         if exc is not None:
             call.close()
             raise exc
+        body = _body_of(first)
         rest: AsyncIterator[bytes] | None = None
         if first.more:
             rest = HeldStream(_read_chunks(call), call.close)
         else:
             call.close()
-        return RoutedAnswer(
-            first.status, answer_headers(first), first.body or b'', rest
-        )
+        return RoutedAnswer(first.status, answer_headers(first), body, rest)
 
 
 def _cancel(call: LinkStream) -> None:
@@ -233,6 +234,13 @@
         return
 
 
+def _body_of(message: messages.Message) -> bytes:
+    try:
+        return unpack(message.body or b'', packed=bool(message.packed))
+    except MalformedMessageError as exc:
+        raise UncertainError(f'the answer is damaged: {exc}') from exc
+
+
 async def _read_chunks(call: LinkStream) -> AsyncIterator[bytes]:
     more = True
     seen = 0
@@ -245,7 +253,7 @@
             more = chunk.more
             if seen % (CREDIT_CHUNKS // 2) == 0:
                 call.send(messages.Credit(chunks=CREDIT_CHUNKS // 2))
-            yield chunk.body or b''
+            yield _body_of(chunk)
     except LinkError as exc:
         raise UncertainError(f'the answer broke off: {exc}') from exc
     finally:
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -36,10 +36,15 @@
   6: string code,
   7: string text,
   8: i32 retry_after_ms,
-  9: i64 length,
+  9: bool packed,
 }
 
-struct Chunk { 1: binary body, 2: bool more, 3: bool failed }
+struct Chunk {
+  1: binary body,
+  2: bool more,
+  3: bool failed,
+  4: bool packed,
+}
 
 struct Heartbeat { 1: string holder, 2: i64 version }
 
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+import zlib
 
 import hypothesis
 from hypothesis import strategies as st
@@ -9,8 +10,9 @@
 from savoryhold.core.errors import LinkError, MalformedMessageError
 from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
 from savoryhold.peer.link import LinkStream
+from savoryhold.peer.packing import MAX_PIECE_BYTES, pack, unpack
 
-__all__ = ['TestFrames', 'TestLinks', 'TestSilence']
+__all__ = ['TestFrames', 'TestLinks', 'TestPacking', 'TestSilence']
 
 SECRET = b'a secret for tests'
 LIMIT_MS = 10_000
@@ -60,6 +62,26 @@
             return
 
 
+class TestPacking(unittest.TestCase):
+    """Bodies over the link between regions."""
+
+    @hypothesis.given(st.binary(max_size=3000), st.integers(1, 20))
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_round_trip(self, body: bytes, times: int) -> None:
+        """Any body arrives as it was, and never larger."""
+        sent, packed = pack(body * times)
+        self.assertLessEqual(len(sent), len(body * times))
+        self.assertEqual(unpack(sent, packed=packed), body * times)
+
+    def test_garbage_and_bombs_are_refused(self) -> None:
+        """What does not unpack to a bounded piece ends the answer."""
+        bomb = zlib.compress(b'x' * (MAX_PIECE_BYTES + 1))
+        for body in (b'', b'garbage', bomb, bomb[:50]):
+            with self.subTest(body=body[:20]):
+                with self.assertRaises(MalformedMessageError):
+                    unpack(body, packed=True)
+
+
 async def answer(call: LinkStream, message: messages.Message) -> None:
     """Answer probes; leave all else without an answer."""
     if isinstance(message, messages.Probe):
