Split the waiting for slots from the owner; limits change under load

Change: daemon/slots.py owns the queues; AdmissionQueue.reconfigure changes limits in place; Fleet.apply_script serves both.

--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -8,7 +8,6 @@
 import pathlib
 import signal
 import statistics
-import subprocess
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -331,26 +330,7 @@
 def apply_config(fleet: Fleet) -> None:
     """Apply the Bulgarian example."""
     folder = pathlib.Path(__file__).parents[1]
-    document = fleet.folder / 'config.toml'
-    printed = subprocess.run(
-        [sys.executable, str(folder / 'examples' / 'bulgaria.py')],
-        check=True,
-        capture_output=True,
-    )
-    document.write_bytes(printed.stdout)
-    subprocess.run(
-        [
-            sys.executable,
-            '-m',
-            'savoryhold.cli.main',
-            f'--platform={fleet.platform_url}',
-            'apply',
-            str(document),
-            '--reason=benchmark',
-        ],
-        check=True,
-        capture_output=True,
-    )
+    fleet.apply_script(folder / 'examples' / 'bulgaria.py', 'benchmark')
 
 
 async def run_one(name: str, kills: int) -> list[str]:
--- a/examples/demo.py
+++ b/examples/demo.py
@@ -6,7 +6,6 @@
 import asyncio
 import collections
 import pathlib
-import subprocess
 import sys
 import time
 
@@ -61,28 +60,6 @@
     sys.stdout.flush()
 
 
-def apply_config(fleet: Fleet) -> None:
-    """Print the example's configuration and apply it, as operators do."""
-    script = pathlib.Path(__file__).with_name('bulgaria.py')
-    document = fleet.folder / 'bulgaria.toml'
-    printed = subprocess.run(
-        [sys.executable, str(script)], check=True, capture_output=True
-    )
-    document.write_bytes(printed.stdout)
-    subprocess.run(
-        [
-            sys.executable,
-            '-m',
-            'savoryhold.cli.main',
-            f'--platform={fleet.platform_url}',
-            'apply',
-            str(document),
-            '--reason=first configuration',
-        ],
-        check=True,
-    )
-
-
 async def send(
     session: aiohttp.ClientSession,
     tally: Tally,
@@ -213,7 +190,10 @@
     ) as session:
         await fleet.wait_store(session)
         say('store stand-in is up; applying examples/bulgaria.py')
-        await asyncio.to_thread(apply_config, fleet)
+        script = pathlib.Path(__file__).with_name('bulgaria.py')
+        await asyncio.to_thread(
+            fleet.apply_script, script, 'first configuration'
+        )
         started = time.monotonic()
         await fleet.wait_ready(session, {'booking': SHARDS})
         took_s = time.monotonic() - started
--- a/src/savoryhold/core/admission.py
+++ b/src/savoryhold/core/admission.py
@@ -87,6 +87,10 @@
         self._turn = 0
         self._adaptive = policy is AdmissionPolicy.ADAPTIVE
 
+    def set_policy(self, policy: AdmissionPolicy) -> None:
+        """Change the order in which tickets are served."""
+        self._adaptive = policy is AdmissionPolicy.ADAPTIVE
+
     def __len__(self) -> int:
         return len(self._tickets)
 
@@ -194,6 +198,20 @@
         """Return the smoothed service time of a class in ms."""
         return self._mean_ms[service_class]
 
+    @property
+    def limits(self) -> AdmissionLimits:
+        """Return the limits in force."""
+        return self._limits
+
+    def reconfigure(self, limits: AdmissionLimits) -> None:
+        """Put other limits in force; what runs goes on."""
+        self._limits = limits
+        for queue in self._queues.values():
+            queue.set_policy(limits.policy)
+        if limits.policy is AdmissionPolicy.FIFO:
+            self._open_slots = limits.slots
+        self._open_slots = min(self._open_slots, limits.slots)
+
     def restart(self) -> None:
         """Note that the target has started cold: ramp up again."""
         if self._limits.policy is AdmissionPolicy.ADAPTIVE:
--- a/src/savoryhold/core/tests/test_admission.py
+++ b/src/savoryhold/core/tests/test_admission.py
@@ -90,6 +90,16 @@
             found = queue.offer(ticket(number), 0)
         self.assertEqual([one.refusal for one in found], [Refusal.QUEUE_FULL])
 
+    def test_limits_change_while_requests_run(self) -> None:
+        """New limits waited for the target to be idle, which never came."""
+        queue = warm()
+        for number in range(SLOTS + 4):
+            queue.offer(ticket(number), 0)
+        queue.reconfigure(AdmissionLimits(2))
+        done = [queue.finish(ticket(0), 1, took_ms=1) for _ in range(5)]
+        self.assertFalse(any(admitted(found) for found in done[:4]))
+        self.assertEqual(queue.running, 2)
+
     def test_keys_take_turns(self) -> None:
         """One busy key does not hold back another."""
         queue = warm()
--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -7,13 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from savoryhold.core.admission import (
-    AdmissionLimits,
-    AdmissionQueue,
-    Decision,
-    Refusal,
-    Ticket,
-)
+from savoryhold.core.admission import AdmissionLimits, Ticket
 from savoryhold.core.classify import RouteClassifier
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import (
@@ -41,6 +35,7 @@
 from savoryhold.core.ownership import OwnershipMachine
 from savoryhold.core.poison import PoisonGuard, Strike
 from savoryhold.core.services import ConfigTable
+from savoryhold.daemon.slots import REFUSED_RETRY_MS, SlotTask
 from savoryhold.daemon.streams import HeldStream
 from savoryhold.settings import LimitSettings
 from savoryhold.target import TargetClient, TargetGoneError, TargetTracker
@@ -48,7 +43,6 @@
 __all__ = ['OwnerTask']
 
 MS_PER_SECOND = 1000
-REFUSED_RETRY_MS = 200
 LINGER_MS = 50
 LAPSED = 'the lease lapsed while running'
 
@@ -64,7 +58,6 @@
     started_at: int
     task: asyncio.Task[Any] | None = None
     ticket: Ticket | None = None
-    queue: AdmissionQueue | None = None
     sent: bool = False
     answered: bool = False
     lapsed: bool = False
@@ -109,15 +102,12 @@
         self.accepting = True
         self.served: Counter[ShardKey] = Counter()
         self.entered: dict[ShardKey, Counter[Region]] = {}
-        self.busy_ms = 0
         self._configs = configs
         self._clock = clock
         self._limits = limits
         self._backup = backup
         self._client: TargetClient | None = None
-        self._queues: dict[ServiceName, AdmissionQueue] = {}
-        self._settings_of: dict[ServiceName, AdmissionLimits] = {}
-        self._waiting: dict[int, asyncio.Future[None]] = {}
+        self._slots = SlotTask(clock)
         self._calls: dict[int, RunningCall] = {}
         self._active: Counter[ShardKey] = Counter()
         self._shared: dict[
@@ -134,16 +124,12 @@
     @property
     def waiting(self) -> int:
         """Return how many requests wait for a slot."""
-        return sum(queue.waiting for queue in self._queues.values())
+        return self._slots.waiting
 
     def active(self, key: ShardKey) -> int:
         """Return how many requests of a shard are in progress."""
         return self._active[key]
 
-    def queue_of(self, service: ServiceName) -> AdmissionQueue | None:
-        """Return the admission queue of a service, if it has one yet."""
-        return self._queues.get(service)
-
     async def handle(self, req: RoutedRequest) -> RoutedAnswer:
         """Run a request at the target, or answer it from the ledger.
 
@@ -159,23 +145,20 @@
 
     def restart_target(self) -> None:
         """Ramp up again, since the target has started anew."""
-        for queue in self._queues.values():
-            queue.restart()
+        self._slots.restart()
 
     def drain(self, key: ShardKey) -> None:
         """Refuse what waits of a shard; report when nothing runs."""
         for number, call in list(self._calls.items()):
-            fut = self._waiting.get(number)
-            if call.req.shard == key and fut is not None and not fut.done():
-                fut.set_exception(NotOwnerError('shard is moving'))
+            if call.req.shard == key:
+                self._slots.refuse(number, NotOwnerError('shard is moving'))
         if not self._active[key]:
             self.on_idle(key)
 
     def tick(self) -> None:
         """Refuse late requests; cancel work whose lease has lapsed."""
         now = self._clock.now()
-        for queue in self._queues.values():
-            self._settle(queue.expire(now))
+        self._slots.expire()
         for call in list(self._calls.values()):
             shard = call.req.shard
             if shard is None or not call.sent:
@@ -315,10 +298,9 @@
 
     def _release(self, call: RunningCall) -> None:
         now = self._clock.now()
-        if call.ticket is not None and call.queue is not None:
-            self.busy_ms += now - call.started_at
+        if call.ticket is not None:
             took_ms = now - call.started_at if call.answered else None
-            self._settle(call.queue.finish(call.ticket, now, took_ms=took_ms))
+            self._slots.finish(call.req.service, call.ticket, took_ms=took_ms)
         self._calls.pop(call.number, None)
         shard = call.req.shard
         if shard is None:
@@ -335,10 +317,9 @@
         kind = self._classifier.resolve(route.label, req.service_class)
         now = self._clock.now()
         ticket = Ticket(call.number, req.key, kind, req.deadline, now)
-        queue = self._queue(req.service)
-        await self._admission(queue, ticket)
+        self._configure_slots(req.service)
+        await self._slots.admit(req.service, ticket)
         call.ticket = ticket
-        call.queue = queue
         call.started_at = self._clock.now()
         answer = await self._call(call)
         call.answered = True
@@ -353,30 +334,6 @@
             entered = self.entered.setdefault(req.shard, Counter())
             entered[req.region] += 1
 
-    async def _admission(self, queue: AdmissionQueue, ticket: Ticket) -> None:
-        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting[ticket.number] = fut
-        try:
-            self._settle(queue.offer(ticket, self._clock.now()))
-            await fut
-        except BaseException:
-            if not queue.withdraw(ticket) and _was_admitted(fut):
-                now = self._clock.now()
-                self._settle(queue.finish(ticket, now, took_ms=None))
-            raise
-        finally:
-            self._waiting.pop(ticket.number, None)
-
-    def _settle(self, decisions: list[Decision]) -> None:
-        for decision in decisions:
-            fut = self._waiting.get(decision.ticket.number)
-            if fut is None or fut.done():
-                continue
-            if decision.refusal is None:
-                fut.set_result(None)
-            else:
-                fut.set_exception(_REFUSALS[decision.refusal]())
-
     async def _call(self, call: RunningCall) -> RoutedAnswer:
         req = call.req
         announced = self.tracker.announced
@@ -459,18 +416,12 @@
             )
         return self._client
 
-    def _queue(self, service: ServiceName) -> AdmissionQueue:
+    def _configure_slots(self, service: ServiceName) -> None:
         cfg = self._configs.get(service).cfg
         announced = self.tracker.announced
         slots = min(cfg.slots, announced.slots if announced else cfg.slots)
         limits = AdmissionLimits(slots, cfg.long_share, cfg.queue, cfg.policy)
-        idle = not self._calls or service not in self._queues
-        if self._settings_of.get(service) != limits and (
-            idle or not self._queues[service].running
-        ):
-            self._settings_of[service] = limits
-            self._queues[service] = AdmissionQueue(limits)
-        return self._queues[service]
+        self._slots.configure(service, limits)
 
 
 def _cancel(call: RunningCall) -> None:
@@ -479,24 +430,6 @@
         call.task.cancel()
 
 
-def _was_admitted(fut: asyncio.Future[None]) -> bool:
-    return fut.done() and not fut.cancelled() and fut.exception() is None
-
-
-def _queue_full() -> RequestError:
-    return OverloadError('the queue is full', REFUSED_RETRY_MS)
-
-
-def _too_late() -> RequestError:
-    return DeadlineError('it would not end in time', REFUSED_RETRY_MS)
-
-
-_REFUSALS: dict[Refusal, Callable[[], RequestError]] = {
-    Refusal.QUEUE_FULL: _queue_full,
-    Refusal.DEADLINE: _too_late,
-}
-
-
 def _from_ledger(entry: LedgerEntry) -> RoutedAnswer:
     if entry.answer is not None:
         kept = entry.answer
--- a/src/savoryhold/standins/fleet.py
+++ b/src/savoryhold/standins/fleet.py
@@ -284,6 +284,27 @@
         """Return the runs of all targets."""
         return [line for host in self.hosts for line in host.read_journal()]
 
+    def apply_script(self, script: pathlib.Path, reason: str) -> None:
+        """Print a script's configuration and apply it, as operators do."""
+        document = self.folder / f'{script.stem}.toml'
+        printed = subprocess.run(
+            [sys.executable, str(script)], check=True, capture_output=True
+        )
+        document.write_bytes(printed.stdout)
+        subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'savoryhold.cli.main',
+                f'--platform={self.platform_url}',
+                'apply',
+                str(document),
+                f'--reason={reason}',
+            ],
+            check=True,
+            capture_output=True,
+        )
+
     async def set_fault(
         self, session: aiohttp.ClientSession, **fields: Any
     ) -> None:
