Claims made at once spread over different nodes

Cause: worked through for docs/CAPACITY.md: 128 claims of a lost zone see the same counts, and the same ranks broke all ties alike. Change: ties are broken by a rank salted with the lost node. Figures: 20 claims of 4 shards over 40 equal nodes: 4 nodes chosen before, more than 25 after (test).

--- a/src/savoryhold/core/claimer.py
+++ b/src/savoryhold/core/claimer.py
@@ -289,7 +289,8 @@
         if entry.record is None:
             return []
         avoid = frozenset({entry.record.node})
-        give = spread(entry.record.owned, self._directory, avoid)
+        lost = entry.record.node
+        give = spread(entry.record.owned, self._directory, avoid, lost)
         plan = Plan(entry.name, entry.record, entry.version, give, True, now)
         return self._begin(plan, now)
 
@@ -341,7 +342,7 @@
 
     def _respread(self, plan: Plan, now: int) -> list[Action]:
         avoid = frozenset(plan.failed | {plan.base.node})
-        plan.give = spread(plan.give, self._directory, avoid)
+        plan.give = spread(plan.give, self._directory, avoid, plan.base.node)
         plan.handed.clear()
         plan.started_at = now
         hands = self._hand(plan)
--- a/src/savoryhold/core/claims.py
+++ b/src/savoryhold/core/claims.py
@@ -33,6 +33,7 @@
     keys: Iterable[ShardKey],
     directory: Directory,
     avoid: frozenset[NodeId],
+    salt: str = '',
 ) -> dict[ShardKey, NodeId]:
     """Assign each shard to the least loaded node that serves its service.
 
@@ -44,6 +45,9 @@
         Source of the nodes and of how many shards each owns.
     avoid : frozenset of NodeId
         Nodes not to choose.
+    salt : str
+        Orders equally loaded nodes; differs from claim to claim, so that
+        claims made at once do not all choose the same nodes.
 
     Returns
     -------
@@ -54,7 +58,7 @@
     chosen: dict[ShardKey, NodeId] = {}
     for key in sorted(keys):
         if key.service not in pools:
-            pools[key.service] = _places(key.service, directory, avoid)
+            pools[key.service] = _places(key.service, directory, avoid, salt)
         pool = pools[key.service]
         if not pool:
             continue
@@ -150,14 +154,16 @@
 
 
 def _places(
-    service: ServiceName, directory: Directory, avoid: frozenset[NodeId]
+    service: ServiceName,
+    directory: Directory,
+    avoid: frozenset[NodeId],
+    salt: str,
 ) -> list[_Place]:
+    nodes = [record.node for record in directory.offering(service)]
     pool = [
-        _Place(
-            directory.shard_count(record.node), rank(record.node), record.node
-        )
-        for record in directory.offering(service)
-        if record.node not in avoid
+        _Place(directory.shard_count(node), rank(node, salt), node)
+        for node in nodes
+        if node not in avoid
     ]
     heapq.heapify(pool)
     return pool
--- a/src/savoryhold/core/tests/test_decisions.py
+++ b/src/savoryhold/core/tests/test_decisions.py
@@ -1,5 +1,6 @@
 """Small decisions: retries, poison, balance, gossip, records, selection."""
 
+import collections
 import dataclasses
 import unittest
 
@@ -15,6 +16,7 @@
     choose_offer,
     join_share,
 )
+from savoryhold.core.claims import spread
 from savoryhold.core.classify import RouteClassifier
 from savoryhold.core.configuration import ServiceClass
 from savoryhold.core.gossip import NewsItem, NewsTable
@@ -28,6 +30,7 @@
     ShardKey,
     Version,
     Zone,
+    node_object,
 )
 from savoryhold.core.poison import PoisonGuard, Strike, fingerprint_of
 from savoryhold.core.records import (
@@ -40,6 +43,7 @@
 )
 from savoryhold.core.retry import RetryBudget, Tries, backoff_ms, may_retry
 from savoryhold.core.ring import choose_standby
+from savoryhold.core.routing import Directory
 from savoryhold.core.selection import LatencyTable, choose_of_two
 
 __all__ = [
@@ -49,6 +53,7 @@
     'TestRecords',
     'TestRetry',
     'TestSelection',
+    'TestSpread',
 ]
 
 SERVICE = ServiceName('booking')
@@ -203,6 +208,35 @@
         self.assertLessEqual(sum(asked.values()), total // len(counts))
 
 
+class TestSpread(unittest.TestCase):
+    """New owners of a lost node's shards."""
+
+    def test_claims_at_once_choose_different_nodes(self) -> None:
+        """A lost zone's claims all chose the nodes of lowest rank."""
+        directory = Directory()
+        for num in range(40):
+            record = NodeRecord(
+                dataclasses.replace(
+                    profile(f'n{num}', 'z'), services=frozenset({SERVICE})
+                )
+            )
+            name = node_object(record.node)
+            directory.observe(name, Version(num + 1), record, 0)
+        chosen = collections.Counter(
+            node
+            for claim in range(20)
+            for node in spread(
+                [shard(4 * claim + num) for num in range(4)],
+                directory,
+                frozenset(),
+                f'lost-{claim}',
+            ).values()
+        )
+        self.assertEqual(sum(chosen.values()), 80)
+        self.assertGreater(len(chosen), 25)
+        self.assertLess(max(chosen.values()), 10)
+
+
 class TestGossip(unittest.TestCase):
     """Digests and what they find."""
 
