--- a/src/savoryhold/core/admission.py
+++ b/src/savoryhold/core/admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import itertools
+import math
 from collections import OrderedDict, deque
 
 from savoryhold.core.configuration import AdmissionPolicy, ServiceClass
@@ -20,6 +21,8 @@
 SMOOTHING = 0.1
 NEWEST_WINDOW = 8
 KEYS_REMEMBERED = 4096
+SHORT_HEADROOM = 2.0
+BUSY_SMOOTHING = 0.02
 
 
 class Refusal(enum.Enum):
@@ -160,11 +163,12 @@
 
     Notes
     -----
-    Long requests hold at most a share of the slots, so that some stay for
-    short ones.  Keys take turns.  A queue that stands longer than
-    `STANDING_MS` is served newest first, as those callers are still there
-    (adaptive LIFO, B. Maurer, "Fail at Scale", ACM Queue 13(8), 2015); among
-    the `NEWEST_WINDOW` newest the key served least recently goes first.
+    Long requests hold at most a share of the slots, and beyond one slot only
+    what short ones leave free of `SHORT_HEADROOM` times their use.  Keys take
+    turns.  A queue that stands longer than `STANDING_MS` is served newest
+    first, as those callers are still there (adaptive LIFO, B. Maurer, "Fail
+    at Scale", ACM Queue 13(8), 2015); among the `NEWEST_WINDOW` newest the
+    key served least recently goes first.
     """
 
     def __init__(self, limits: AdmissionLimits) -> None:
@@ -175,6 +179,7 @@
         }
         self._running = {ServiceClass.SHORT: 0, ServiceClass.LONG: 0}
         self._mean_ms = {ServiceClass.SHORT: 0.0, ServiceClass.LONG: 0.0}
+        self._short_busy = 0.0
         self._open_slots = RAMP_START_SLOTS
         if limits.policy is AdmissionPolicy.FIFO:
             self._open_slots = limits.slots
@@ -220,6 +225,10 @@
     def offer(self, ticket: Ticket, now: int) -> list[Decision]:
         """Queue a ticket and return all decisions that follow."""
         queue = self._queues[ticket.service_class]
+        if ticket.service_class is ServiceClass.SHORT:
+            # Arrivals see the time average of the slots in use.
+            busy = self._running[ServiceClass.SHORT]
+            self._short_busy += BUSY_SMOOTHING * (busy - self._short_busy)
         if len(queue) >= self._limits.queue:
             return [Decision(ticket, Refusal.QUEUE_FULL)]
         if self._cannot_finish(ticket, now):
@@ -273,10 +282,9 @@
         if self._limits.policy is AdmissionPolicy.FIFO:
             return self._admit_fifo(now)
         decisions = []
-        long_slots = min(self._limits.long_slots, self._open_slots)
         ceilings = {
             ServiceClass.SHORT: self._open_slots,
-            ServiceClass.LONG: long_slots,
+            ServiceClass.LONG: self._long_ceiling(),
         }
         for kind, ceiling in ceilings.items():
             queue = self._queues[kind]
@@ -288,6 +296,12 @@
                     decisions.append(self._start(ticket))
         return decisions
 
+    def _long_ceiling(self) -> int:
+        """Return how many slots long requests may hold now."""
+        wanted = math.ceil(SHORT_HEADROOM * self._short_busy)
+        spare = max(self._open_slots - wanted, 1)
+        return min(self._limits.long_slots, self._open_slots, spare)
+
     def _admit_fifo(self, now: int) -> list[Decision]:
         decisions = []
         while self.waiting and self.running < self._limits.slots:
