Break the caller's connection when an answer breaks off; verdicts tested

Cause: an answer that broke off left a traceback in the log; a call that lost its lease while it connected left its connection open for good (found by the new test: the target's reader never ended); after a claim a host's name meant its old record. Change: the connector asks whether bytes may go out and keeps the connection; an incomplete response closes the caller's; live records come first.

--- a/src/savoryhold/daemon/main.py
+++ b/src/savoryhold/daemon/main.py
@@ -230,7 +230,7 @@
             app,  # type: ignore[arg-type]
             host=host,
             port=int(port),
-            log_level='error',
+            log_level='critical',
             access_log=False,
             proxy_headers=False,
             server_header=False,
--- a/src/savoryhold/daemon/service.py
+++ b/src/savoryhold/daemon/service.py
@@ -254,12 +254,15 @@
         return max(0, min(left, LEASE_MS))
 
     def _find(self, name: str) -> NodeId:
-        for entry in self._node.machine.directory.entries():
-            record = entry.record
-            if record is not None and name in {
-                record.node,
-                record.node.partition('.')[0],
-            }:
+        records = [
+            entry.record
+            for entry in self._node.machine.directory.entries()
+            if entry.record is not None
+        ]
+        # A host that was claimed has an old record beside its new one.
+        records.sort(key=lambda record: not record.is_live)
+        for record in records:
+            if name in {record.node, record.node.partition('.')[0]}:
                 return record.node
         raise BadRequestError(f'node {name!r} is not known')
 
--- a/src/savoryhold/daemon/tests/test_end_to_end.py
+++ b/src/savoryhold/daemon/tests/test_end_to_end.py
@@ -179,6 +179,16 @@
             )
             self.assertEqual((status, verdict, len(body)), (200, 'done', size))
 
+    async def test_half_an_answer_is_not_taken_for_the_whole(self) -> None:
+        """A target breaks off: the caller sees a broken connection."""
+        for host in self.fleet.hosts:
+            path = '/booking/patients/p6/archive?bytes=900000&cut=1'
+            with self.assertRaises(aiohttp.ClientError):
+                await self.send(host, 'GET', path)
+        path = '/booking/patients/p6/bookings?bytes=40000&cut=1'
+        found = await self.send(self.fleet.hosts[0], 'POST', path)
+        self.assertEqual(found[:2], (504, 'may-have-run'))
+
     async def test_two_operators_at_once(self) -> None:
         """Of two changes of one revision one wins; the other is told."""
         base = await read_current(self.platform, 'booking')
--- a/src/savoryhold/gateway/callers.py
+++ b/src/savoryhold/gateway/callers.py
@@ -124,7 +124,12 @@
             return
         self._metrics.requests.inc({'outcome': 'done'})
         self._metrics.latency.observe({}, self._clock.now() - started)
-        await _send_answer(send, request, answer)
+        try:
+            await _send_answer(send, request, answer)
+        except RequestError:
+            # The response stays incomplete, so that the server closes the
+            # connection: a part is never taken for the whole.
+            self._metrics.requests.inc({'outcome': 'broken-off'})
 
     async def _build(
         self,
--- /dev/null
+++ b/src/savoryhold/platform/tests/test_client.py
@@ -0,0 +1,95 @@
+"""Verdicts of calls to an object API that misbehaves."""
+
+import asyncio
+import unittest
+
+import aiohttp
+
+from savoryhold.core.errors import (
+    PlatformError,
+    VersionConflictError,
+    WriteUncertainError,
+)
+from savoryhold.core.ids import ObjectName, Version
+from savoryhold.platform import PlatformClient
+
+__all__ = ['TestPlatformClient']
+
+NAME = ObjectName('node/a')
+
+
+class TestPlatformClient(unittest.IsolatedAsyncioTestCase):
+    """A client, and a server that sends given bytes."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.reply = b''
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.session = aiohttp.ClientSession()
+        self.client = PlatformClient(f'http://127.0.0.1:{port}', self.session)
+
+    async def asyncTearDown(self) -> None:
+        """Close both ends."""
+        await self.session.close()
+        self.server.close()
+
+    async def test_writes_end_in_one_of_four_ways(self) -> None:
+        """A lost reply is not taken for a failure."""
+        cases: tuple[tuple[bytes, type[Exception]], ...] = (
+            (_answer(412), VersionConflictError),
+            (_answer(404), VersionConflictError),
+            (_answer(413), PlatformError),
+            (_answer(503), WriteUncertainError),
+            (_answer(200), WriteUncertainError),
+            (_answer(200, 'ETag: "soon"\r\n'), WriteUncertainError),
+            (b'', WriteUncertainError),
+            (b'garbage\r\n\r\n', WriteUncertainError),
+        )
+        for reply, expected in cases:
+            with self.subTest(reply=reply):
+                self.reply = reply
+                with self.assertRaises(PlatformError) as caught:
+                    await self.client.write(NAME, '{}', Version(1))
+                self.assertIs(type(caught.exception), expected)
+        self.reply = _answer(200, 'ETag: "7"\r\n')
+        self.assertEqual(await self.client.write(NAME, '{}', None), 7)
+
+    async def test_store_that_is_down_got_no_write(self) -> None:
+        """A refused connection is a certain failure."""
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(PlatformError) as caught:
+            await self.client.write(NAME, '{}', None)
+        self.assertIs(type(caught.exception), PlatformError)
+
+    async def test_garbage_is_refused(self) -> None:
+        """Each malformed snapshot is one clear error."""
+        bodies = (
+            'x',
+            '[]',
+            '{}',
+            '{"revision": "x", "objects": []}',
+            '{"revision": 1, "objects": [{"name": "a"}]}',
+            '{"revision": 1, "objects": 3}',
+        )
+        for body in bodies:
+            with self.subTest(body=body):
+                self.reply = _answer(200, body=body)
+                with self.assertRaises(PlatformError):
+                    await self.client.snapshot('')
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(65536)
+        writer.write(self.reply)
+        await writer.drain()
+        writer.close()
+
+
+def _answer(status: int, extra: str = '', body: str = '') -> bytes:
+    return (
+        f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -1,8 +1,9 @@
 """HTTP calls to the local target, with an honest verdict for each."""
 
 import asyncio
+import contextvars
+import dataclasses
 from collections.abc import AsyncIterator, Callable
-from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
@@ -41,6 +42,41 @@
 MaySend = Callable[[], bool]
 
 
+@dataclasses.dataclass(slots=True)
+class _Sending:
+    """A call on its way; `connected` is set right before its bytes go."""
+
+    may_send: MaySend
+    connected: bool = False
+
+
+_SENDING: contextvars.ContextVar[_Sending] = contextvars.ContextVar('sending')
+
+
+class _CheckingConnector(aiohttp.TCPConnector):
+    """Asks whether bytes may go out once the connection stands."""
+
+    async def connect(
+        self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout
+    ) -> Any:
+        """Return a connection that may be used now.
+
+        Raises
+        ------
+        NotOwnerError
+            If nothing may be sent any more; the connection is kept.
+        """
+        conn = await super().connect(req, traces, timeout)
+        sending = _SENDING.get(None)
+        if sending is None:
+            return conn
+        if not sending.may_send():
+            conn.release()
+            raise NotOwnerError('lease or shard was lost before sending')
+        sending.connected = True
+        return conn
+
+
 class TargetGoneError(NotOwnerError):
     """The target refused the connection: nothing was sent."""
 
@@ -57,12 +93,8 @@
     """
 
     def __init__(self, connections: int) -> None:
-        tracing = aiohttp.TraceConfig(_trace_context)  # type: ignore
-        tracing.on_connection_create_end.append(_before_bytes)
-        tracing.on_connection_reuseconn.append(_before_bytes)
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=connections),
-            trace_configs=[tracing],
+            connector=_CheckingConnector(limit=connections),
             auto_decompress=False,
         )
 
@@ -97,7 +129,8 @@
         UncertainError
             If the request went out and no whole answer came back.
         """
-        sent = SimpleNamespace(bytes=False, may_send=may_send)
+        sending = _Sending(may_send)
+        token = _SENDING.set(sending)
         headers = {name: text for name, text in req.headers}
         headers.update(extra)
         timeout = aiohttp.ClientTimeout(
@@ -111,13 +144,14 @@
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
-                trace_request_ctx=sent,
                 skip_auto_headers=('User-Agent', 'Content-Type'),
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            if sent.bytes:
+            if sending.connected:
                 raise UncertainError(f'target broke off: {exc!r}') from exc
             raise TargetGoneError(f'target {address}: {exc!r}') from exc
+        finally:
+            _SENDING.reset(token)
         return await _read_start(answer)
 
     async def cancel(self, address: str, request: str) -> None:
@@ -166,20 +200,6 @@
     return aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / MS_PER_SECOND)
 
 
-def _trace_context(trace_request_ctx: Any = None) -> Any:
-    return trace_request_ctx
-
-
-async def _before_bytes(
-    session: aiohttp.ClientSession, context: Any, details: Any
-) -> None:
-    if context is None:
-        return
-    if not context.may_send():
-        raise NotOwnerError('lease or shard was lost before sending')
-    context.bytes = True
-
-
 async def _read_start(answer: aiohttp.ClientResponse) -> RoutedAnswer:
     try:
         start = await answer.content.read(CHUNK_BYTES)
--- /dev/null
+++ b/src/savoryhold/target/tests/test_client.py
@@ -0,0 +1,128 @@
+"""Verdicts of calls to a target that misbehaves, on loopback sockets."""
+
+import asyncio
+import unittest
+
+from savoryhold.core.configuration import ServiceClass
+from savoryhold.core.errors import (
+    NotOwnerError,
+    OverloadError,
+    UncertainError,
+)
+from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
+from savoryhold.core.ids import Region, RequestId, ServiceName
+from savoryhold.core.poison import Fingerprint
+from savoryhold.target import TargetClient, TargetGoneError
+
+__all__ = ['TestTargetClient']
+
+OK = b'HTTP/1.1 200 OK\r\n'
+PIECE = b'x' * 100_000
+REQUEST = RoutedRequest(
+    RequestId('r1'),
+    ServiceName('booking'),
+    None,
+    'p1',
+    'POST',
+    '/patients/p%2F1/bookings?q=a%20b',
+    (('x-note', 'kept'),),
+    b'body',
+    0,
+    idempotent=False,
+    service_class=ServiceClass.SHORT,
+    fingerprint=Fingerprint(1),
+    region=Region('sofia'),
+)
+
+
+class TestTargetClient(unittest.IsolatedAsyncioTestCase):
+    """One client and a target that sends given bytes and closes."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.reply = b''
+        self.heard = b''
+        self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        self.client = TargetClient(4)
+
+    async def asyncTearDown(self) -> None:
+        """Close both ends."""
+        await self.client.close()
+        self.server.close()
+
+    async def call(self, *, may_send: bool = True) -> RoutedAnswer:
+        """Send the request."""
+        return await self.client.call(
+            self.address, REQUEST, {'X-Extra': '1'}, lambda: may_send
+        )
+
+    async def test_request_arrives_as_it_came(self) -> None:
+        """Path, headers and body are passed on unchanged."""
+        self.reply = OK + b'Content-Length: 2\r\n\r\nok'
+        answer = await self.call()
+        self.assertEqual((answer.status, answer.body), (200, b'ok'))
+        self.assertIn(b'POST /patients/p%2F1/bookings?q=a%20b ', self.heard)
+        self.assertIn(b'x-note: kept', self.heard)
+        self.assertTrue(self.heard.endswith(b'body'))
+
+    async def test_refused_connection_did_not_run(self) -> None:
+        """Nothing was sent."""
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(TargetGoneError):
+            await self.call()
+
+    async def test_lost_lease_sends_nothing(self) -> None:
+        """The lease is asked when the connection stands."""
+        with self.assertRaises(NotOwnerError):
+            await self.call(may_send=False)
+        self.assertEqual(self.heard, b'')
+        self.reply = OK + b'Content-Length: 2\r\n\r\nok'
+        self.assertEqual((await self.call()).body, b'ok')
+
+    async def test_answers_that_break_off_may_have_run(self) -> None:
+        """No answer, half a head and half a body are all uncertain."""
+        cases = (
+            b'',
+            b'HTTP/1.1 200',
+            OK + b'Content-Length: 50\r\n\r\nhalf',
+            OK + b'Transfer-Encoding: chunked\r\n\r\n5\r\nhel',
+            b'garbage that is not HTTP\r\n\r\n',
+        )
+        for reply in cases:
+            with self.subTest(reply=reply):
+                self.reply = reply
+                with self.assertRaises(UncertainError):
+                    await self.call()
+
+    async def test_long_answer_that_breaks_off(self) -> None:
+        """The rest of a streamed answer raises."""
+        self.reply = OK + b'Content-Length: 200000\r\n\r\n' + PIECE
+        answer = await self.call()
+        assert answer.rest is not None
+        with self.assertRaises(UncertainError):
+            await anext(answer.rest)
+            await anext(answer.rest)
+            await anext(answer.rest)
+
+    async def test_target_that_sheds_did_not_run_it(self) -> None:
+        """A target may say so itself."""
+        self.reply = (
+            b'HTTP/1.1 503 Busy\r\nX-Savoryhold-Verdict: not-run\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        with self.assertRaises(OverloadError):
+            await self.call()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.read(65536)
+        if head and not head.endswith(b'body'):
+            head += await reader.read(65536)
+        self.heard += head
+        writer.write(self.reply)
+        await writer.drain()
+        writer.close()
