Take test ports from below the range of outgoing connections

Cause: one of four parallel runs of the whole path found another process on a port that had been free a moment before. Change: ports from 10,000 to 30,000, in random order.

--- a/src/savoryhold/standins/fleet.py
+++ b/src/savoryhold/standins/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -25,7 +26,8 @@
 SECRET = 'loopback-demo-secret'
 READY_LIMIT_S = 20.0
 POLL_S = 0.05
-STOP_LIMIT_S = 10.0
+FIRST_PORT = 10_000
+LAST_PORT = 30_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -389,15 +391,28 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for unbound in sockets:
-            unbound.bind(('127.0.0.1', 0))
-        return [bound.getsockname()[1] for bound in sockets]
-    finally:
-        for spent in sockets:
-            spent.close()
+    """Return ports that were free a moment ago.
+
+    Notes
+    -----
+    They lie below the range that systems give to outgoing connections, one
+    of which could otherwise take a port before its daemon does.
+    """
+    candidates = list(range(FIRST_PORT, LAST_PORT))
+    random.SystemRandom().shuffle(candidates)
+    bound: list[socket.socket] = []
+    while len(bound) < count:
+        sock = socket.socket()
+        try:
+            sock.bind(('127.0.0.1', candidates.pop()))
+        except OSError:
+            sock.close()
+        else:
+            bound.append(sock)
+    ports = [sock.getsockname()[1] for sock in bound]
+    for spent in bound:
+        spent.close()
+    return ports
 
 
 async def _until(check: Any, complaint: str) -> None:
