Log refused peers once; remove what nothing uses

Cause: garbage or a wrong secret on the peer port left no trace in the log; reading as a newcomer found names that nothing called.

--- a/benchmarks/failures.py
+++ b/benchmarks/failures.py
@@ -22,6 +22,7 @@
 RATE = 200.0
 SHARDS = 60
 KILLS = 5
+UNSOUND = 'sound=no'
 MS_PER_SECOND = 1000
 STATUS_OK = 200
 REGIONS = (('sofia', 'a'), ('sofia', 'b'), ('plovdiv', 'a'), ('plovdiv', 'b'))
@@ -353,10 +354,14 @@
     parser.add_argument('names', nargs='*', choices=[[], *SCENARIOS])
     parser.add_argument('--kills', type=int, default=KILLS)
     options = parser.parse_args()
+    lines = []
     for name in options.names or SCENARIOS:
         for line in asyncio.run(run_one(name, options.kills)):
+            lines.append(line)
             sys.stdout.write(f'{name:20} {line}\n')
             sys.stdout.flush()
+    if any(line.endswith(UNSOUND) for line in lines):
+        sys.exit('a promise to callers was broken')
 
 
 async def _set_cut(bench: Bench, host: Host, regions: list[str]) -> None:
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -56,7 +56,8 @@
             f'done={self.done} not_run={self.not_run} '
             f'may_have_run={self.may_have_run} broken={self.broken} '
             f'doubled={self.doubled} lied={self.lied} lost={self.lost} '
-            f'slowest_ms={self.slowest_ms:.0f}'
+            f'slowest_ms={self.slowest_ms:.0f} '
+            f'sound={"yes" if self.is_sound else "no"}'
         )
 
 
@@ -168,10 +169,6 @@
         """Return the times of all whole answers, in ms."""
         return [one.took_ms for one in self.outcomes if one.verdict == 'done']
 
-    def longest_gap_ms(self) -> float:
-        """Return the longest time that any answer took, or none came."""
-        return max((one.took_ms for one in self.outcomes), default=0)
-
     def _count_runs(
         self, runs: collections.Counter[str], verdict: str, *, ran: bool
     ) -> int:
--- a/benchmarks/once.py
+++ b/benchmarks/once.py
@@ -22,7 +22,6 @@
 BATCH = 20
 RESENDS = 2
 POISON_SENDS = 20
-STATUS_POISONED = 503
 
 
 async def resend(load: Load, fleet: Fleet, number: int) -> None:
--- a/src/savoryhold/core/poison.py
+++ b/src/savoryhold/core/poison.py
@@ -70,10 +70,6 @@
             return False
         return now - suspect.last_at < QUARANTINE_MS
 
-    def is_suspect(self, fingerprint: Fingerprint) -> bool:
-        """Return whether a request has any strike."""
-        return fingerprint in self._suspects
-
     def _expire(self, now: int) -> None:
         if len(self._suspects) < MAX_FINGERPRINTS:
             return
--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -53,6 +53,8 @@
 INCARNATION_BYTES = 4
 TOMBSTONE_MS = 21_600_000
 PRUNE_EVERY_MS = 60_000
+REASON_EVERY_MS = 60_000
+REASONS_KEPT = 100
 
 
 class NodeTask:
@@ -98,17 +100,17 @@
             )
         )
         self.left = asyncio.Event()
-        self.changed = asyncio.Event()
         self.on_news: Callable[[NewsItem], None] = lambda news: None
         self.on_drain: Callable[[ShardKey], None] = lambda key: None
         self.on_rejoin: Callable[[OwnershipMachine], None] = lambda new: None
         self.backups = BackupTask(lambda: self.machine, pool, clock)
-        self.suspects: set[NodeId] = set()
         self.machine = self._new_machine(frozenset())
         self.log = get_log(node=self.machine.node)
         self._inbox: asyncio.Queue[events.Event] = asyncio.Queue()
         self._tasks: set[asyncio.Task[None]] = set()
         self._prune_at = 0
+        self._refused: dict[str, int] = {}
+        pool.on_malformed = self._log_refused
 
     @property
     def node(self) -> NodeId:
@@ -131,8 +133,6 @@
             found = self.machine.handle(event, self.clock.now())
             for action in found:
                 self._perform(action)
-            if not isinstance(event, events.Tick):
-                self._wake()
 
     async def tick(self) -> None:
         """Post a tick every `TICK_MS` until cancelled."""
@@ -144,14 +144,6 @@
                 self._prune(now)
             await asyncio.sleep(TICK_MS / MS_PER_SECOND)
 
-    async def wait_change(self, limit_ms: float) -> None:
-        """Wait until an event was handled, at most `limit_ms`."""
-        try:
-            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
-                await self.changed.wait()
-        except TimeoutError:
-            return
-
     def learn(self, item: NewsItem) -> bool:
         """Take in a version of an object; return whether it was news."""
         if not self.news.learn(item):
@@ -173,9 +165,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _wake(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
+    def _log_refused(self, reason: str) -> None:
+        """Log why a peer link was refused, once a minute for each reason."""
+        now = self.clock.now()
+        if now < self._refused.get(reason, 0):
+            return
+        if len(self._refused) >= REASONS_KEPT:
+            self._refused.clear()
+        self._refused[reason] = now + REASON_EVERY_MS
+        self.metrics.events.inc({'kind': 'peer-refused'})
+        self.log.warning('peer_refused', reason=reason)
 
     def _prune(self, now: int) -> None:
         before = now - TOMBSTONE_MS
--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -126,10 +126,6 @@
         """Return how many requests wait for a slot."""
         return self._slots.waiting
 
-    def active(self, key: ShardKey) -> int:
-        """Return how many requests of a shard are in progress."""
-        return self._active[key]
-
     async def handle(self, req: RoutedRequest) -> RoutedAnswer:
         """Run a request at the target, or answer it from the ledger.
 
--- a/src/savoryhold/daemon/tests/test_end_to_end.py
+++ b/src/savoryhold/daemon/tests/test_end_to_end.py
@@ -189,6 +189,23 @@
         found = await self.send(self.fleet.hosts[0], 'POST', path)
         self.assertEqual(found[:2], (504, 'may-have-run'))
 
+    async def test_garbage_on_the_peer_port_is_logged_once(self) -> None:
+        """Garbage ends its connection; the daemon goes on."""
+        host = self.fleet.hosts[0]
+        for _ in range(3):
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', host.peers
+            )
+            writer.write(b'\xff' * 64)
+            try:
+                await reader.read()
+            except ConnectionResetError:
+                pass
+            writer.close()
+        self.assertEqual(host.log.read_text().count('event=peer_refused'), 1)
+        found = await self.send(host, 'GET', '/booking/patients/p1/slots')
+        self.assertEqual(found[:2], (200, 'done'))
+
     async def test_two_operators_at_once(self) -> None:
         """Of two changes of one revision one wins; the other is told."""
         base = await read_current(self.platform, 'booking')
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -121,6 +121,7 @@
         )
         self.last_received = 0.0
         self.bytes_sent = 0
+        self.on_malformed: Callable[[str], None] = lambda reason: None
         self._node = node
         self._secret = secret
         self._handler = handler
@@ -158,6 +159,7 @@
             for frame in self._reader.feed(received):
                 self._on_frame(frame)
         except MalformedMessageError as exc:
+            self.on_malformed(str(exc))
             self.abort(exc)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -1,6 +1,7 @@
 """Links to other daemons, dialled on demand and probed when silent."""
 
 import asyncio
+from collections.abc import Callable
 
 from savoryhold.core.errors import LinkError
 from savoryhold.peer import messages
@@ -36,6 +37,7 @@
         self.node = node
         self.replaced = 0
         self.blocked: set[str] = set()
+        self.on_malformed: Callable[[str], None] = lambda reason: None
         self._secret = secret
         self._handler = handler
         self._links: dict[str, Link] = {}
@@ -82,7 +84,7 @@
 
     def accept(self) -> Link:
         """Return the protocol for a connection that a peer opened."""
-        return Link(self.node, self._secret, self._handler, dialled=False)
+        return self._new_link(dialled=False)
 
     async def watch_silence(self) -> None:
         """Replace links on which calls wait and nothing arrives."""
@@ -125,9 +127,7 @@
         try:
             async with asyncio.timeout(DIAL_LIMIT_MS / MS_PER_SECOND):
                 _, link = await loop.create_connection(
-                    lambda: Link(
-                        self.node, self._secret, self._handler, dialled=True
-                    ),
+                    lambda: self._new_link(dialled=True),
                     host,
                     int(port),
                 )
@@ -137,6 +137,11 @@
         link.last_received = loop.time()
         return link
 
+    def _new_link(self, *, dialled: bool) -> Link:
+        link = Link(self.node, self._secret, self._handler, dialled=dialled)
+        link.on_malformed = self.on_malformed
+        return link
+
     async def _probe(self, address: str, link: Link) -> None:
         try:
             fresh = await self._dial(address)
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -111,7 +111,11 @@
             asyncio.create_task(self._pump(reader, far_writer, state)),
             asyncio.create_task(self._pump(far_reader, writer, state)),
         )
-        await asyncio.wait(pumps)
+        try:
+            await asyncio.wait(pumps)
+        except asyncio.CancelledError:
+            # The test is over; its open connections end with it.
+            return
 
     async def _pump(
         self,
@@ -154,10 +158,16 @@
 
     async def test_wrong_secret_is_refused(self) -> None:
         """A peer without the secret gets no link."""
+        refused: list[str] = []
+        self.server.on_malformed = refused.append
         client = PeerPool('client', b'another secret', answer)
         with self.assertRaises(LinkError) as caught:
             await client.call(self.address, messages.Probe(), LIMIT_MS)
         self.assertFalse(caught.exception.sent)
+        self.assertEqual(
+            refused,
+            ["greeting of 'client' does not prove the shared secret"],
+        )
 
     async def test_garbage_closes_the_connection(self) -> None:
         """Garbage on the peer port ends that connection only."""
--- a/src/savoryhold/standins/fleet.py
+++ b/src/savoryhold/standins/fleet.py
@@ -88,11 +88,6 @@
         """Return the base URL for operators."""
         return f'http://127.0.0.1:{self.admin}'
 
-    @property
-    def target_url(self) -> str:
-        """Return the base URL of the target."""
-        return f'http://127.0.0.1:{self.target_port}'
-
     def write_settings(
         self, platform: str, seeds: list[str], limits: dict[str, int]
     ) -> None:
--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -164,20 +164,6 @@
             # Cancellation is only a hint; the request's verdict stands.
             return
 
-    async def grant(
-        self, address: str, shard: str, fence: int, valid_ms: int
-    ) -> bool:
-        """Tell a target that checks fences of a grant."""
-        url = f'http://{address}/.savoryhold/grants/{shard}'
-        fields = {'fence': fence, 'valid_ms': valid_ms}
-        try:
-            async with self._session.put(
-                url, json=fields, timeout=_probe_timeout()
-            ) as answer:
-                return answer.ok
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
-
     async def refuses(self, address: str) -> bool:
         """Return whether the target refuses new connections."""
         host, _, port = address.rpartition(':')
