Have the platform's session send each write once

Change: the session sends once; the fake server says Connection: close; a test counts what arrives, and so does its twin for targets, which hung (and did not fail) when the change was taken out. Figures: with the library's resending on, both tests count 3 writes for 2; without, 2. Conclusion: kept; no assertion was changed.

--- a/src/savoryhold/platform/client.py
+++ b/src/savoryhold/platform/client.py
@@ -13,6 +13,7 @@
     WriteUncertainError,
 )
 from savoryhold.core.ids import ObjectName, Version
+from savoryhold.http import send_once
 
 __all__ = ['ObjectVersion', 'PlatformClient', 'Snapshot']
 
@@ -62,7 +63,7 @@
     def __init__(self, url: str, session: aiohttp.ClientSession) -> None:
         self.calls: Counter[str] = Counter()
         self._url = url.rstrip('/')
-        self._session = session
+        self._session = send_once(session)
 
     async def read(self, name: ObjectName) -> ObjectVersion:
         """Return an object's present version.
--- a/src/savoryhold/platform/tests/test_client.py
+++ b/src/savoryhold/platform/tests/test_client.py
@@ -24,6 +24,8 @@
     async def asyncSetUp(self) -> None:
         """Listen on a free port."""
         self.reply = b''
+        self.heard = b''
+        self.keep = 0
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = self.server.sockets[0].getsockname()[1]
         self.session = aiohttp.ClientSession()
@@ -55,6 +57,16 @@
         self.reply = _answer(200, 'ETag: "7"\r\n')
         self.assertEqual(await self.client.write(NAME, '{}', None), 7)
 
+    async def test_creation_is_not_sent_again_by_the_library(self) -> None:
+        """A second creation may land after the first one was deleted."""
+        self.keep = 1
+        self.reply = _answer(200, 'ETag: "7"\r\n').replace(b'close', b'x')
+        await self.client.write(NAME, '{}', None)
+        self.reply = b''
+        with self.assertRaises(WriteUncertainError):
+            await self.client.write(NAME, '{}', None)
+        self.assertEqual(self.heard.count(b'PUT '), 2)
+
     async def test_store_that_is_down_got_no_write(self) -> None:
         """A refused connection is a certain failure."""
         self.server.close()
@@ -82,14 +94,19 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.read(65536)
-        writer.write(self.reply)
-        await writer.drain()
+        # Only the first connection is kept, so that a request which is sent
+        # again elsewhere is counted and ends.
+        keep, self.keep = self.keep, 0
+        for _ in range(keep + 1):
+            self.heard += await reader.read(65536)
+            writer.write(self.reply)
+            await writer.drain()
         writer.close()
 
 
 def _answer(status: int, extra: str = '', body: str = '') -> bytes:
     return (
         f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n{extra}'
+        'Connection: close\r\n'
         f'Content-Length: {len(body)}\r\n\r\n{body}'
     ).encode()
--- a/src/savoryhold/target/tests/test_client.py
+++ b/src/savoryhold/target/tests/test_client.py
@@ -132,7 +132,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        for _ in range(self.keep + 1):
+        # Only the first connection is kept, so that a request which is sent
+        # again elsewhere is counted and ends.
+        keep, self.keep = self.keep, 0
+        for _ in range(keep + 1):
             head = await reader.read(65536)
             if head and not head.endswith(b'body'):
                 head += await reader.read(65536)
