--- a/src/savoryhold/core/exchange.py
+++ b/src/savoryhold/core/exchange.py
@@ -17,7 +17,7 @@
     """A caller's request with all that its rules say of it.
 
     ``deadline`` is in ms of the local clock; ``shard`` is None for a
-    service without keys; ``repeated`` tells that the owner may know the id.
+    service without keys.
     """
 
     request: RequestId
@@ -33,7 +33,6 @@
     service_class: ServiceClass
     fingerprint: Fingerprint
     region: Region
-    repeated: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/savoryhold/core/holder.py
+++ b/src/savoryhold/core/holder.py
@@ -33,7 +33,12 @@
     WriteId,
     node_object,
 )
-from savoryhold.core.lease import HEARTBEAT_MS, LEASE_MS, HolderLease
+from savoryhold.core.lease import (
+    HEARTBEAT_MS,
+    LEASE_MS,
+    HolderLease,
+    PendingWrite,
+)
 from savoryhold.core.moves import Move, MoveState, MoveTable
 from savoryhold.core.records import Grant, NodeRecord, NodeState, Profile
 from savoryhold.core.ring import choose_standby
@@ -143,8 +148,8 @@
 
     def on_write(self, event: WriteEnded, now: int) -> list[Action]:
         """Take in how a write of the own record ended."""
-        pending = self.lease.pending
-        if pending is None or pending.number != event.number:
+        pending = self.pending_of(event)
+        if pending is None:
             return []
         pending.in_flight = False
         pending.retry_at = now + RETRY_MS
@@ -156,6 +161,13 @@
         }
         return handlers[event.outcome](event, now)
 
+    def pending_of(self, event: WriteEnded) -> PendingWrite | None:
+        """Return the pending write whose last try an outcome belongs to."""
+        pending = self.lease.pending
+        if pending is None or pending.number != event.number:
+            return None
+        return pending
+
     def on_move(self, event: MoveAsked, now: int) -> list[Action]:
         """Begin a planned move if the shard is listed and at rest."""
         record = self._directory.record_of(event.target)
@@ -298,11 +310,9 @@
         return choice is not None and choice != record.standby
 
     def _begin_write(self, now: int) -> None:
-        self.lease.begin(self._compose(now), now)
+        pending = self.lease.begin(self._compose(now), now)
         self._dirty_at = None
-        record = self.lease.pending.record if self.lease.pending else None
-        given = record.outgoing if record else {}
-        leaving = set(self.held).intersection(given)
+        leaving = set(self.held).intersection(pending.record.outgoing)
         for held in sorted(leaving):
             self._giving[held] = self.held.pop(held)
             self.moves.remove(held)
--- a/src/savoryhold/core/ownership.py
+++ b/src/savoryhold/core/ownership.py
@@ -229,8 +229,8 @@
         if event.outcome is not WriteOutcome.DONE:
             return None
         if event.name == self.holder.name:
-            pending = self.holder.lease.pending
-            if pending is None or pending.number != event.number:
+            pending = self.holder.pending_of(event)
+            if pending is None:
                 return None
             record = None if self.holder.is_deleting else pending.record
         else:
--- a/src/savoryhold/core/tests/world.py
+++ b/src/savoryhold/core/tests/world.py
@@ -106,7 +106,6 @@
         self.replies: list[Reply] = []
         self.nodes: list[Node] = []
         self.epochs: dict[ShardKey, Epoch] = {}
-        self.claims = 0
         self._incarnations = 0
         for place in range(PLACES):
             self.nodes.append(self._new_node(place))
@@ -425,8 +424,6 @@
         outcome = events.WriteOutcome.CONFLICT
         if version is not None:
             outcome = events.WriteOutcome.DONE
-            is_other = write.name != f'node/{machine.node}'
-            self.claims += is_other
         self.replies.append((machine, ended(outcome, version or Version(0))))
 
     def _heartbeat(
--- a/src/savoryhold/daemon/balancer.py
+++ b/src/savoryhold/daemon/balancer.py
@@ -66,7 +66,6 @@
         loads: LoadTable,
         clock: Clock,
     ) -> None:
-        self.offers = 0
         self._node = node
         self._owner = owner
         self._loads = loads
@@ -203,7 +202,6 @@
             if offer is None or not await self._still_holds(view, offer):
                 continue
             if await self._store_is_quick():
-                self.offers += 1
                 self._moved_at = now
                 self._node.log.info(
                     'shard_offered',
--- a/src/savoryhold/daemon/convert.py
+++ b/src/savoryhold/daemon/convert.py
@@ -66,7 +66,6 @@
         idempotent=req.idempotent,
         service_class=req.service_class.value,
         fingerprint=req.fingerprint,
-        repeated=req.repeated,
         region=req.region,
     )
 
@@ -91,7 +90,6 @@
         ServiceClass(message.service_class),
         Fingerprint(message.fingerprint),
         Region(message.region),
-        message.repeated,
     )
 
 
--- a/src/savoryhold/daemon/metrics.py
+++ b/src/savoryhold/daemon/metrics.py
@@ -24,9 +24,6 @@
             buckets=list(LATENCY_BUCKETS_MS),
             registry=self._registry,
         )
-        self.runs = self._counter(
-            'savoryhold_target_runs_total', 'Requests sent to the target.'
-        )
         self.moves = self._counter(
             'savoryhold_shard_changes_total', 'Shards taken and given.'
         )
--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -1,7 +1,6 @@
 """The ingress side: finds the owner of a request and asks it."""
 
 import asyncio
-import dataclasses
 import random
 from collections import Counter
 from collections.abc import AsyncIterator
@@ -76,7 +75,6 @@
             except RequestError as exc:
                 tries.failed(exc)
                 await self._before_retry(req, tries)
-                req = dataclasses.replace(req, repeated=True)
             else:
                 self.budget.succeeded()
                 return answer
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -23,8 +23,7 @@
   10: bool idempotent,
   11: string service_class,
   12: i64 fingerprint,
-  13: bool repeated,
-  14: string region,
+  13: string region,
 }
 
 struct Answer {
