--- a/src/savoryhold/core/holder.py
+++ b/src/savoryhold/core/holder.py
@@ -169,15 +169,9 @@
         return pending
 
     def on_move(self, event: MoveAsked, now: int) -> list[Action]:
-        """Begin a planned move if the shard is listed and at rest."""
-        record = self._directory.record_of(event.target)
-        allowed = (
-            self.may_admit(event.key, now)
-            and event.target != self.profile.node
-            and record is not None
-            and record.state is NodeState.ACTIVE
-        )
-        if not allowed:
+        """Begin a planned move if the shard is listed and served here."""
+        served = self.may_admit(event.key, now) and self.is_listed(event.key)
+        if not served or not self._may_receive(event.target):
             return []
         self.moves.start(event.key, event.target, now)
         return [DrainShard(event.key)]
@@ -253,6 +247,14 @@
         if self._dirty_at is None:
             self._dirty_at = now
 
+    def _may_receive(self, target: NodeId) -> bool:
+        record = self._directory.record_of(target)
+        return (
+            target != self.profile.node
+            and record is not None
+            and record.state is NodeState.ACTIVE
+        )
+
     def _hold(self, key: ShardKey, epoch: Epoch) -> None:
         self.held[key] = epoch
         self._highest[key] = epoch
--- a/src/savoryhold/core/tests/test_holder.py
+++ b/src/savoryhold/core/tests/test_holder.py
@@ -142,6 +142,19 @@
         absent = events.RecordSeen(write.name, Version(9), None)
         self.assertIn(actions.Rejoin(), machine.handle(absent, 2100))
 
+    def test_shard_moves_only_once_it_is_listed(self) -> None:
+        """A move begun earlier was never written, and admitted nothing."""
+        granted = NodeRecord(
+            profile(OTHER), outgoing={KEY: Grant(Epoch(3), ME)}
+        )
+        self.see(node_object(OTHER), 5, granted, 30)
+        self.machine.handle(events.MoveAsked(KEY, OTHER), 40)
+        self.assertTrue(self.machine.may_admit(KEY, 41))
+        write = first_write(self.machine.handle(events.Tick(), 100))
+        self.done(write, 6, 110)
+        found = self.machine.handle(events.MoveAsked(KEY, OTHER), 120)
+        self.assertEqual(found, [actions.DrainShard(KEY)])
+
     def test_claimed_node_serves_nothing(self) -> None:
         """A node that sees its record claimed stops at once."""
         granted = NodeRecord(
--- a/src/savoryhold/daemon/main.py
+++ b/src/savoryhold/daemon/main.py
@@ -21,6 +21,7 @@
 from savoryhold.core.poison import Strike
 from savoryhold.daemon.balancer import BalancerTask
 from savoryhold.daemon.gossiper import GossipTask
+from savoryhold.daemon.listeners import open_listeners
 from savoryhold.daemon.loads import LoadTable
 from savoryhold.daemon.logs import set_up_logs
 from savoryhold.daemon.metrics import Metrics
@@ -39,6 +40,7 @@
 __all__ = ['Daemon', 'main']
 
 EXIT_OK = 0
+EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 TICK_MS = 50
 MS_PER_SECOND = 1000
@@ -112,21 +114,32 @@
             Region(settings.node.region),
             self.metrics,
         )
+        self._failed = False
         self._connect()
 
-    async def run(self) -> None:
-        """Run until told to leave, then hand over and end."""
+    async def run(self) -> int:
+        """Run until told to leave, then hand over and end.
+
+        Returns
+        -------
+        int
+            Exit status; not 0 if a task failed.
+
+        Raises
+        ------
+        ConfigurationError
+            If an address to listen on is not free.
+        """
         loop = asyncio.get_running_loop()
+        listeners = open_listeners(self.settings.listen)
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self.service.leave_asked.set)
-        host, _, port = self.settings.listen.peers.rpartition(':')
         peer_server = await loop.create_server(
-            self.pool.accept, host, int(port), backlog=BACKLOG
+            self.pool.accept, sock=listeners.peers, backlog=BACKLOG
         )
-        callers = self._http(self.gateway, self.settings.listen.callers)
+        callers = self._http(self.gateway)
         admin = self._http(
-            admin_app(self.service, self.metrics, self.settings.admin_token),
-            self.settings.listen.admin,
+            admin_app(self.service, self.metrics, self.settings.admin_token)
         )
         self.node.log.info('started', version=__version__)
         background = [
@@ -142,8 +155,8 @@
                 self.pool.watch_silence(),
                 self._owner_ticks(),
                 self._seed(),
-                callers.serve(),
-                admin.serve(),
+                callers.serve([listeners.callers]),
+                admin.serve([listeners.admin]),
             )
         ]
         for task in background:
@@ -157,6 +170,7 @@
         peer_server.close()
         self.pool.close()
         await self.owner.close()
+        return EXIT_FAILED if self._failed else EXIT_OK
 
     def _connect(self) -> None:
         self.node.on_drain = self.owner.drain
@@ -184,6 +198,7 @@
     def _on_background_end(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or task.exception() is None:
             return
+        self._failed = True
         self.node.log.error('task_failed', error=repr(task.exception()))
         self.service.leave_asked.set()
 
@@ -224,12 +239,9 @@
         if not await self.owner.wait_idle(limit_ms):
             self.node.log.warning('work_cut', running=self.owner.running)
 
-    def _http(self, app: object, address: str) -> _Server:
-        host, _, port = address.rpartition(':')
+    def _http(self, app: object) -> _Server:
         cfg = uvicorn.Config(
             app,  # type: ignore[arg-type]
-            host=host,
-            port=int(port),
             log_level='critical',
             access_log=False,
             proxy_headers=False,
@@ -257,17 +269,21 @@
         sys.stdout.write(f'{options.settings}: settings are valid\n')
         sys.exit(EXIT_OK)
     set_up_logs(getattr(logging, options.log_level.upper()))
-    _run(settings)
+    sys.exit(_run(settings))
 
 
-def _run(settings: Settings) -> None:
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_serve(settings))
+def _run(settings: Settings) -> int:
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            return runner.run(_serve(settings))
+    except ConfigurationError as exc:
+        sys.stderr.write(f'{exc}\n')
+        return EXIT_SETTINGS
 
 
-async def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings) -> int:
     async with aiohttp.ClientSession() as session:
-        await Daemon(settings, session).run()
+        return await Daemon(settings, session).run()
 
 
 def _parser() -> argparse.ArgumentParser:
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -254,6 +254,9 @@
         if served is not None:
             served.deliver(message)
             return
+        if isinstance(message, messages.Credit):
+            # Credit for an answer whose last chunk is already sent.
+            return
         served = LinkStream(self, correlation, ours=False)
         self._served[correlation] = served
         served.task = asyncio.create_task(self._serve(served, message))
