--- a/benchmarks/queueing.py
+++ b/benchmarks/queueing.py
@@ -15,7 +15,7 @@
 
 from savoryhold import declare
 from savoryhold.cli.apply import apply_service, read_current
-from savoryhold.platform import PlatformClient
+from savoryhold.store import PlatformClient
 from savoryhold.standins.fleet import Fleet, HostPlan
 
 __all__ = ['main']
--- a/src/savoryhold/cli/apply.py
+++ b/src/savoryhold/cli/apply.py
@@ -19,7 +19,7 @@
     WriteUncertainError,
 )
 from savoryhold.core.ids import ServiceName, Version, config_object
-from savoryhold.platform import PlatformClient
+from savoryhold.store import PlatformClient
 
 __all__ = [
     'AppliedService',
--- a/src/savoryhold/cli/commands.py
+++ b/src/savoryhold/cli/commands.py
@@ -18,7 +18,7 @@
 from savoryhold.core.errors import ConfigurationError
 from savoryhold.core.ids import CONFIG_PREFIX
 from savoryhold.declare import Service, from_toml, to_toml
-from savoryhold.platform import PlatformClient
+from savoryhold.store import PlatformClient
 
 __all__ = [
     'run_apply',
--- a/src/savoryhold/core/clock.py
+++ b/src/savoryhold/core/clock.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-__all__ = ['Clock', 'ManualClock', 'MonotonicClock']
+__all__ = ['BootClock', 'Clock', 'ManualClock', 'MonotonicClock']
 
 NANOSECONDS_PER_MS = 1_000_000
 
@@ -23,6 +23,14 @@
         return time.monotonic_ns() // NANOSECONDS_PER_MS
 
 
+class BootClock:
+    """The host's clock since its start, which counts suspended time, too."""
+
+    def now(self) -> int:
+        """Return the host's time since its start in milliseconds."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NANOSECONDS_PER_MS
+
+
 class ManualClock:
     """A clock that moves only when told to, for tests.
 
--- a/src/savoryhold/daemon/main.py
+++ b/src/savoryhold/daemon/main.py
@@ -33,7 +33,7 @@
 from savoryhold.daemon.watcher import WatcherTask
 from savoryhold.gateway import CallerGateway, admin_app
 from savoryhold.peer import LinkStream, PeerPool, messages
-from savoryhold.platform import PlatformClient
+from savoryhold.store import PlatformClient
 from savoryhold.settings import Settings, load_settings
 from savoryhold.target import TargetTracker
 
--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -40,7 +40,7 @@
 from savoryhold.daemon.logs import get_log
 from savoryhold.daemon.metrics import Metrics
 from savoryhold.peer import PeerPool, messages
-from savoryhold.platform import ObjectVersion, PlatformClient, Snapshot
+from savoryhold.store import ObjectVersion, PlatformClient, Snapshot
 from savoryhold.settings import Settings
 
 __all__ = ['NodeTask']
--- a/src/savoryhold/daemon/tests/test_end_to_end.py
+++ b/src/savoryhold/daemon/tests/test_end_to_end.py
@@ -16,7 +16,7 @@
     apply_service,
     read_current,
 )
-from savoryhold.platform import PlatformClient
+from savoryhold.store import PlatformClient
 from savoryhold.standins.fleet import (
     Fleet,
     Host,
--- /dev/null
+++ b/src/savoryhold/mesh/__init__.py
@@ -0,0 +1,27 @@
+"""The mesh: one node beside each target, on an operators' platform."""
+
+from savoryhold.mesh.interface import (
+    Adapter,
+    Listing,
+    MeshStore,
+    Stored,
+    TargetLeave,
+    TargetReport,
+)
+from savoryhold.mesh.settings import (
+    MeshSettings,
+    load_mesh_settings,
+    parse_mesh_settings,
+)
+
+__all__ = [
+    'Adapter',
+    'Listing',
+    'MeshSettings',
+    'MeshStore',
+    'Stored',
+    'TargetLeave',
+    'TargetReport',
+    'load_mesh_settings',
+    'parse_mesh_settings',
+]
--- /dev/null
+++ b/src/savoryhold/mesh/codec.py
@@ -0,0 +1,183 @@
+"""Typed values to messages between nodes, and back."""
+
+import json
+from typing import Any
+
+from savoryhold.core.errors import (
+    MalformedMessageError,
+    OverloadError,
+    RequestError,
+    UncertainError,
+)
+from savoryhold.core.ids import NodeId, Region, RequestId, ServiceName, Version, Zone
+from savoryhold.core.poison import fingerprint_of
+from savoryhold.core.verdict import Verdict
+from savoryhold.mesh.members import NodeStatus
+from savoryhold.mesh.requests import (
+    MovedError,
+    RelayedAnswer,
+    RelayedRequest,
+)
+from savoryhold.peer import messages
+from savoryhold.ranges import Confirmation, RangeTable
+
+__all__ = [
+    'answer_of',
+    'error_message',
+    'relay_message',
+    'request_of',
+    'status_of',
+    'table_news',
+    'table_of_news',
+    'word_message',
+]
+
+
+def status_of(message: messages.Message) -> NodeStatus:
+    """Return the status that a message holds."""
+    return NodeStatus(
+        NodeId(message.node),
+        message.address,
+        ServiceName(message.service_name),
+        Zone(message.zone),
+        Region(message.region),
+        message.slots or 0,
+        message.wait_ms or 0.0,
+        message.demand or 0.0,
+        message.keys or 0,
+        bool(message.ready),
+        bool(message.leaving),
+        frozenset(NodeId(name) for name in message.silent or ()),
+    )
+
+
+def table_news(table: RangeTable) -> messages.Message:
+    """Return the message that brings a table."""
+    return messages.TableNews(
+        service_name=table.service,
+        version=table.version,
+        rows=json.dumps(table.to_fields(), separators=(',', ':')).encode(),
+    )
+
+
+def table_of_news(message: messages.Message) -> RangeTable | None:
+    """Return the table that a message holds, None if there is none."""
+    if not isinstance(message, messages.TableNews) or not message.rows:
+        return None
+    try:
+        fields = json.loads(message.rows)
+        return RangeTable.from_fields(
+            ServiceName(message.service_name), Version(message.version), fields
+        )
+    except (ValueError, MalformedMessageError):
+        # The store holds the table, too; this copy is only faster.
+        return None
+
+
+def relay_message(req: RelayedRequest, now: int) -> messages.Message:
+    """Return the message that carries a request."""
+    return messages.Relay(
+        request_id=req.request,
+        service_name=req.service,
+        key=req.key,
+        route=req.route,
+        method=req.method,
+        path=req.path,
+        head=req.head,
+        body=req.body,
+        left_ms=req.deadline - now,
+        aim_ms=req.aim_at - now,
+        priority=req.priority,
+        repeatable=req.repeatable,
+    )
+
+
+def request_of(message: messages.Message, now: int) -> RelayedRequest:
+    """Return the request that a message carries."""
+    return RelayedRequest(
+        RequestId(message.request_id),
+        ServiceName(message.service_name),
+        message.key,
+        message.route,
+        _raw(message.method),
+        _raw(message.path),
+        _raw(message.head),
+        _raw(message.body),
+        now + message.left_ms,
+        now + message.aim_ms,
+        message.priority,
+        bool(message.repeatable),
+        fingerprint_of(
+            message.service_name,
+            _raw(message.method).decode('latin-1'),
+            _raw(message.path).decode('latin-1'),
+            _raw(message.body),
+        ),
+    )
+
+
+def answer_of(message: messages.Message) -> RelayedAnswer:
+    """Return the answer that a message carries.
+
+    Raises
+    ------
+    RequestError
+        If it carries an error.
+    """
+    if not isinstance(message, messages.RelayAnswer):
+        raise UncertainError(f'unexpected {type(message).__name__}')
+    if message.failed:
+        raise _error_of(message)
+    return RelayedAnswer(
+        message.status, _raw(message.head), _raw(message.body)
+    )
+
+
+def error_message(exc: RequestError) -> messages.Message:
+    """Return the message that carries an error with its verdict."""
+    return messages.RelayAnswer(
+        status=exc.status,
+        failed=True,
+        verdict=exc.verdict.value,
+        code=exc.code,
+        text=str(exc),
+        retry_after_ms=exc.retry_after_ms,
+        owner=exc.owner if isinstance(exc, MovedError) else '',
+    )
+
+
+def word_message(word: Confirmation | None) -> messages.Message:
+    """Return the message that carries a former owner's word."""
+    if word is None:
+        return messages.Word(known=False)
+    return messages.Word(
+        known=True,
+        releases=[
+            messages.ReleaseRow(
+                first=release.span.first,
+                last=release.span.last,
+                token=release.token,
+            )
+            for release in word.releases
+        ],
+    )
+
+
+def _error_of(message: messages.Message) -> RequestError:
+    exc: RequestError
+    if message.owner:
+        return MovedError(message.text, NodeId(message.owner))
+    if message.verdict == Verdict.NOT_RUN.value:
+        exc = OverloadError(message.text, message.retry_after_ms or 0)
+    else:
+        exc = UncertainError(message.text)
+    exc.status = message.status
+    exc.code = message.code
+    return exc
+
+
+def _raw(field: Any) -> bytes:
+    # An empty binary field comes back as text or None.
+    if isinstance(field, bytes):
+        return field
+    return (field or '').encode('latin-1')
--- /dev/null
+++ b/src/savoryhold/mesh/config.py
@@ -0,0 +1,149 @@
+"""The operators' configuration: watched, and taken from other nodes."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from typing import Any
+
+from savoryhold.core.clock import Clock
+from savoryhold.core.errors import (
+    ConfigurationError,
+    LinkError,
+    PlatformError,
+)
+from savoryhold.core.ids import ServiceName
+from savoryhold.daemon.logs import Log
+from savoryhold.mesh.interface import Adapter
+from savoryhold.peer import PeerPool, messages
+from savoryhold.traffic import CallerLimits, RouteTable
+
+__all__ = ['ConfigTask']
+
+MS_PER_SECOND = 1000
+WATCH_MS = 20_000
+RETRY_MS = 400
+PULL_LIMIT_MS = 500
+DEFAULT_LIMITS = CallerLimits()
+
+
+class ConfigTask:
+    """Owns the configuration in force; it never goes back.
+
+    Parameters
+    ----------
+    adapter : Adapter
+        Reads what the platform stores.
+    pool : PeerPool
+        Links to the other nodes.
+    clock : Clock
+        Source of time.
+    log : Log
+        Where decisions go.
+    """
+
+    def __init__(
+        self, adapter: Adapter, pool: PeerPool, clock: Clock, log: Log
+    ) -> None:
+        self.routes: RouteTable | None = None
+        self.version = 0
+        self.on_change: Callable[[], None] = lambda: None
+        self._adapter = adapter
+        self._pool = pool
+        self._clock = clock
+        self._log = log
+        self._spec: Any = None
+        self._connected = True
+
+    def keyed(self) -> set[ServiceName]:
+        """Return the services that have keys."""
+        if self.routes is None:
+            return set()
+        return {
+            info.name for info in self.routes.services.values() if info.keyed
+        }
+
+    def limits(self) -> CallerLimits:
+        """Return what callers may send."""
+        return DEFAULT_LIMITS if self.routes is None else self.routes.cfg.limits
+
+    async def run(self) -> None:
+        """Read and watch the stored configuration until cancelled."""
+        at: int | None = None
+        while True:
+            try:
+                at = await self._follow(at)
+            except PlatformError as exc:
+                at = None
+                self._note_lost(str(exc))
+                pause = RETRY_MS * (0.5 + random.random())
+                await asyncio.sleep(pause / MS_PER_SECOND)
+            else:
+                self._note_back()
+
+    def accept(self, spec: Any, source: str) -> bool:
+        """Put a configuration in force if it is newer and readable."""
+        try:
+            cfg = self._adapter.decode_config(spec)
+        except ConfigurationError as exc:
+            self._log.error('config_refused', source=source, error=str(exc))
+            return False
+        if cfg.version <= self.version:
+            return False
+        self._log.info(
+            'config_in_force',
+            version=cfg.version,
+            before=self.version,
+            routes=len(cfg.routes),
+            source=source,
+        )
+        self.routes = RouteTable(cfg)
+        self.version = cfg.version
+        self._spec = spec
+        self.on_change()
+        return True
+
+    def news(self) -> messages.Message:
+        """Return the message that brings the configuration."""
+        text = json.dumps(self._spec, separators=(',', ':')).encode()
+        return messages.ConfigNews(version=self.version, text=text)
+
+    async def pull(self, address: str) -> None:
+        """Fetch another node's configuration."""
+        ask = messages.MeshPull(service_name='')
+        try:
+            reply = await self._pool.call(address, ask, PULL_LIMIT_MS)
+        except LinkError:
+            # Another status from there will ask for it again.
+            return
+        if not isinstance(reply, messages.ConfigNews) or not reply.text:
+            return
+        try:
+            spec = json.loads(reply.text)
+        except ValueError as exc:
+            self._log.error('config_unreadable', error=str(exc))
+            return
+        self.accept(spec, address)
+
+    async def _follow(self, at: int | None) -> int | None:
+        if at is None:
+            found = await self._adapter.read_config()
+            if found is None:
+                await asyncio.sleep(RETRY_MS / MS_PER_SECOND)
+                return None
+            self.accept(found.spec, 'store')
+            return found.version
+        seen = await self._adapter.watch_config(at, WATCH_MS)
+        for entry in seen.objects:
+            self.accept(entry.spec, 'watch')
+        return seen.at
+
+    def _note_lost(self, error: str) -> None:
+        if self._connected:
+            self._connected = False
+            self._log.warning('store_lost', error=error)
+
+    def _note_back(self) -> None:
+        if not self._connected:
+            self._connected = True
+            self._log.info('store_back')
--- /dev/null
+++ b/src/savoryhold/mesh/node.py
@@ -0,0 +1,304 @@
+"""A mesh node: wires its tasks, starts and stops them."""
+
+import asyncio
+import contextlib
+import random
+import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from savoryhold import __version__
+from savoryhold.core.clock import BootClock
+from savoryhold.core.errors import ConfigurationError, PlatformError
+from savoryhold.core.ids import NodeId
+from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.config import ConfigTask
+from savoryhold.mesh.ingress import IngressTask
+from savoryhold.mesh.interface import Adapter
+from savoryhold.mesh.members import MemberTable
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.peers import PeerTask
+from savoryhold.mesh.reports import ReportHandler
+from savoryhold.mesh.settings import MeshSettings
+from savoryhold.mesh.tables import TableTask
+from savoryhold.mesh.telemetry import LineBuffer, Telemetry
+from savoryhold.peer import LinkStream, PeerPool, messages
+from savoryhold.wire import Exchange, HttpServer
+
+__all__ = ['NODE_KIND', 'MeshNode']
+
+NODE_KIND = 'savoryhold-nodes'
+SECRET = b'savoryhold-mesh'
+MS_PER_SECOND = 1000
+BACKLOG = 1024
+FLUSH_MS = 250
+REGISTER_RETRY_MS = 400
+LEAVE_POLL_MS = 20
+LEAVE_MARGIN_MS = 700
+LINGER_MS = 250
+TIDY_MS = 1000
+OK = 200
+UNAVAILABLE = 503
+
+
+class MeshNode:
+    """All tasks of one node.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+        Validated settings.
+    adapter : Adapter
+        The platform.
+    lines : LineBuffer
+        Where log lines wait.
+    reload : callable
+        Reads the settings again; raises `ConfigurationError`.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        adapter: Adapter,
+        lines: LineBuffer,
+        reload: Callable[[], MeshSettings],
+    ) -> None:
+        self.settings = settings
+        self.adapter = adapter
+        self.log = get_log(node=settings.node)
+        self.clock = BootClock()
+        clock = self.clock
+        self.pool = PeerPool(settings.node, SECRET, self._on_peer)
+        self.members = MemberTable(settings.node)
+        self.configs = ConfigTask(adapter, self.pool, clock, self.log)
+        self.owner = OwnerTask(
+            settings.node,
+            adapter.names,
+            clock,
+            self.log,
+            settings.report_ms,
+            settings.drain_ms,
+        )
+        self.tables = TableTask(
+            settings.node,
+            adapter.store,
+            self.members,
+            self.owner,
+            self.pool,
+            clock,
+            self.log,
+        )
+        self.peers = PeerTask(
+            settings,
+            self.members,
+            self.owner,
+            self.tables,
+            self.configs,
+            self.pool,
+            clock,
+            self.log,
+        )
+        self.telemetry = Telemetry(clock, self.log)
+        self.ingress = IngressTask(
+            settings,
+            adapter.names,
+            self.configs,
+            self.members,
+            self.owner,
+            self.tables,
+            self.pool,
+            clock,
+            self.telemetry,
+        )
+        reports = ReportHandler(
+            adapter, self.owner, self.tables, clock, self.log
+        )
+        self.callers = HttpServer(
+            self.ingress.handle, clock.now, self.configs.limits
+        )
+        self.reports = HttpServer(reports.handle, clock.now)
+        self.ready = HttpServer(self._on_ready, clock.now)
+        self.metrics = HttpServer(self._on_metrics, clock.now)
+        self._lines = lines
+        self._reload = reload
+        self._leave_asked = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._connect()
+
+    async def run(self) -> None:
+        """Run until told to stop."""
+        loop = asyncio.get_running_loop()
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signum, self._leave_asked.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hup)
+        await self._listen()
+        self.log.info('started', version=__version__)
+        for work in self._loops():
+            task = asyncio.create_task(work)
+            task.add_done_callback(self._on_task_end)
+            self._tasks.append(task)
+        await self._leave_asked.wait()
+        await self._leave()
+        for task in self._tasks:
+            task.cancel()
+        self._lines.flush()
+
+    def _connect(self) -> None:
+        self.tables.keyed = self.configs.keyed
+        self.tables.on_table = self.peers.tell_table
+        self.owner.machine_of = self.tables.machines.get
+        self.owner.on_strike = self.peers.tell_strike
+        self.owner.on_dead = self.peers.tell_all
+
+    def _loops(self) -> list[Coroutine[Any, Any, None]]:
+        return [
+            self.configs.run(),
+            self._register(),
+            self.peers.run(),
+            self.owner.tick(),
+            self.owner.watch_target(),
+            self.tables.run(),
+            self.tables.prove(),
+            self.tables.plan(),
+            self.pool.watch_silence(),
+            self.callers.sweep(),
+            self._flush(),
+            self._tidy(),
+        ]
+
+    async def _listen(self) -> None:
+        cfg = self.settings
+        loop = asyncio.get_running_loop()
+        host, _, port = cfg.peers.rpartition(':')
+        await loop.create_server(
+            self.pool.accept, host, int(port), backlog=BACKLOG
+        )
+        await self.reports.start(cfg.reports, BACKLOG)
+        await self.callers.start(cfg.callers, BACKLOG)
+        await self.ready.start(cfg.ready, BACKLOG)
+        if cfg.metrics:
+            try:
+                await self.metrics.start(cfg.metrics, BACKLOG)
+            except OSError as exc:
+                self.log.warning('metrics_unavailable', error=str(exc))
+
+    async def _register(self) -> None:
+        """List this node in the store, and learn of the others."""
+        while True:
+            try:
+                await self._register_once()
+            except PlatformError as exc:
+                self.log.info('register_failed', error=str(exc))
+                pause = REGISTER_RETRY_MS * (0.5 + random.random())
+                await asyncio.sleep(pause / MS_PER_SECOND)
+            else:
+                return
+
+    async def _register_once(self) -> None:
+        cfg = self.settings
+        spec = {'address': cfg.peers, 'zone': cfg.zone, 'region': cfg.region}
+        known = await self._introduce_all()
+        if known.get(cfg.node) == spec:
+            return
+        if cfg.node in known:
+            await self.adapter.store.replace(NODE_KIND, cfg.node, spec, None)
+        else:
+            await self.adapter.store.create(NODE_KIND, cfg.node, spec)
+        await self._introduce_all()
+        self.log.info('registered', members=len(self.members.addresses))
+        self.peers.tell_all()
+
+    async def _introduce_all(self) -> dict[str, Any]:
+        found = await self.adapter.store.list(NODE_KIND)
+        for entry in found.objects:
+            if isinstance(entry.spec, dict):
+                address = str(entry.spec.get('address', ''))
+                self.members.introduce(NodeId(entry.name), address)
+        return {entry.name: entry.spec for entry in found.objects}
+
+    async def _on_peer(
+        self, call: LinkStream, message: messages.Message
+    ) -> None:
+        await self.peers.handle(call, message)
+
+    def _on_ready(self, exchange: Exchange) -> None:
+        if not self.adapter.is_ready_check(exchange.req):
+            exchange.reply(404)
+            return
+        exchange.reply(OK if self.is_ready() else UNAVAILABLE)
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        if self.peers.leaving or self.configs.routes is None:
+            return False
+        return bool(self.members.alive(self.clock.now())) or not (
+            self.members.addresses
+        )
+
+    def _on_metrics(self, exchange: Exchange) -> None:
+        gauges = {
+            'keys_owned': float(self.tables.keys()),
+            'config_version': float(self.configs.version),
+            'target_connections_opened': float(
+                self.owner.pool.opened if self.owner.pool else 0
+            ),
+            'table_writes': float(self.tables.writes),
+            'key_moves': float(self.tables.moves),
+            'queue_waiting': float(len(self.owner.queue.waiting)),
+            'queue_running': float(len(self.owner.queue.running)),
+            'members_heard': float(
+                len(self.members.alive(self.clock.now()))
+            ),
+            'log_lines_lost': float(self._lines.lost),
+        }
+        exchange.reply(
+            OK, b'content-type: text/plain\r\n', self.telemetry.render(gauges)
+        )
+
+    def _on_hup(self) -> None:
+        try:
+            found = self._reload()
+        except ConfigurationError as exc:
+            self.log.error('reload_refused', error=str(exc))
+            return
+        self.log.info('reloaded', changed=found != self.settings)
+
+    def _on_task_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        self.log.error('task_failed', error=repr(task.exception()))
+        self._leave_asked.set()
+
+    async def _flush(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_MS / MS_PER_SECOND)
+            self._lines.flush()
+
+    async def _tidy(self) -> None:
+        while True:
+            await asyncio.sleep(TIDY_MS / MS_PER_SECOND)
+            self.owner.heat.tidy(self.clock.now())
+
+    async def _leave(self) -> None:
+        """Answer what was read, then end."""
+        self.log.info('leaving', unanswered=self.callers.unanswered)
+        self.peers.leaving = True
+        self.callers.leave()
+        self.peers.tell_all()
+        limit = self.settings.grace_ms - LEAVE_MARGIN_MS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit / MS_PER_SECOND):
+                await asyncio.sleep(LINGER_MS / MS_PER_SECOND)
+                await self._idle()
+        self.log.info(
+            'stopped',
+            unanswered=self.callers.unanswered,
+            running=self.owner.running(),
+        )
+
+    async def _idle(self) -> None:
+        quiet = 0
+        while quiet < 3:
+            await asyncio.sleep(LEAVE_POLL_MS / MS_PER_SECOND)
+            busy = self.callers.unanswered or self.owner.running()
+            quiet = 0 if busy else quiet + 1
--- /dev/null
+++ b/src/savoryhold/mesh/peers.py
@@ -0,0 +1,245 @@
+"""Calls of other nodes, and what this node tells them of itself."""
+
+import asyncio
+from functools import singledispatchmethod
+
+from savoryhold.core.clock import Clock
+from savoryhold.core.errors import LinkError, RequestError
+from savoryhold.core.ids import Epoch, NodeId, ServiceName
+from savoryhold.core.poison import Fingerprint, Strike
+from savoryhold.daemon.logs import Log
+from savoryhold.mesh.codec import (
+    error_message,
+    request_of,
+    status_of,
+    table_news,
+    word_message,
+)
+from savoryhold.mesh.config import ConfigTask
+from savoryhold.mesh.members import MemberTable
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.settings import MeshSettings
+from savoryhold.mesh.tables import TableTask
+from savoryhold.peer import LinkStream, PeerPool, messages
+from savoryhold.ranges import RangeTable, Span
+
+__all__ = ['PeerTask']
+
+MS_PER_SECOND = 1000
+STATUS_MS = 400
+STATUS_NODES = 16  # with more members, statuses come more rarely
+SEND_LIMIT_MS = 300
+
+
+class PeerTask:
+    """Serves other nodes and tells them this node's status.
+
+    Parameters
+    ----------
+    settings : MeshSettings
+        This node's settings.
+    members : MemberTable
+        The other nodes.
+    owner : OwnerTask
+        The local target.
+    tables : TableTask
+        Key ranges.
+    configs : ConfigTask
+        The configuration.
+    pool : PeerPool
+        Links to the other nodes.
+    clock : Clock
+        Source of time.
+    log : Log
+        Where decisions go.
+    """
+
+    def __init__(
+        self,
+        settings: MeshSettings,
+        members: MemberTable,
+        owner: OwnerTask,
+        tables: TableTask,
+        configs: ConfigTask,
+        pool: PeerPool,
+        clock: Clock,
+        log: Log,
+    ) -> None:
+        self.leaving = False
+        self._settings = settings
+        self._members = members
+        self._owner = owner
+        self._tables = tables
+        self._configs = configs
+        self._pool = pool
+        self._clock = clock
+        self._log = log
+        self._alive: frozenset[NodeId] = frozenset()
+
+    async def handle(self, call: LinkStream, message: messages.Message) -> None:
+        """Serve a call of another node."""
+        if isinstance(message, messages.Relay):
+            await self._relay(call, message)
+            return
+        reply = self._answer(message)
+        if reply is not None:
+            call.send(reply)
+
+    async def run(self) -> None:
+        """Tell all members this node's status until cancelled."""
+        while True:
+            self.tell_all()
+            crowd = max(1.0, len(self._members.addresses) / STATUS_NODES)
+            await asyncio.sleep(STATUS_MS * crowd / MS_PER_SECOND)
+            self._note_alive()
+
+    def tell_all(self) -> None:
+        """Send this node's status to all members."""
+        status = self.status()
+        for address in self._members.addresses.values():
+            asyncio.ensure_future(self._send(address, status))
+
+    def tell_table(self, table: RangeTable) -> None:
+        """Send a new table to all members that are heard."""
+        news = table_news(table)
+        for member in self._members.alive(self._clock.now()):
+            asyncio.ensure_future(self._send(member.status.address, news))
+
+    def tell_strike(self, strike: Strike) -> None:
+        """Tell all members of a request that crashed a target."""
+        news = messages.StrikeNews(
+            fingerprint=strike.fingerprint, incident=strike.incident
+        )
+        for address in self._members.addresses.values():
+            asyncio.ensure_future(self._send(address, news))
+
+    def status(self) -> messages.Message:
+        """Return this node's status."""
+        now = self._clock.now()
+        report = self._owner.report
+        cfg = self._settings
+        return messages.MeshStatus(
+            node=cfg.node,
+            address=cfg.peers,
+            service_name=cfg.service if report is None else report.service,
+            zone=cfg.zone,
+            region=cfg.region,
+            slots=self._owner.queue.slots,
+            wait_ms=self._owner.queue.backlog_ms(),
+            demand=self._owner.demand(now),
+            keys=self._tables.keys(),
+            ready=self._owner.is_ready(),
+            leaving=self.leaving,
+            config_version=self._configs.version,
+            tables=[
+                messages.TableVersion(
+                    service_name=table.service, version=table.version
+                )
+                for table in self._tables.tables.values()
+            ],
+            silent=sorted(self._members.silent(now)),
+        )
+
+    async def _send(self, address: str, message: messages.Message) -> None:
+        try:
+            async with asyncio.timeout(SEND_LIMIT_MS / MS_PER_SECOND):
+                call = await self._pool.open(address)
+            call.send(message)
+            call.close()
+        except (LinkError, TimeoutError):
+            # The next status shows whether the node can be reached.
+            return
+
+    async def _relay(self, call: LinkStream, message: messages.Message) -> None:
+        req = request_of(message, self._clock.now())
+        try:
+            answer = await self._owner.submit(req)
+        except RequestError as exc:
+            call.send(error_message(exc))
+            return
+        call.send(
+            messages.RelayAnswer(
+                status=answer.status, head=answer.head, body=answer.body
+            )
+        )
+
+    @singledispatchmethod
+    def _answer(self, message: object) -> messages.Message | None:
+        self._log.warning('message_unknown', kind=type(message).__name__)
+        return None
+
+    @_answer.register(messages.Probe)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        return messages.Ack(ok=True)
+
+    @_answer.register(messages.MeshStatus)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        status = status_of(message)
+        self._members.learn(status, self._clock.now())
+        address = status.address
+        if (message.config_version or 0) > self._configs.version:
+            asyncio.ensure_future(self._configs.pull(address))
+        for entry in message.tables or ():
+            service = ServiceName(entry.service_name)
+            known = self._tables.tables.get(service)
+            if known is None or known.version < entry.version:
+                asyncio.ensure_future(self._tables.pull(service, address))
+        return None
+
+    @_answer.register(messages.TableNews)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        self._tables.on_news(message)
+        return None
+
+    @_answer.register(messages.MeshPull)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        if not message.service_name:
+            return self._configs.news()
+        table = self._tables.tables.get(ServiceName(message.service_name))
+        if table is None:
+            return messages.TableNews(service_name=message.service_name)
+        return table_news(table)
+
+    @_answer.register(messages.ProofAsk)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        found = self._tables.proof(ServiceName(message.service_name))
+        if found is None:
+            return messages.Proof()
+        return messages.Proof(version=found[0], age_ms=found[1])
+
+    @_answer.register(messages.WordAsk)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        word = self._tables.word(
+            ServiceName(message.service_name),
+            Span(message.first, message.last),
+            Epoch(message.epoch),
+        )
+        return word_message(word)
+
+    @_answer.register(messages.GiveOrder)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        self._tables.give(
+            ServiceName(message.service_name),
+            NodeId(message.taker),
+            message.share,
+        )
+        return messages.Ack(ok=True)
+
+    @_answer.register(messages.StrikeNews)
+    def _(self, message: messages.Message) -> messages.Message | None:
+        strike = Strike(Fingerprint(message.fingerprint), message.incident)
+        self._owner.poison.strike(strike, self._clock.now())
+        return None
+
+    def _note_alive(self) -> None:
+        now = self._clock.now()
+        alive = frozenset(
+            member.status.node for member in self._members.alive(now)
+        )
+        for node in alive - self._alive:
+            self._log.info('node_heard', peer=node)
+        for node in self._alive - alive:
+            self._log.warning('node_silent', peer=node)
+        self._alive = alive
+
+
--- /dev/null
+++ b/src/savoryhold/mesh/reports.py
@@ -0,0 +1,94 @@
+"""Heartbeats of the local target, and the grants that answer them."""
+
+from savoryhold.core.clock import Clock
+from savoryhold.daemon.logs import Log
+from savoryhold.mesh.interface import Adapter, TargetLeave, TargetReport
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.tables import TableTask
+from savoryhold.wire import Exchange
+
+__all__ = ['ReportHandler']
+
+JSON_HEAD = b'content-type: application/json\r\n'
+LIVE_MS = 1500  # a life that reported this recently is still up
+BAD_REQUEST = 400
+
+
+class ReportHandler:
+    """Takes the calls of the target beside this node.
+
+    Parameters
+    ----------
+    adapter : Adapter
+        Reads calls and writes replies.
+    owner : OwnerTask
+        The local target.
+    tables : TableTask
+        Key ranges.
+    clock : Clock
+        Source of time.
+    log : Log
+        Where decisions go.
+    """
+
+    def __init__(
+        self,
+        adapter: Adapter,
+        owner: OwnerTask,
+        tables: TableTask,
+        clock: Clock,
+        log: Log,
+    ) -> None:
+        self._adapter = adapter
+        self._owner = owner
+        self._tables = tables
+        self._clock = clock
+        self._log = log
+
+    def handle(self, exchange: Exchange) -> None:
+        """Answer a call."""
+        call = self._adapter.decode_call(exchange.req)
+        if isinstance(call, TargetReport):
+            self._on_report(exchange, call)
+        elif isinstance(call, TargetLeave):
+            self._on_leave(exchange, call)
+        else:
+            self._log.warning(
+                'report_unreadable', bytes=len(exchange.req.body)
+            )
+            exchange.reply(BAD_REQUEST)
+
+    def _on_report(self, exchange: Exchange, report: TargetReport) -> None:
+        if self._is_old(report):
+            self._log.warning(
+                'report_old',
+                target=report.keys.life.target,
+                born=report.keys.life.born,
+                sequence=report.sequence,
+            )
+            exchange.reply(200, JSON_HEAD, self._adapter.encode_reply(None))
+            return
+        self._owner.on_report(report)
+        reply = None
+        if report.service in self._tables.keyed():
+            machine = self._tables.machine(report.service)
+            reply = machine.on_report(report.keys, self._clock.now())
+            self._owner.wake()
+        exchange.reply(200, JSON_HEAD, self._adapter.encode_reply(reply))
+
+    def _on_leave(self, exchange: Exchange, call: TargetLeave) -> None:
+        report = self._owner.report
+        if report is not None and report.keys.life.target == call.target:
+            self._owner.begin_leave('left')
+        exchange.reply(200, JSON_HEAD, b'{}')
+
+    def _is_old(self, report: TargetReport) -> bool:
+        """Return whether a report was held up on its way."""
+        known = self._owner.report
+        if known is None:
+            return False
+        life, newer = report.keys.life, known.keys.life
+        if life == newer:
+            return report.sequence < known.sequence
+        silent = self._clock.now() - self._owner.reported_at
+        return silent < LIVE_MS and life.born < newer.born
--- /dev/null
+++ b/src/savoryhold/mesh/settings.py
@@ -0,0 +1,168 @@
+"""Settings of a mesh node: a TOML file, read into typed fields."""
+
+import dataclasses
+import pathlib
+import tomllib
+from collections.abc import Callable
+from typing import Any
+
+from savoryhold.core.errors import ConfigurationError
+from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
+
+__all__ = ['MeshSettings', 'load_mesh_settings', 'parse_mesh_settings']
+
+MIN_PORT = 1
+MAX_PORT = 65_535
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshSettings:
+    """Settings of one node; addresses are ``host:port``, times in ms.
+
+    Parameters
+    ----------
+    node : NodeId
+        Name of the host, which stays over restarts.
+    zone, region : Zone, Region
+        Where the host stands.
+    service : ServiceName
+        Service of the target beside this node.
+    target : str
+        Address of that target.
+    callers, reports, ready, peers, metrics : str
+        Addresses to listen on; `metrics` may be empty.
+    store : str
+        Address of the platform's object API.
+    report_ms : int
+        Interval of the target's reports.
+    drain_ms : int
+        How long a target that leaves may still be sent requests.
+    grace_ms : int
+        Time from SIGTERM until the process is killed.
+    hold_max_ms : int
+        Longest time for which a target may hold keys.
+    retry_ratio : float
+        Retries of all nodes per request.
+    retry_slack : float
+        Further retries of all nodes per window.
+    retry_window_ms : int
+        Length of that window.
+    """
+
+    node: NodeId
+    zone: Zone
+    region: Region
+    service: ServiceName
+    target: str
+    callers: str
+    reports: str
+    ready: str
+    peers: str
+    metrics: str
+    store: str
+    report_ms: int
+    drain_ms: int
+    grace_ms: int
+    hold_max_ms: int
+    retry_ratio: float
+    retry_slack: float
+    retry_window_ms: int
+
+
+def _text(field: str, given: Any) -> str:
+    if not isinstance(given, str) or not given:
+        raise ConfigurationError(f'{field}: expected text, got {given!r}')
+    return given
+
+
+def _address(field: str, given: Any) -> str:
+    host, _, port = _text(field, given).rpartition(':')
+    if not host or not port.isdigit():
+        raise ConfigurationError(
+            f'{field}: expected "host:port", got {given!r}'
+        )
+    if not MIN_PORT <= int(port) <= MAX_PORT:
+        raise ConfigurationError(f'{field}: port {port} is not possible')
+    return str(given)
+
+
+def _address_or_none(field: str, given: Any) -> str:
+    return '' if given == '' else _address(field, given)
+
+
+def _number(field: str, given: Any) -> float:
+    if isinstance(given, bool) or not isinstance(given, (int, float)):
+        raise ConfigurationError(f'{field}: expected a number, got {given!r}')
+    if given < 0:
+        raise ConfigurationError(f'{field}: {given} is below 0')
+    return float(given)
+
+
+def _millis(field: str, given: Any) -> int:
+    found = round(_number(field, given))
+    if not found:
+        raise ConfigurationError(f'{field}: expected ms above 0')
+    return found
+
+
+_READERS: dict[str, Callable[[str, Any], Any]] = {
+    'node': _text,
+    'zone': _text,
+    'region': _text,
+    'service': _text,
+    'target': _address,
+    'callers': _address,
+    'reports': _address,
+    'ready': _address,
+    'peers': _address,
+    'metrics': _address_or_none,
+    'store': _address,
+    'report_ms': _millis,
+    'drain_ms': _millis,
+    'grace_ms': _millis,
+    'hold_max_ms': _millis,
+    'retry_ratio': _number,
+    'retry_slack': _number,
+    'retry_window_ms': _millis,
+}
+
+
+def parse_mesh_settings(text: str) -> MeshSettings:
+    """Read settings; fields that are not known are passed over.
+
+    Raises
+    ------
+    ConfigurationError
+        If the text is not TOML or a field is missing or wrong.
+
+    Examples
+    --------
+    >>> parse_mesh_settings('node = 3')
+    Traceback (most recent call last):
+    savoryhold.core.errors.ConfigurationError: node: expected text, got 3
+    """
+    try:
+        given = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        raise ConfigurationError(f'settings are not TOML: {exc}') from exc
+    found = {}
+    for field, read in _READERS.items():
+        if field not in given:
+            raise ConfigurationError(f'{field}: is missing')
+        found[field] = read(field, given[field])
+    return MeshSettings(**found)
+
+
+def load_mesh_settings(path: pathlib.Path) -> MeshSettings:
+    """Read a settings file.
+
+    Raises
+    ------
+    ConfigurationError
+        If the file cannot be read, or as for `parse_mesh_settings`.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as exc:
+        raise ConfigurationError(f'{path}: {exc}') from exc
+    return parse_mesh_settings(text)
--- /dev/null
+++ b/src/savoryhold/mesh/tables.py
@@ -0,0 +1,556 @@
+"""The stored tables of key ranges: copies, proofs, writes and claims."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from savoryhold.core.clock import Clock
+from savoryhold.core.errors import (
+    LinkError,
+    MalformedMessageError,
+    PlatformError,
+    VersionConflictError,
+)
+from savoryhold.core.ids import Epoch, NodeId, ServiceName, Version
+from savoryhold.daemon.logs import Log
+from savoryhold.mesh.codec import table_of_news
+from savoryhold.mesh.interface import MeshStore, Stored
+from savoryhold.mesh.members import MemberTable
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.peer import PeerPool, messages
+from savoryhold.ranges import (
+    UNKNOWN,
+    Change,
+    Confirmation,
+    GrantMachine,
+    Load,
+    Order,
+    RangeTable,
+    Release,
+    Row,
+    Span,
+    claims,
+    even_rows,
+    orders,
+    spread,
+)
+
+__all__ = ['TABLE_KIND', 'TableTask']
+
+TABLE_KIND = 'savoryhold-ranges'
+MS_PER_SECOND = 1000
+STEP_MS = 40
+PROOF_EVERY_MS = 300
+PROOF_FRESH_MS = 900  # a younger proof needs no new one
+PROOF_OWN_MS = 1200  # an older proof is renewed by an own read
+ASK_LIMIT_MS = 250
+WORD_EVERY_MS = 120
+PLAN_EVERY_MS = 300
+PLAN_PAUSE_MS = 1500  # until a move shows in the loads
+FIRST_TABLE_MS = 2500  # all nodes of a first start have reported by then
+CLAIM_AFTER_START_MS = 4500  # other nodes may be starting, too
+WRITE_PAUSE_MS = 150
+
+
+class TableTask:
+    """Owns all tables, and the grants of the local target.
+
+    Parameters
+    ----------
+    node : NodeId
+        This node.
+    store : MeshStore
+        Where the tables are kept.
+    members : MemberTable
+        The other nodes.
+    owner : OwnerTask
+        The local target.
+    pool : PeerPool
+        Links to the other nodes.
+    clock : Clock
+        Source of time.
+    log : Log
+        Where decisions go.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        store: MeshStore,
+        members: MemberTable,
+        owner: OwnerTask,
+        pool: PeerPool,
+        clock: Clock,
+        log: Log,
+    ) -> None:
+        self.node = node
+        self.tables: dict[ServiceName, RangeTable] = {}
+        self.machines: dict[ServiceName, GrantMachine] = {}
+        self.keyed: Callable[[], set[ServiceName]] = set
+        self.on_table: Callable[[RangeTable], None] = lambda table: None
+        self.writes = 0
+        self.moves = 0
+        self._store = store
+        self._members = members
+        self._owner = owner
+        self._pool = pool
+        self._clock = clock
+        self._log = log
+        self._started_at = clock.now()
+        self._ready_since: int | None = None
+        self._word_at: dict[Row, int] = {}
+        self._planned_at: dict[NodeId, int] = {}
+        self._pause_until = 0
+        self._missing: set[ServiceName] = set()
+
+    # Copies -----------------------------------------------------------
+
+    def learn(self, table: RangeTable) -> bool:
+        """Take in a table; return whether it is newer than the copy."""
+        known = self.tables.get(table.service)
+        if known is not None and known.version >= table.version:
+            return False
+        self.tables[table.service] = table
+        now = self._clock.now()
+        if table.rows_of(self.node) or table.service in self.machines:
+            self.machine(table.service).learn(table, now)
+        self._log.info(
+            'table_learned',
+            service=table.service,
+            version=table.version,
+            rows=len(table.rows),
+            own=len(table.rows_of(self.node)),
+        )
+        self._owner.wake()
+        return True
+
+    def machine(self, service: ServiceName) -> GrantMachine:
+        """Return the grants of a service at this node."""
+        machine = self.machines.get(service)
+        if machine is None:
+            machine = GrantMachine(self.node, self._started_at)
+            self.machines[service] = machine
+            table = self.tables.get(service)
+            if table is not None:
+                machine.learn(table, self._clock.now())
+        return machine
+
+    def proof(self, service: ServiceName) -> tuple[int, int] | None:
+        """Return the version that the stored table had, and the age."""
+        machine = self.machines.get(service)
+        if machine is None or machine.table is None:
+            return None
+        return machine.table.version, self._clock.now() - machine.proved_at
+
+    def keys(self) -> int:
+        """Return how many keys this node owns."""
+        return sum(
+            row.span.size
+            for table in self.tables.values()
+            for row in table.rows_of(self.node)
+        )
+
+    async def read(self, service: ServiceName) -> bool:
+        """Read a table from the store; return whether it answered."""
+        sent_at = self._clock.now()
+        try:
+            found = await self._store.read(TABLE_KIND, service)
+        except PlatformError as exc:
+            self._log.info('table_read_failed', service=service, error=str(exc))
+            return False
+        if found is None:
+            self._missing.add(service)
+            return True
+        self._missing.discard(service)
+        self._learn_stored(service, found)
+        machine = self.machines.get(service)
+        if machine is not None:
+            machine.prove(found.version, sent_at)
+        return True
+
+    # Loops ------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Do what is due until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_MS / MS_PER_SECOND)
+            for service in list(self.machines):
+                await self._step(service)
+
+    async def prove(self) -> None:
+        """Keep the proof of the local target's table fresh."""
+        while True:
+            await asyncio.sleep(
+                PROOF_EVERY_MS * (0.8 + random.random() / 2) / MS_PER_SECOND
+            )
+            report = self._owner.report
+            if report is not None and report.service in self.keyed():
+                await self._prove(report.service)
+
+    async def plan(self) -> None:
+        """Give keys their places, if this node is the one to plan."""
+        while True:
+            await asyncio.sleep(PLAN_EVERY_MS / MS_PER_SECOND)
+            now = self._clock.now()
+            report = self._owner.report
+            if report is None or report.service not in self.keyed():
+                continue
+            if self._ready_since is None:
+                self._ready_since = now
+            if self._is_planner(report.service, now):
+                await self._plan(report.service, now)
+
+    # Steps of the owner -------------------------------------------------
+
+    async def _step(self, service: ServiceName) -> None:
+        machine = self.machines[service]
+        now = self._clock.now()
+        if not self._owner.serves(service) and self._owner.report is not None:
+            machine.retire()
+        self._shed(machine, service, now)
+        await self._ask_words(machine, now)
+        changes = self._due_changes(machine, now)
+        if changes and now >= self._pause_until:
+            await self._write(service, changes, machine.unsettled(), 'owner')
+
+    def _due_changes(self, machine: GrantMachine, now: int) -> list[Change]:
+        changes = [
+            Change(span, to, settled=True)
+            for span, to in machine.given(now).items()
+        ]
+        changes.extend(
+            Change(row.span, self.node, settled=row.settled)
+            for row in machine.stale()
+        )
+        return changes
+
+    def _shed(
+        self, machine: GrantMachine, service: ServiceName, now: int
+    ) -> None:
+        """Give all keys away if the local target leaves or has gone."""
+        if self._owner.serves(service) and self._owner.is_ready():
+            return
+        if self._owner.report is None:
+            return
+        machine.keep(lambda to: self._members.is_alive(to, now))
+        rows = machine.clear_rows()
+        takers = self._loads(service, now)
+        for span, to in spread([row.span for row in rows], takers):
+            machine.give(span, to)
+
+    async def _ask_words(self, machine: GrantMachine, now: int) -> None:
+        """Ask the former owners of waiting rows for their word."""
+        for row in machine.waiting(now):
+            asked = self._word_at.get(row, 0)
+            if row.previous in {'', UNKNOWN} or now - asked < WORD_EVERY_MS:
+                continue
+            self._word_at[row] = now
+            asyncio.ensure_future(self._ask_word(machine, row))
+        if len(self._word_at) > 1000:
+            self._word_at.clear()
+
+    async def _ask_word(self, machine: GrantMachine, row: Row) -> None:
+        table = machine.table
+        if table is None:
+            return
+        address = self._members.addresses.get(row.previous)
+        if address is None:
+            return
+        ask = messages.WordAsk(
+            service_name=table.service,
+            first=row.span.first,
+            last=row.span.last,
+            epoch=row.epoch,
+        )
+        try:
+            reply = await self._pool.call(address, ask, ASK_LIMIT_MS)
+        except LinkError:
+            # The wait for the lease ends without the word, too.
+            return
+        if reply.known:
+            machine.confirm(_confirmation(row, reply))
+            self._log.info(
+                'row_confirmed',
+                service=table.service,
+                first=row.span.first,
+                last=row.span.last,
+                epoch=row.epoch,
+                by=row.previous,
+            )
+            self._owner.wake()
+
+    # Writes -------------------------------------------------------------
+
+    async def _write(
+        self,
+        service: ServiceName,
+        changes: Sequence[Change],
+        settled: Sequence[Row],
+        reason: str,
+    ) -> bool:
+        table = self.tables[service]
+        rows = table.changed(changes, settled)
+        updated = RangeTable(service, table.version, rows)
+        spec = {'rows': updated.to_fields()}
+        self.writes += 1
+        sent_at = self._clock.now()
+        try:
+            found = await self._store.replace(
+                TABLE_KIND, service, spec, table.version
+            )
+        except VersionConflictError:
+            await self.read(service)
+            return False
+        except PlatformError as exc:
+            self._log.warning(
+                'table_write_failed', service=service, error=str(exc)
+            )
+            self._pause_until = self._clock.now() + WRITE_PAUSE_MS
+            await self.read(service)
+            return False
+        self.moves += len(changes)
+        self._log.info(
+            'table_written',
+            service=service,
+            reason=reason,
+            changes=len(changes),
+            spans=_spans_text(changes),
+            version=found.version,
+            took_ms=self._clock.now() - sent_at,
+        )
+        self._learn_stored(service, found)
+        machine = self.machines.get(service)
+        if machine is not None:
+            machine.prove(found.version, sent_at)
+        self.on_table(self.tables[service])
+        return True
+
+    def _learn_stored(self, service: ServiceName, found: Stored) -> None:
+        try:
+            fields = found.spec['rows']
+            table = RangeTable.from_fields(service, found.version, fields)
+        except (MalformedMessageError, KeyError, TypeError) as exc:
+            self._log.error(
+                'table_unreadable', service=service, error=repr(exc)
+            )
+            return
+        self.learn(table)
+
+    # Proofs -------------------------------------------------------------
+
+    async def _prove(self, service: ServiceName) -> None:
+        machine = self.machine(service)
+        now = self._clock.now()
+        if now - machine.proved_at < PROOF_FRESH_MS:
+            return
+        names = sorted(
+            member.status.node
+            for member in self._members.alive(now)
+            if member.status.service == service
+        )
+        first = bool(names) and names[0] < self.node
+        if first:
+            await self._ask_proof(machine, service, names[0])
+        now = self._clock.now()
+        if not first or now - machine.proved_at >= PROOF_OWN_MS:
+            if await self.read(service):
+                return
+            for name in names[:3]:
+                await self._ask_proof(machine, service, name)
+
+    async def _ask_proof(
+        self, machine: GrantMachine, service: ServiceName, name: str
+    ) -> None:
+        address = self._members.addresses[NodeId(name)]
+        sent_at = self._clock.now()
+        ask = messages.ProofAsk(service_name=service)
+        try:
+            reply = await self._pool.call(address, ask, ASK_LIMIT_MS)
+        except LinkError:
+            # The own read that follows replaces the answer.
+            return
+        if reply.version is None or reply.age_ms is None:
+            return
+        if machine.table is None or reply.version > machine.table.version:
+            await self.pull(service, address)
+        machine.prove(reply.version, sent_at - reply.age_ms)
+
+    async def pull(self, service: ServiceName, address: str) -> None:
+        """Fetch another node's copy of a table."""
+        ask = messages.MeshPull(service_name=service)
+        try:
+            reply = await self._pool.call(address, ask, ASK_LIMIT_MS)
+        except LinkError:
+            # Another status from there will ask for it again.
+            return
+        self.on_news(reply)
+
+    def on_news(self, news: messages.Message) -> None:
+        """Take in a table that another node sent."""
+        table = table_of_news(news)
+        if table is not None:
+            self.learn(table)
+
+    # Planning -----------------------------------------------------------
+
+    def _is_planner(self, service: ServiceName, now: int) -> bool:
+        if not self._owner.is_ready():
+            return False
+        return all(
+            self.node < member.status.node
+            for member in self._members.serving(service, now)
+        )
+
+    async def _plan(self, service: ServiceName, now: int) -> None:
+        loads = self._loads(service, now, me=True)
+        table = self.tables.get(service)
+        if table is None:
+            await self._first_table(service, loads, now)
+            return
+        if now - self._started_at > CLAIM_AFTER_START_MS:
+            lost = self._lost_owners(table, now)
+            changes = claims(table, lost, loads)
+            if changes and now >= self._pause_until:
+                self._log.warning('claim', service=service, lost=sorted(lost))
+                await self._write(service, changes, (), 'claim')
+                return
+        for order in orders(loads):
+            self._send_order(service, order, now)
+
+    def _lost_owners(self, table: RangeTable, now: int) -> set[NodeId]:
+        lost = self._members.lost(now)
+        return {
+            owner
+            for owner in table.owners()
+            if owner != self.node
+            and (owner in lost or owner not in self._members.addresses)
+        }
+
+    async def _first_table(
+        self, service: ServiceName, loads: Sequence[Load], now: int
+    ) -> None:
+        if service not in self._missing:
+            await self.read(service)
+            return
+        if self._ready_since is None:
+            return
+        if now - self._ready_since < FIRST_TABLE_MS:
+            return
+        owners = [(load.node, float(load.slots)) for load in loads]
+        rows = even_rows(owners)
+        spec = {
+            'rows': RangeTable(service, Version(0), rows).to_fields(),
+        }
+        sent_at = self._clock.now()
+        try:
+            found = await self._store.create(TABLE_KIND, service, spec)
+        except PlatformError as exc:
+            self._log.warning('first_table_failed', error=str(exc))
+            self._missing.discard(service)
+            return
+        self._log.info('first_table', service=service, owners=len(owners))
+        self._learn_stored(service, found)
+        self.machine(service).prove(found.version, sent_at)
+        self.on_table(self.tables[service])
+
+    def _loads(
+        self, service: ServiceName, now: int, *, me: bool = False
+    ) -> list[Load]:
+        found = [
+            Load(
+                member.status.node,
+                member.status.demand,
+                member.status.slots,
+                member.status.keys,
+            )
+            for member in self._members.serving(service, now)
+        ]
+        if me and self._owner.is_ready() and self._owner.report is not None:
+            found.append(
+                Load(
+                    self.node,
+                    self._owner.demand(now),
+                    self._owner.report.slots,
+                    self.keys(),
+                )
+            )
+        return sorted(found, key=lambda load: load.node)
+
+    def _send_order(
+        self, service: ServiceName, order: Order, now: int
+    ) -> None:
+        paused = max(
+            self._planned_at.get(order.giver, 0),
+            self._planned_at.get(order.taker, 0),
+        )
+        # Orders of one round may share a node.
+        if paused != now and now - paused < PLAN_PAUSE_MS:
+            return
+        self._planned_at[order.giver] = now
+        self._planned_at[order.taker] = now
+        self._log.info(
+            'order',
+            service=service,
+            giver=order.giver,
+            taker=order.taker,
+            share=round(order.share, 3),
+        )
+        if order.giver == self.node:
+            self.give(service, order.taker, order.share)
+            return
+        address = self._members.addresses.get(order.giver)
+        if address is not None:
+            message = messages.GiveOrder(
+                service_name=service, taker=order.taker, share=order.share
+            )
+            asyncio.ensure_future(self._tell(address, message))
+
+    async def _tell(self, address: str, message: messages.Message) -> None:
+        try:
+            await self._pool.call(address, message, ASK_LIMIT_MS)
+        except LinkError as exc:
+            # The next round plans anew.
+            self._log.info('order_lost', address=address, error=str(exc))
+
+    def give(self, service: ServiceName, taker: NodeId, share: float) -> None:
+        """Begin to give a share of this node's work to another node."""
+        machine = self.machines.get(service)
+        if machine is None:
+            return
+        now = self._clock.now()
+        spans = [row.span for row in machine.clear_rows()]
+        cut = self._owner.heat.cut(spans, share, now)
+        if cut is None or not machine.give(cut, taker):
+            return
+        self._log.info(
+            'giving',
+            service=service,
+            first=cut.first,
+            last=cut.last,
+            to=taker,
+            share=round(share, 3),
+        )
+
+    def word(
+        self, service: ServiceName, span: Span, epoch: Epoch
+    ) -> Confirmation | None:
+        """Return this node's word on a row that it owned."""
+        machine = self.machines.get(service)
+        if machine is None:
+            return None
+        return machine.word_on(span, epoch, self._clock.now())
+
+
+def _confirmation(row: Row, reply: messages.Message) -> Confirmation:
+    releases = tuple(
+        Release(Span(entry.first, entry.last), entry.token)
+        for entry in reply.releases or ()
+    )
+    return Confirmation(row.span, row.epoch, releases)
+
+
+def _spans_text(changes: Sequence[Change]) -> str:
+    return ','.join(
+        f'{change.span.first}-{change.span.last}>{change.owner}'
+        for change in changes[:8]
+    )
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -20,9 +20,11 @@
     'Cancel',
     'Challenge',
     'Chunk',
+    'ConfigNews',
     'Credit',
     'DigestSwap',
     'Forward',
+    'GiveOrder',
     'Header',
     'Heartbeat',
     'Hello',
@@ -31,6 +33,8 @@
     'LedgerId',
     'LedgerItem',
     'LoadQuery',
+    'MeshPull',
+    'MeshStatus',
     'Message',
     'MoveOffer',
     'News',
@@ -39,11 +43,20 @@
     'Order',
     'Probe',
     'Promise',
+    'Proof',
+    'ProofAsk',
     'Pull',
     'PullAnswer',
+    'Relay',
+    'RelayAnswer',
+    'ReleaseRow',
     'StrikeNews',
+    'TableNews',
+    'TableVersion',
     'VersionEntry',
     'Welcome',
+    'Word',
+    'WordAsk',
     'code_of',
     'decode',
     'encode',
@@ -85,6 +98,19 @@
 StrikeNews = _structs.StrikeNews
 VersionEntry = _structs.VersionEntry
 Welcome = _structs.Welcome
+Relay = _structs.Relay
+RelayAnswer = _structs.RelayAnswer
+TableVersion = _structs.TableVersion
+MeshStatus = _structs.MeshStatus
+TableNews = _structs.TableNews
+ConfigNews = _structs.ConfigNews
+MeshPull = _structs.MeshPull
+ProofAsk = _structs.ProofAsk
+Proof = _structs.Proof
+WordAsk = _structs.WordAsk
+ReleaseRow = _structs.ReleaseRow
+Word = _structs.Word
+GiveOrder = _structs.GiveOrder
 
 _BY_CODE = dict(
     enumerate(
@@ -112,6 +138,17 @@
             Order,
             LoadQuery,
             NodeLoad,
+            Relay,
+            RelayAnswer,
+            MeshStatus,
+            TableNews,
+            ConfigNews,
+            MeshPull,
+            ProofAsk,
+            Proof,
+            WordAsk,
+            Word,
+            GiveOrder,
         ),
         start=1,
     )
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -100,3 +100,72 @@
 
 // Asks for a node's load before a shard of some load is moved there.
 struct LoadQuery { 1: string service_name, 2: double load }
+
+// A request on its way from the node that read it to the owner's node.
+struct Relay {
+  1: string request_id,
+  2: string service_name,
+  3: i32 key,
+  4: string route,
+  5: binary method,
+  6: binary path,
+  7: binary head,
+  8: binary body,
+  9: i32 left_ms,
+  10: i32 aim_ms,
+  11: i32 priority,
+  12: bool repeatable,
+}
+
+// The owner's answer: a target's, or an error with its verdict.
+struct RelayAnswer {
+  1: i32 status,
+  2: binary head,
+  3: binary body,
+  4: bool failed,
+  5: string verdict,
+  6: string code,
+  7: string text,
+  8: i32 retry_after_ms,
+  9: string owner,
+}
+
+struct TableVersion { 1: string service_name, 2: i64 version }
+
+// What a node tells all others of itself, several times a second.
+struct MeshStatus {
+  1: string node,
+  2: string address,
+  3: string service_name,
+  4: string zone,
+  5: string region,
+  6: i32 slots,
+  7: double wait_ms,
+  8: double demand,
+  9: i32 keys,
+  10: bool ready,
+  11: bool leaving,
+  12: i64 config_version,
+  13: list<TableVersion> tables,
+  14: list<string> silent,
+}
+
+struct TableNews { 1: string service_name, 2: i64 version, 3: binary rows }
+struct ConfigNews { 1: i64 version, 2: binary text }
+
+// Asks for a table, or for the configuration if no service is named.
+struct MeshPull { 1: string service_name }
+
+struct ProofAsk { 1: string service_name }
+struct Proof { 1: i64 version, 2: i64 age_ms }
+
+struct WordAsk {
+  1: string service_name,
+  2: i32 first,
+  3: i32 last,
+  4: i64 epoch,
+}
+struct ReleaseRow { 1: i32 first, 2: i32 last, 3: string token }
+struct Word { 1: bool known, 2: list<ReleaseRow> releases }
+
+struct GiveOrder { 1: string service_name, 2: string taker, 3: double share }
--- a/src/savoryhold/platform/tests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of `savoryhold.platform`."""
--- /dev/null
+++ b/src/savoryhold/ranges/__init__.py
@@ -0,0 +1,49 @@
+"""Key ranges: the stored table, grants to targets, and where keys go."""
+
+from savoryhold.ranges.grants import (
+    LEASE_MS,
+    Confirmation,
+    Grant,
+    GrantMachine,
+    GrantReply,
+    Held,
+    Release,
+    Report,
+    TargetLife,
+)
+from savoryhold.ranges.heat import KeyHeat
+from savoryhold.ranges.planner import Load, Order, claims, orders, spread
+from savoryhold.ranges.table import (
+    KEY_COUNT,
+    UNKNOWN,
+    Change,
+    RangeTable,
+    Row,
+    Span,
+    even_rows,
+)
+
+__all__ = [
+    'KEY_COUNT',
+    'LEASE_MS',
+    'UNKNOWN',
+    'Change',
+    'Confirmation',
+    'Grant',
+    'GrantMachine',
+    'GrantReply',
+    'Held',
+    'KeyHeat',
+    'Load',
+    'Order',
+    'RangeTable',
+    'Release',
+    'Report',
+    'Row',
+    'Span',
+    'TargetLife',
+    'claims',
+    'even_rows',
+    'orders',
+    'spread',
+]
--- /dev/null
+++ b/src/savoryhold/ranges/table.py
@@ -0,0 +1,283 @@
+"""Which node owns which keys of one service, as one versioned table."""
+
+import dataclasses
+from bisect import bisect_right
+from collections.abc import Collection, Iterable, Iterator, Sequence
+from typing import Any
+
+from savoryhold.core.errors import MalformedMessageError
+from savoryhold.core.ids import Epoch, NodeId, ServiceName, Version
+
+__all__ = [
+    'KEY_COUNT',
+    'UNKNOWN',
+    'Change',
+    'RangeTable',
+    'Row',
+    'Span',
+    'even_rows',
+]
+
+KEY_COUNT = 65_536  # keys of a service run from 0 to KEY_COUNT - 1
+ROW_FIELDS = 5
+SETTLED = NodeId('')
+UNKNOWN = NodeId('*')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Span:
+    """Keys from `first` to `last`, both included."""
+
+    first: int
+    last: int
+
+    @property
+    def size(self) -> int:
+        """Return how many keys the span holds."""
+        return self.last - self.first + 1
+
+    def overlaps(self, other: 'Span') -> bool:
+        """Return whether the spans share a key."""
+        return self.first <= other.last and other.first <= self.last
+
+    def contains(self, other: 'Span') -> bool:
+        """Return whether all keys of the other span are in this one."""
+        return self.first <= other.first and other.last <= self.last
+
+    def without(self, other: 'Span') -> 'list[Span]':
+        """Return what is left of the span, in at most two parts."""
+        if not self.overlaps(other):
+            return [self]
+        parts = []
+        if self.first < other.first:
+            parts.append(Span(self.first, other.first - 1))
+        if other.last < self.last:
+            parts.append(Span(other.last + 1, self.last))
+        return parts
+
+    def common(self, other: 'Span') -> 'Span':
+        """Return the keys in both spans, which must overlap."""
+        return Span(max(self.first, other.first), min(self.last, other.last))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Row:
+    """One span and its owner.
+
+    ``previous`` names the owner before, as long as that node may still
+    extend grants on the span; it is empty once the span has settled, and
+    `UNKNOWN` if more than one earlier owner may.
+    """
+
+    span: Span
+    owner: NodeId
+    epoch: Epoch
+    previous: NodeId = SETTLED
+
+    @property
+    def settled(self) -> bool:
+        """Return whether no earlier owner has to be waited for."""
+        return not self.previous
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Asks that a span gets an owner, with a new epoch.
+
+    ``settled`` says that the present owner may grant the span, so that it
+    alone has to be waited for, or, if it stays the owner, nobody.
+    """
+
+    span: Span
+    owner: NodeId
+    settled: bool = False
+
+
+class RangeTable:
+    """All rows of one service at one version of the stored object.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Whose keys these are.
+    version : Version
+        Version of the stored object.
+    rows : iterable of Row
+        Rows that cover all keys without overlap, in order.
+    """
+
+    def __init__(
+        self, service: ServiceName, version: Version, rows: Iterable[Row]
+    ) -> None:
+        self.service = service
+        self.version = version
+        self.rows = tuple(rows)
+        self._firsts = [row.span.first for row in self.rows]
+        _check_cover(self.rows)
+
+    def row_at(self, key: int) -> Row:
+        """Return the row that holds a key."""
+        return self.rows[bisect_right(self._firsts, key) - 1]
+
+    def rows_of(self, node: NodeId) -> list[Row]:
+        """Return the rows of one owner."""
+        return [row for row in self.rows if row.owner == node]
+
+    def owners(self) -> set[NodeId]:
+        """Return all owners."""
+        return {row.owner for row in self.rows}
+
+    def overlapping(self, span: Span) -> Iterator[Row]:
+        """Return the rows that share keys with a span, in order."""
+        place = max(0, bisect_right(self._firsts, span.first) - 1)
+        while place < len(self.rows):
+            row = self.rows[place]
+            if row.span.first > span.last:
+                return
+            if row.span.overlaps(span):
+                yield row
+            place += 1
+
+    def changed(
+        self, changes: Sequence[Change], settled: Collection[Row] = ()
+    ) -> list[Row]:
+        """Return the rows after some changes, merged where they are alike.
+
+        Parameters
+        ----------
+        changes : sequence of Change
+            New owners.
+        settled : collection of Row
+            Rows whose earlier owners need not be waited for any more.
+
+        Notes
+        -----
+        A change of owner raises the epoch by one, so that a later grant of
+        a key always carries a higher fencing token.
+        """
+        rows = [
+            dataclasses.replace(row, previous=SETTLED)
+            if row in settled
+            else row
+            for row in self.rows
+        ]
+        for change in changes:
+            rows = _apply(rows, change)
+        return _merged(rows)
+
+    def to_fields(self) -> list[list[Any]]:
+        """Return the rows as plain lists, for storing and sending."""
+        return [
+            [
+                row.span.first,
+                row.span.last,
+                row.owner,
+                row.epoch,
+                row.previous,
+            ]
+            for row in self.rows
+        ]
+
+    @classmethod
+    def from_fields(
+        cls, service: ServiceName, version: Version, fields: Any
+    ) -> 'RangeTable':
+        """Read what `to_fields` wrote.
+
+        Raises
+        ------
+        MalformedMessageError
+            If the fields are not rows that cover all keys.
+        """
+        if not isinstance(fields, list):
+            raise MalformedMessageError('range table: rows are not a list')
+        return cls(service, version, [_row_of(entry) for entry in fields])
+
+
+def even_rows(owners: Sequence[tuple[NodeId, float]]) -> list[Row]:
+    """Return a first assignment by weight.
+
+    Parameters
+    ----------
+    owners : sequence of (NodeId, float)
+        Each owner with its capacity in slots; at least one.
+    """
+    total = sum(weight for _, weight in owners)
+    rows = []
+    start = 0
+    passed = 0.0
+    for owner, weight in owners:
+        passed += weight
+        end = round(KEY_COUNT * passed / total)
+        if end > start:
+            rows.append(Row(Span(start, end - 1), owner, Epoch(1)))
+        start = end
+    return rows
+
+
+def _row_of(entry: Any) -> Row:
+    if not isinstance(entry, list) or len(entry) != ROW_FIELDS:
+        raise MalformedMessageError(f'range table: {entry!r} is not a row')
+    first, last, owner, epoch, previous = entry
+    numbers = (first, last, epoch)
+    if not all(type(number) is int for number in numbers):
+        raise MalformedMessageError(f'range table: {entry!r} has no numbers')
+    return Row(
+        Span(first, last), NodeId(str(owner)), Epoch(epoch), NodeId(previous)
+    )
+
+
+def _check_cover(rows: Sequence[Row]) -> None:
+    expected = 0
+    for row in rows:
+        if row.span.first != expected or row.span.last < expected:
+            raise MalformedMessageError(
+                f'range table: gap or overlap at key {expected}'
+            )
+        expected = row.span.last + 1
+    if expected != KEY_COUNT:
+        raise MalformedMessageError(f'range table: ends at key {expected}')
+
+
+def _apply(rows: list[Row], change: Change) -> list[Row]:
+    found = []
+    for row in rows:
+        if not row.span.overlaps(change.span):
+            found.append(row)
+            continue
+        for part in row.span.without(change.span):
+            found.append(dataclasses.replace(row, span=part))
+        found.append(_changed_row(row, change))
+    return sorted(found)
+
+
+def _changed_row(row: Row, change: Change) -> Row:
+    span = row.span.common(change.span)
+    return Row(span, change.owner, Epoch(row.epoch + 1), _previous(row, change))
+
+
+def _previous(row: Row, change: Change) -> NodeId:
+    settled = row.settled or change.settled
+    if row.owner == change.owner:
+        return SETTLED if settled else row.previous
+    return row.owner if settled else UNKNOWN
+
+
+def _merged(rows: list[Row]) -> list[Row]:
+    found: list[Row] = []
+    for row in rows:
+        last = found[-1] if found else None
+        if last is not None and _alike(last, row):
+            whole = Span(last.span.first, row.span.last)
+            found[-1] = dataclasses.replace(last, span=whole)
+        else:
+            found.append(row)
+    return found
+
+
+def _alike(left: Row, right: Row) -> bool:
+    return (left.owner, left.epoch, left.previous) == (
+        right.owner,
+        right.epoch,
+        right.previous,
+    )
--- /dev/null
+++ b/src/savoryhold/ranges/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ranges package."""
--- a/src/savoryhold/platform/__init__.py
+++ b/src/savoryhold/store/__init__.py
@@ -1,6 +1,6 @@
 """Client of the platform's object API."""
 
-from savoryhold.platform.client import (
+from savoryhold.store.client import (
     ObjectVersion,
     PlatformClient,
     Snapshot,
--- /dev/null
+++ b/src/savoryhold/store/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `savoryhold.store`."""
--- a/src/savoryhold/platform/tests/test_client.py
+++ b/src/savoryhold/store/tests/test_client.py
@@ -11,7 +11,7 @@
     WriteUncertainError,
 )
 from savoryhold.core.ids import ObjectName, Version
-from savoryhold.platform import PlatformClient
+from savoryhold.store import PlatformClient
 
 __all__ = ['TestPlatformClient']
 
--- /dev/null
+++ b/src/savoryhold/traffic/routes.py
@@ -0,0 +1,131 @@
+"""Routes by host and longest path prefix."""
+
+import dataclasses
+import enum
+
+from savoryhold.core.ids import ServiceName
+
+__all__ = [
+    'CallerLimits',
+    'MeshConfig',
+    'Part',
+    'Route',
+    'RouteKind',
+    'RouteTable',
+    'ServiceInfo',
+]
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non-idempotent'
+    DOWNLOAD = 'download'
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self is not RouteKind.NON_IDEMPOTENT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """A service that gets a weighted part of a route's requests."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Rules of one route; times in ms, priority 0 is the most urgent."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: int
+    aim_ms: int
+    attempts: int
+    priority: int
+    parts: tuple[Part, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceInfo:
+    """What the operators say of a service."""
+
+    name: ServiceName
+    keyed: bool
+    health_path: str = ''
+    max_conns: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, in bytes, and take, in ms."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 67_108_864
+    header_ms: int = 3000
+    idle_ms: int = 15_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MeshConfig:
+    """One version of the operators' configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[ServiceInfo, ...]
+    limits: CallerLimits
+
+
+class RouteTable:
+    """Finds the route of a request and the service that gets it.
+
+    Parameters
+    ----------
+    cfg : MeshConfig
+        The configuration in force.
+    """
+
+    def __init__(self, cfg: MeshConfig) -> None:
+        self.cfg = cfg
+        self.services = {info.name: info for info in cfg.services}
+        self._hosts: dict[str, list[Route]] = {}
+        self._credit: dict[tuple[str, ServiceName], float] = {}
+        for route in cfg.routes:
+            self._hosts.setdefault(route.host.lower(), []).append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        name = host.lower().rsplit(':', 1)[0] if ':' in host else host.lower()
+        for route in self._hosts.get(name, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def pick(self, route: Route) -> ServiceName:
+        """Return the service of the next request of a route.
+
+        Notes
+        -----
+        Smooth weighted round robin, as in nginx: the part with the most
+        credit is taken and pays the sum of all weights.
+        """
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        total = sum(part.weight for part in route.parts)
+        for part in route.parts:
+            place = (route.name, part.service)
+            self._credit[place] = self._credit.get(place, 0.0) + part.weight
+        best = max(
+            route.parts,
+            key=lambda part: self._credit[(route.name, part.service)],
+        )
+        self._credit[(route.name, best.service)] -= total
+        return best.service
--- /dev/null
+++ b/src/savoryhold/wire/__init__.py
@@ -0,0 +1,15 @@
+"""HTTP/1.1 on both sides: callers' connections and targets'."""
+
+from savoryhold.wire.client import ClientAnswer, ClientPool
+from savoryhold.wire.names import HOP_BY_HOP, HeaderNames
+from savoryhold.wire.server import Exchange, HttpRequest, HttpServer
+
+__all__ = [
+    'HOP_BY_HOP',
+    'ClientAnswer',
+    'ClientPool',
+    'Exchange',
+    'HeaderNames',
+    'HttpRequest',
+    'HttpServer',
+]
--- /dev/null
+++ b/src/savoryhold/wire/client.py
@@ -0,0 +1,287 @@
+"""A pool of HTTP/1.1 connections to one address, one request at a time each.
+
+An answer is handed on only when it is whole and belongs to the request: its
+id must match, and an answer to an earlier request is passed over.
+"""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+from savoryhold.core.errors import LinkError
+
+__all__ = ['ClientAnswer', 'ClientPool', 'Identity']
+
+MS_PER_SECOND = 1000
+CONNECT_MS = 1000
+IDLE_MS = 8000  # below the shortest usual timeout of a server
+IDLE_SHARE = 0.8  # of the timeout that a server states
+MAX_ANSWER_BYTES = 32_000_000
+INFORMATIONAL = 200  # lower statuses announce the final one
+
+Identity = Callable[[dict[bytes, bytes]], bool]
+
+
+@dataclasses.dataclass(slots=True)
+class ClientAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    fields: dict[bytes, bytes]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header by its lower-case name, empty if it is missing."""
+        return self.fields.get(name, b'')
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; at most one request is under way."""
+
+    def __init__(self, pool: 'ClientPool') -> None:
+        self.pool = pool
+        self.fut: asyncio.Future[ClientAnswer] | None = None
+        self.belongs: Identity | None = None
+        self.reusable = True
+        self.idle_since = 0
+        self.idle_ms = IDLE_MS
+        self.closed = False
+        self.received = False
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._fields: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._size = 0
+        self._in_answer = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse bytes; bytes that nobody asked for end the connection."""
+        if self.fut is None:
+            self.reusable = False
+            self.close()
+            return
+        self.received = True
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserError as exc:
+            self._break(f'not an answer in the protocol: {exc}')
+        except httptools.HttpParserUpgrade:
+            self._break('answer switches protocols')
+
+    def eof_received(self) -> bool:
+        """End an answer whose body has no stated length."""
+        sized = (
+            b'content-length' in self._fields
+            or b'transfer-encoding' in self._fields
+        )
+        if self._in_answer and self._fields and not sized:
+            self.on_message_complete()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request under way."""
+        self.closed = True
+        self.pool.dropped(self)
+        self._break(f'connection closed: {exc!r}')
+
+    def on_message_begin(self) -> None:
+        """Begin an answer."""
+        self._headers = []
+        self._fields = {}
+        self._body = []
+        self._size = 0
+        self._in_answer = True
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name, field))
+        self._fields[name.lower()] = field
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._size += len(body)
+        if self._size > MAX_ANSWER_BYTES:
+            self._break('answer is too large')
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the answer on if it belongs to the request."""
+        status = self._parser.get_status_code()
+        self._in_answer = False
+        if status < INFORMATIONAL or self.fut is None:
+            self.reusable = self.reusable and self.fut is not None
+            return
+        if self.belongs is not None and not self.belongs(self._fields):
+            # An answer to an earlier request; ours may follow it.
+            self.reusable = False
+            self.pool.strays += 1
+            return
+        self._note_keep_alive()
+        answer = ClientAnswer(
+            status, self._headers, self._fields, b''.join(self._body)
+        )
+        if not self.fut.done():
+            self.fut.set_result(answer)
+
+    def send(self, request: bytes, belongs: Identity | None) -> None:
+        """Send a request."""
+        self.fut = asyncio.get_running_loop().create_future()
+        self.belongs = belongs
+        self.received = False
+        if self._transport is not None:
+            self._transport.write(request)
+
+    @property
+    def flushed(self) -> bool:
+        """Return whether all that was sent has left this process."""
+        transport = self._transport
+        return transport is None or not transport.get_write_buffer_size()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _note_keep_alive(self) -> None:
+        if not self._parser.should_keep_alive():
+            self.reusable = False
+        stated = self._fields.get(b'keep-alive', b'')
+        _, _, seconds = stated.partition(b'timeout=')
+        digits = seconds.split(b',')[0].strip()
+        if digits.isdigit():
+            self.idle_ms = min(
+                IDLE_MS, int(int(digits) * MS_PER_SECOND * IDLE_SHARE)
+            )
+
+    def _break(self, reason: str) -> None:
+        self.reusable = False
+        if self.fut is not None and not self.fut.done():
+            self.fut.set_exception(LinkError(reason, sent=True))
+        if not self.closed:
+            self.close()
+
+
+class ClientPool:
+    """Connections to one address.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    now : callable
+        Returns the time in ms.
+    """
+
+    def __init__(self, address: str, now: Callable[[], int]) -> None:
+        self.address = address
+        self.opened = 0
+        self.strays = 0
+        self.refused = 0
+        self._now = now
+        self._idle: list[_Connection] = []
+        self._busy: set[_Connection] = set()
+
+    async def ask(
+        self,
+        request: bytes,
+        timeout_ms: float,
+        belongs: Identity | None = None,
+    ) -> ClientAnswer:
+        """Send a request and return its whole answer.
+
+        Raises
+        ------
+        LinkError
+            If there is no whole answer; ``sent`` says whether the request
+            may have arrived.
+        TimeoutError
+            If the time is over; the connection is closed.
+        """
+        conn = await self._take(timeout_ms)
+        self._busy.add(conn)
+        conn.send(request, belongs)
+        fut = cast('asyncio.Future[ClientAnswer]', conn.fut)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(
+            max(timeout_ms, 1) / MS_PER_SECOND, _expire, fut
+        )
+        try:
+            answer = await fut
+        except BaseException:
+            conn.reusable = False
+            raise
+        finally:
+            timer.cancel()
+            self._busy.discard(conn)
+            self._give_back(conn)
+        return answer
+
+    def dropped(self, conn: _Connection) -> None:
+        """Forget a connection that has closed."""
+        if conn in self._idle:
+            self._idle.remove(conn)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for conn in [*self._idle, *self._busy]:
+            conn.reusable = False
+            conn.close()
+
+    def trim(self) -> None:
+        """Close connections that the other end may soon close."""
+        now = self._now()
+        for conn in list(self._idle):
+            if now - conn.idle_since >= conn.idle_ms:
+                self._idle.remove(conn)
+                conn.close()
+
+    async def _take(self, timeout_ms: float) -> _Connection:
+        self.trim()
+        while self._idle:
+            conn = self._idle.pop()
+            if not conn.closed:
+                return conn
+        return await self._open(min(timeout_ms, CONNECT_MS))
+
+    async def _open(self, timeout_ms: float) -> _Connection:
+        host, _, port = self.address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(max(timeout_ms, 1) / MS_PER_SECOND):
+                _, conn = await loop.create_connection(
+                    lambda: _Connection(self), host, int(port)
+                )
+        except ConnectionRefusedError as exc:
+            self.refused += 1
+            raise LinkError(f'{self.address}: refused', sent=False) from exc
+        except (OSError, TimeoutError) as exc:
+            raise LinkError(f'{self.address}: {exc!r}', sent=False) from exc
+        self.refused = 0
+        return conn
+
+    def _give_back(self, conn: _Connection) -> None:
+        conn.fut = None
+        conn.belongs = None
+        if conn.closed:
+            return
+        if not conn.reusable or not conn.flushed:
+            conn.close()
+            return
+        conn.idle_since = self._now()
+        self._idle.append(conn)
+
+
+def _expire(fut: 'asyncio.Future[ClientAnswer]') -> None:
+    if not fut.done():
+        fut.set_exception(TimeoutError('no answer in time'))
--- /dev/null
+++ b/src/savoryhold/wire/names.py
@@ -0,0 +1,51 @@
+"""Names of the headers that carry the product's own fields."""
+
+import dataclasses
+
+__all__ = ['HOP_BY_HOP', 'HeaderNames']
+
+# RFC 9110, section 7.6.1: these concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Header names as they are sent; an empty name is not used.
+
+    Parameters
+    ----------
+    request_id : bytes
+        Id of a caller's request, echoed by the target.
+    deadline : bytes
+        How many ms the caller waits.
+    target : bytes
+        The life of the target that alone may run the request.
+    not_run : bytes
+        Present on a target's answer to a request that it did not run.
+    caller : bytes
+        The service beside which the request began.
+    key : bytes
+        The key of a request to a keyed service.
+    proof : bytes
+        What a target's whole answer carries; an answer without is not one.
+    """
+
+    request_id: bytes = b'Idempotency-Key'
+    deadline: bytes = b'X-Savoryhold-Timeout-Ms'
+    target: bytes = b'X-Savoryhold-Target'
+    not_run: bytes = b'X-Savoryhold-Not-Run'
+    caller: bytes = b'X-Savoryhold-Caller'
+    key: bytes = b'X-Savoryhold-Key'
+    proof: bytes = b''
--- /dev/null
+++ b/src/savoryhold/wire/server.py
@@ -0,0 +1,352 @@
+"""An HTTP/1.1 server: pipelined requests, answered in their order.
+
+`httptools` parses; this module keeps the order of answers, the limits on
+what a caller may send, and the life of the connection.
+"""
+
+import asyncio
+import dataclasses
+from collections import deque
+from collections.abc import Callable
+from typing import cast
+
+import httptools
+
+from savoryhold.traffic.routes import CallerLimits
+
+__all__ = ['Exchange', 'HttpRequest', 'HttpServer', 'ServerConnection']
+
+MS_PER_SECOND = 1000
+MAX_PIPELINED = 32  # further requests wait unread
+SWEEP_MS = 500
+REASONS = {
+    200: b'OK',
+    400: b'Bad Request',
+    404: b'Not Found',
+    408: b'Request Timeout',
+    413: b'Content Too Large',
+    429: b'Too Many Requests',
+    431: b'Request Header Fields Too Large',
+    500: b'Internal Server Error',
+    502: b'Bad Gateway',
+    503: b'Service Unavailable',
+    504: b'Gateway Timeout',
+}
+
+
+@dataclasses.dataclass(slots=True)
+class HttpRequest:
+    """A whole request as it was read."""
+
+    method: bytes
+    target: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    read_at: int
+    fields: dict[bytes, bytes]
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header by its lower-case name, empty if it is missing."""
+        return self.fields.get(name, b'')
+
+
+class Exchange:
+    """One request and the answer that it waits for."""
+
+    __slots__ = ('_answer', 'conn', 'last', 'on_gone', 'req')
+
+    def __init__(self, conn: 'ServerConnection', req: HttpRequest) -> None:
+        self.conn = conn
+        self.req = req
+        self.on_gone: Callable[[], None] | None = None
+        self.last = False
+        self._answer: bytes | None = None
+
+    @property
+    def answered(self) -> bool:
+        """Return whether an answer was given."""
+        return self._answer is not None
+
+    @property
+    def answer(self) -> bytes | None:
+        """Return the bytes of the answer."""
+        return self._answer
+
+    def reply(
+        self,
+        status: int,
+        head: bytes = b'',
+        body: bytes = b'',
+        *,
+        sized: bool = True,
+    ) -> None:
+        """Answer the request; the first answer counts.
+
+        Parameters
+        ----------
+        status : int
+            Status code.
+        head : bytes
+            Header lines, each with its line end.
+        body : bytes
+            The whole body.
+        sized : bool
+            Whether to state the body's length.
+        """
+        if self._answer is not None:
+            return
+        reason = REASONS.get(status, b'Status')
+        length = b'content-length: %d\r\n' % len(body) if sized else b''
+        self._answer = b'HTTP/1.1 %d %s\r\n%s%s%s\r\n%s' % (
+            status,
+            reason,
+            head,
+            length,
+            b'connection: close\r\n' if self.conn.closes_after(self) else b'',
+            body,
+        )
+        self.conn.flush()
+
+    def abort(self) -> None:
+        """Break the connection off instead of answering."""
+        self.conn.abort()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: 'HttpServer') -> None:
+        self.server = server
+        self.open: deque[Exchange] = deque()
+        self.idle_since = server.now()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._url = b''
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._fields: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._begun_at: int | None = None
+        self._closing = False
+        self._paused = False
+        self._in_head = False
+
+    # asyncio.Protocol -------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        self.server.connections.add(self)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse bytes; what is not HTTP/1.1 is answered 400."""
+        if self._closing:
+            return
+        if self._begun_at is None:
+            self._begun_at = self.server.now()
+        if self._in_head or not self._fields:
+            self._head_bytes += len(received)
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._fail(400)
+        except httptools.HttpParserError:
+            self._fail(400)
+        limit = self.server.limits().header_bytes
+        if self._in_head and self._head_bytes > limit:
+            self._fail(431)
+
+    def eof_received(self) -> bool:
+        """Take a half-closed connection as closed."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tell those who work on its requests that the caller is gone."""
+        self._closing = True
+        self.server.connections.discard(self)
+        while self.open:
+            exchange = self.open.popleft()
+            if exchange.on_gone is not None and not exchange.answered:
+                exchange.on_gone()
+
+    # httptools callbacks ----------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._url = b''
+        self._headers = []
+        self._fields = {}
+        self._body = []
+        self._body_bytes = 0
+        self._in_head = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target."""
+        self._url += url
+
+    def on_header(self, name: bytes, field: bytes) -> None:
+        """Take a header."""
+        self._headers.append((name, field))
+        self._fields[name.lower()] = field
+
+    def on_headers_complete(self) -> None:
+        """Check what the headers announce."""
+        self._in_head = False
+        limits = self.server.limits()
+        size = sum(len(name) + len(text) + 4 for name, text in self._headers)
+        length = self._fields.get(b'content-length', b'0')
+        if size + len(self._url) > limits.header_bytes:
+            self._fail(431)
+        elif length.isdigit() and int(length) > limits.body_bytes:
+            self._fail(413)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self.server.limits().body_bytes:
+            self._fail(413)
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the whole request on."""
+        if self._closing:
+            return
+        now = self.server.now()
+        req = HttpRequest(
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            b''.join(self._body),
+            now,
+            self._fields,
+        )
+        exchange = Exchange(self, req)
+        exchange.last = not self._parser.should_keep_alive()
+        self.open.append(exchange)
+        self._begun_at = None
+        self._head_bytes = 0
+        self._fields = {}
+        if len(self.open) >= MAX_PIPELINED and self._transport is not None:
+            self._paused = True
+            self._transport.pause_reading()
+        self.server.handler(exchange)
+
+    # Answers -------------------------------------------------------------
+
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Return whether the connection ends with an exchange's answer."""
+        if exchange.last:
+            return True
+        newest = bool(self.open) and self.open[-1] is exchange
+        if self.server.closing and newest:
+            exchange.last = True
+        return exchange.last
+
+    def flush(self) -> None:
+        """Write the answers that are due, in the order of requests."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        while self.open and self.open[0].answer is not None:
+            exchange = self.open.popleft()
+            transport.write(exchange.answer or b'')
+            self.idle_since = self.server.now()
+            if exchange.last:
+                self._close()
+                return
+        if self._paused and len(self.open) < MAX_PIPELINED:
+            self._paused = False
+            transport.resume_reading()
+
+    def sweep(self, now: int) -> None:
+        """Close the connection if its caller is too slow or idle."""
+        limits = self.server.limits()
+        if self._begun_at is not None:
+            if now - self._begun_at > limits.header_ms and self._in_head:
+                self._fail(408)
+            return
+        idle = not self.open and now - self.idle_since > limits.idle_ms
+        if idle or (self.server.closing and not self.open):
+            self._close()
+
+    def abort(self) -> None:
+        """Break the connection off."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _close(self) -> None:
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def _fail(self, status: int) -> None:
+        """Answer an error of the connection and close behind it."""
+        if self._closing:
+            return
+        self._closing = True
+        req = HttpRequest(b'', b'', [], b'', self.server.now(), {})
+        exchange = Exchange(self, req)
+        exchange.last = True
+        self.open.append(exchange)
+        self.server.on_error(status)
+        exchange.reply(status)
+
+
+class HttpServer:
+    """Accepts connections of callers.
+
+    Parameters
+    ----------
+    handler : callable
+        Called with each `Exchange` as soon as its request is whole.
+    now : callable
+        Returns the time in ms.
+    limits : callable
+        Returns the `CallerLimits` in force.
+    """
+
+    def __init__(
+        self,
+        handler: Callable[[Exchange], None],
+        now: Callable[[], int],
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ) -> None:
+        self.handler = handler
+        self.now = now
+        self.limits = limits
+        self.closing = False
+        self.connections: set[ServerConnection] = set()
+        self.on_error: Callable[[int], None] = lambda status: None
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str, backlog: int) -> None:
+        """Listen on ``host:port``."""
+        host, _, port = address.rpartition(':')
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=backlog
+        )
+
+    async def sweep(self) -> None:
+        """Close slow and idle connections until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_MS / MS_PER_SECOND)
+            now = self.now()
+            for conn in list(self.connections):
+                conn.sweep(now)
+
+    def leave(self) -> None:
+        """Close each connection behind its last answer."""
+        self.closing = True
+
+    def stop(self) -> None:
+        """Accept no further connection."""
+        if self._server is not None:
+            self._server.close()
+
+    @property
+    def unanswered(self) -> int:
+        """Return how many requests wait for their answer."""
+        return sum(len(conn.open) for conn in self.connections)
--- /dev/null
+++ b/src/savoryhold/wire/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the wire package."""
