Inherited rows get a new epoch; silent links are probed themselves

After all machines had lost power, a former owner's word cleared a row that an earlier life of the process had granted, so the new target got the fence of the target before. Ruled out: the lease wait (settling passes over inherited rows already). Change: a word on an inherited row is passed over; a link is asked itself before it counts as silent.

--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -143,7 +143,11 @@
         return link
 
     async def _probe(self, address: str, link: Link) -> None:
+        # A call may take long: only a link that answers no probe is silent.
+        fresh: Link | None = None
         try:
+            if await _answers(link):
+                return
             fresh = await self._dial(address)
             await fresh.call(messages.Probe(), PROBE_LIMIT_MS)
         except LinkError:
@@ -157,3 +161,12 @@
         self.replaced += 1
         self._links[address] = fresh
         link.abort(ConnectionError('silent; a new connection answers'))
+
+
+async def _answers(link: Link) -> bool:
+    """Return whether a link answers a probe."""
+    try:
+        await link.call(messages.Probe(), PROBE_LIMIT_MS)
+    except LinkError:
+        return False
+    return True
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -158,8 +158,15 @@
             self.proved_at = max(self.proved_at, at)
 
     def confirm(self, word: Confirmation) -> None:
-        """Take in the previous owner's word on a row."""
+        """Take in the previous owner's word on a row.
+
+        Notes
+        -----
+        An inherited row needs a new epoch, whatever its last owner says.
+        """
         for row in self._seen_at:
+            if row in self._inherited:
+                continue
             if row.epoch == word.epoch and word.span.contains(row.span):
                 self._clear(row.span, row.epoch)
                 self._received.extend(word.releases)
--- /dev/null
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -0,0 +1,246 @@
+"""Grants: who may hold which keys, through restarts, moves and waits."""
+
+import unittest
+
+from savoryhold.core.ids import Epoch, NodeId, ServiceName, Version
+from savoryhold.ranges import (
+    KEY_COUNT,
+    LEASE_MS,
+    Change,
+    Confirmation,
+    GrantMachine,
+    GrantReply,
+    Held,
+    RangeTable,
+    Release,
+    Report,
+    Row,
+    Span,
+    TargetLife,
+)
+
+ME = NodeId('me')
+OTHER = NodeId('other')
+SERVICE = ServiceName('booking')
+ALL = Span(0, KEY_COUNT - 1)
+LOW = Span(0, 999)
+HIGH = Span(1000, KEY_COUNT - 1)
+LIFE = TargetLife('t-1', 100)
+SECOND_LIFE = TargetLife('t-2', 200)
+
+
+def table(version: int, *rows: Row) -> RangeTable:
+    """Return a table of some rows."""
+    return RangeTable(SERVICE, Version(version), rows)
+
+
+def row(
+    span: Span, owner: NodeId, epoch: int, previous: NodeId | str = ''
+) -> Row:
+    """Return a row."""
+    return Row(span, owner, Epoch(epoch), NodeId(previous))
+
+
+def report(
+    life: TargetLife,
+    *held: tuple[Span, int],
+    released: tuple[Release, ...] = (),
+) -> Report:
+    """Return a target's report."""
+    rows = tuple(Held(span, fence) for span, fence in held)
+    return Report(life, rows, released)
+
+
+class GrantCase(unittest.TestCase):
+    """A machine that is told of tables and reports."""
+
+    def setUp(self) -> None:
+        """Start the machine at time 0 with a table of another owner."""
+        self.machine = GrantMachine(ME, 0)
+
+    def learn(self, found: RangeTable, now: int) -> None:
+        """Take in a table that was read at this moment."""
+        self.machine.learn(found, now)
+        self.machine.prove(found.version, now)
+
+    def spans(self, reply: GrantReply | None) -> list[Span]:
+        """Return what a reply grants."""
+        self.assertIsNotNone(reply)
+        assert reply is not None
+        return [grant.span for grant in reply.grants]
+
+
+class TestRestart(GrantCase):
+    """A process that starts beside rows that an earlier life owned."""
+
+    def test_living_target_goes_on(self) -> None:
+        """What the target reports as held is extended at once."""
+        self.learn(table(1, row(ALL, ME, 3)), 0)
+        reply = self.machine.on_report(report(LIFE, (ALL, 3 * 1024 + 2)), 10)
+        self.assertEqual(self.spans(reply), [ALL])
+        assert reply is not None
+        self.assertEqual(reply.grants[0].fence, 3 * 1024 + 2)
+        self.assertEqual(self.machine.stale(), [])
+
+    def test_new_target_needs_a_new_epoch(self) -> None:
+        """A target that holds nothing gets no fence of an earlier life."""
+        self.learn(table(1, row(ALL, ME, 3)), 0)
+        reply = self.machine.on_report(report(LIFE), 10)
+        self.assertEqual(self.spans(reply), [])
+        self.assertEqual(self.machine.stale(), [row(ALL, ME, 3)])
+        self.learn(table(2, row(ALL, ME, 4)), 20)
+        reply = self.machine.on_report(report(LIFE), 30)
+        self.assertEqual(self.spans(reply), [ALL])
+
+    def test_word_does_not_replace_the_new_epoch(self) -> None:
+        """A former owner's word cleared a row that an earlier life granted.
+
+        All machines had lost power; the new target got the fence that the
+        target before it had had.
+        """
+        inherited = row(ALL, ME, 3, OTHER)
+        self.learn(table(1, inherited), 0)
+        self.machine.on_report(report(LIFE), 10)
+        self.machine.confirm(Confirmation(ALL, Epoch(3)))
+        reply = self.machine.on_report(report(LIFE), 20)
+        self.assertEqual(self.spans(reply), [])
+        self.assertEqual(self.machine.stale(), [inherited])
+
+    def test_wait_does_not_replace_the_new_epoch(self) -> None:
+        """Nor does the end of the wait for the lease."""
+        inherited = row(ALL, ME, 3, OTHER)
+        self.learn(table(1, inherited), 0)
+        self.machine.on_report(report(LIFE), 10)
+        self.machine.prove(1, LEASE_MS + 10)
+        reply = self.machine.on_report(report(LIFE), LEASE_MS + 20)
+        self.assertEqual(self.spans(reply), [])
+
+    def test_new_life_gets_higher_fences(self) -> None:
+        """Within a process, each life of the target has a higher fence."""
+        self.learn(table(1, row(LOW, OTHER, 1), row(HIGH, OTHER, 1)), 0)
+        self.learn(table(2, row(LOW, ME, 2), row(HIGH, OTHER, 1)), 1)
+        first = self.machine.on_report(report(LIFE), 10)
+        second = self.machine.on_report(report(SECOND_LIFE), 20)
+        assert first is not None
+        assert second is not None
+        self.assertGreater(second.grants[0].fence, first.grants[0].fence)
+
+
+class TestClaim(GrantCase):
+    """A row that was taken from an owner that fell silent."""
+
+    def setUp(self) -> None:
+        """Own nothing at first, then a claimed row."""
+        super().setUp()
+        self.learn(table(1, row(ALL, OTHER, 1)), 0)
+        self.claimed = row(ALL, ME, 2, OTHER)
+        self.learn(table(2, self.claimed), 1000)
+
+    def test_claimed_row_waits_for_the_lease(self) -> None:
+        """The former owner may extend grants until its copy is too old."""
+        self.machine.prove(2, 1000 + LEASE_MS - 1)
+        early = self.machine.on_report(report(LIFE), 1000 + LEASE_MS - 1)
+        self.assertEqual(self.spans(early), [])
+        due = self.machine.on_report(report(LIFE), 1000 + LEASE_MS)
+        self.assertEqual(self.spans(due), [ALL])
+
+    def test_word_ends_the_wait(self) -> None:
+        """The former owner's word makes the wait needless."""
+        release = Release(LOW, 'token')
+        self.machine.confirm(Confirmation(ALL, Epoch(2), (release,)))
+        reply = self.machine.on_report(report(LIFE), 1010)
+        self.assertEqual(self.spans(reply), [LOW, HIGH])
+        assert reply is not None
+        self.assertEqual(reply.grants[0].token, 'token')
+
+    def test_word_of_another_epoch_is_passed_over(self) -> None:
+        """A word on an earlier epoch says nothing of this one."""
+        self.machine.confirm(Confirmation(ALL, Epoch(1)))
+        reply = self.machine.on_report(report(LIFE), 1010)
+        self.assertEqual(self.spans(reply), [])
+
+    def test_row_that_was_never_granted_leaves_no_one_to_ask(self) -> None:
+        """After two claims in a row the word of the second is not enough."""
+        rows = table(2, self.claimed).changed([Change(ALL, NodeId('third'))])
+        self.assertEqual(rows[0].previous, '*')
+
+
+class TestLease(GrantCase):
+    """Grants end with the proof that the table is current."""
+
+    def setUp(self) -> None:
+        """Own all keys."""
+        super().setUp()
+        self.learn(table(1, row(ALL, OTHER, 1)), 0)
+        self.learn(table(2, row(ALL, ME, 2)), 0)
+
+    def test_hold_ends_within_the_lease(self) -> None:
+        """A hold, stretched by a slow clock, ends before the lease does."""
+        for now in range(0, LEASE_MS, 100):
+            reply = self.machine.on_report(report(LIFE), now)
+            if reply is not None:
+                self.assertLess(now + reply.hold_ms * 1.02, LEASE_MS)
+
+    def test_nothing_is_extended_without_proof(self) -> None:
+        """An old copy of the table extends nothing."""
+        self.assertIsNone(self.machine.on_report(report(LIFE), LEASE_MS - 400))
+
+    def test_proof_of_another_version_counts_for_nothing(self) -> None:
+        """A proof of a version that is not the copy is passed over."""
+        self.machine.prove(3, LEASE_MS - 400)
+        self.assertIsNone(self.machine.on_report(report(LIFE), LEASE_MS - 400))
+
+
+class TestGive(GrantCase):
+    """A span that is given to another node."""
+
+    def setUp(self) -> None:
+        """Own all keys, granted to a target."""
+        super().setUp()
+        self.learn(table(1, row(ALL, OTHER, 1)), 0)
+        self.learn(table(2, row(ALL, ME, 2)), 0)
+        self.machine.on_report(report(LIFE), 0)
+
+    def test_span_is_given_once_the_target_has_dropped_it(self) -> None:
+        """The reply leaves it out; a later report must not hold it."""
+        self.assertTrue(self.machine.give(LOW, OTHER))
+        self.assertEqual(self.machine.given(5), {})
+        reply = self.machine.on_report(report(LIFE, (ALL, 2048)), 10)
+        self.assertEqual(self.spans(reply), [HIGH])
+        self.assertEqual(self.machine.given(15), {})
+        self.machine.on_report(report(LIFE, (HIGH, 2048)), 20)
+        self.assertEqual(self.machine.given(25), {LOW: OTHER})
+
+    def test_word_is_given_only_after_the_drop(self) -> None:
+        """A former owner is silent as long as its target holds the span."""
+        self.machine.on_report(report(LIFE, (ALL, 2048)), 10)
+        moved = table(3, row(LOW, OTHER, 3, ME), row(HIGH, ME, 2))
+        self.learn(moved, 20)
+        self.assertIsNone(self.machine.word_on(LOW, Epoch(3), 25))
+        self.machine.on_report(report(LIFE, (ALL, 2048)), 30)
+        self.assertIsNone(self.machine.word_on(LOW, Epoch(3), 35))
+        token = Release(LOW, 'token')
+        self.machine.on_report(
+            report(LIFE, (HIGH, 2048), released=(token,)), 40
+        )
+        word = self.machine.word_on(LOW, Epoch(3), 45)
+        self.assertEqual(word, Confirmation(LOW, Epoch(3), (token,)))
+
+    def test_restarted_owner_waits_for_a_report(self) -> None:
+        """A new process does not know what its last life granted."""
+        fresh = GrantMachine(ME, 0)
+        moved = table(3, row(LOW, OTHER, 3, ME), row(HIGH, ME, 2))
+        fresh.learn(moved, 0)
+        self.assertIsNone(fresh.word_on(LOW, Epoch(3), 5))
+
+    def test_span_of_a_waiting_row_is_not_given(self) -> None:
+        """What may not be granted may not be given, either."""
+        self.learn(table(3, row(ALL, OTHER, 3, ME)), 10)
+        self.learn(table(4, row(ALL, ME, 4, OTHER)), 20)
+        self.assertFalse(self.machine.give(LOW, OTHER))
+
+    def test_dead_target_frees_its_spans(self) -> None:
+        """A target whose process has ended holds nothing."""
+        self.machine.target_lost()
+        self.machine.give(LOW, OTHER)
+        self.assertEqual(self.machine.given(5), {LOW: OTHER})
