Spans held from a process's last life are dropped before they are given

Change: a new process assumes a full hold from its start. A store that has forgotten its history is read again at once and not logged as lost.

--- a/src/savoryhold/core/errors.py
+++ b/src/savoryhold/core/errors.py
@@ -6,6 +6,7 @@
     'BadRequestError',
     'ConfigurationError',
     'DeadlineError',
+    'HistoryLostError',
     'LinkError',
     'MalformedMessageError',
     'NotOwnerError',
@@ -52,6 +53,10 @@
     """The platform's object API gave no usable answer; no write was sent."""
 
 
+class HistoryLostError(PlatformError):
+    """The store has forgotten the changes that a watch asks for."""
+
+
 class WriteUncertainError(PlatformError):
     """A write was sent and its reply was lost; it may take effect."""
 
--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -9,6 +9,7 @@
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import (
     ConfigurationError,
+    HistoryLostError,
     LinkError,
     PlatformError,
 )
@@ -23,6 +24,7 @@
 MS_PER_SECOND = 1000
 WATCH_MS = 20_000
 RETRY_MS = 400
+REREAD_MS = 150  # a store without history would be read in a busy loop
 PULL_LIMIT_MS = 500
 DEFAULT_LIMITS = CallerLimits()
 
@@ -73,6 +75,10 @@
         while True:
             try:
                 at = await self._follow(at)
+            except HistoryLostError:
+                # The present version is read instead of the changes to it.
+                at = None
+                await asyncio.sleep(REREAD_MS / MS_PER_SECOND)
             except PlatformError as exc:
                 at = None
                 self._note_lost(str(exc))
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -120,7 +120,8 @@
         self.life: TargetLife | None = None
         self.leaving: dict[Span, NodeId] = {}
         self.held: tuple[Held, ...] = ()
-        self.hold_until = 0
+        # An earlier life of this process may have granted until then.
+        self.hold_until = now + round(HOLD_MS * CLOCK_SLACK) + MARGIN_MS
         self.retired = False
         self._lives = 0
         self._cleared: list[tuple[Span, Epoch]] = []
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -115,6 +115,29 @@
         reply = self.machine.on_report(report(LIFE), LEASE_MS + 20)
         self.assertEqual(self.spans(reply), [])
 
+    def test_what_the_last_life_granted_is_dropped_first(self) -> None:
+        """A new process gave away what its target held from the last one.
+
+        It had granted nothing itself, and took that for nothing held.
+        """
+        self.learn(table(1, row(LOW, ME, 3), row(HIGH, OTHER, 1)), 0)
+        held = report(LIFE, (LOW, 3 * 1024))
+        self.machine.on_report(held, 10)
+        self.machine.give(LOW, OTHER)
+        self.assertEqual(self.machine.given(15), {})
+        self.machine.on_report(held, 20)
+        self.assertEqual(self.machine.given(25), {})
+        self.machine.on_report(report(LIFE), 30)
+        self.assertEqual(self.machine.given(35), {LOW: OTHER})
+
+    def test_word_on_what_the_last_life_granted(self) -> None:
+        """Nor is a word given while the target reports the span."""
+        self.learn(table(3, row(LOW, OTHER, 3, ME), row(HIGH, ME, 2)), 0)
+        self.machine.on_report(report(LIFE, (LOW, 2048)), 10)
+        self.assertIsNone(self.machine.word_on(LOW, Epoch(3), 15))
+        self.machine.on_report(report(LIFE), 20)
+        self.assertIsNotNone(self.machine.word_on(LOW, Epoch(3), 25))
+
     def test_new_life_gets_higher_fences(self) -> None:
         """Within a process, each life of the target has a higher fence."""
         self.learn(table(1, row(LOW, OTHER, 1), row(HIGH, OTHER, 1)), 0)
