A leaving node serves until callers go elsewhere, then closes idle connections

Change: after SIGTERM a node answers not ready and serves on until it was asked twice; then it accepts no connection, closes idle ones and answers the rest.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -35,7 +35,9 @@
 REGISTER_RETRY_MS = 400
 LEAVE_POLL_MS = 20
 LEAVE_MARGIN_MS = 700
-LINGER_MS = 250
+LEAVE_ANSWERS = 2  # the platform then sends callers elsewhere
+LINGER_MS = 3000  # the platform may not ask at all
+LAST_CALLERS_MS = 150  # callers that were sent here meanwhile
 TIDY_MS = 1000
 OK = 200
 UNAVAILABLE = 503
@@ -121,6 +123,8 @@
         self.metrics = HttpServer(self._on_metrics, clock.now)
         self._lines = lines
         self._reload = reload
+        self.draining = False
+        self._unready_answers = 0
         self._leave_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._connect()
@@ -225,11 +229,13 @@
         if not self.adapter.is_ready_check(exchange.req):
             exchange.reply(404)
             return
+        if self.draining:
+            self._unready_answers += 1
         exchange.reply(OK if self.is_ready() else UNAVAILABLE)
 
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
-        if self.peers.leaving or self.configs.routes is None:
+        if self.draining or self.configs.routes is None:
             return False
         return bool(self.members.alive(self.clock.now())) or not (
             self.members.addresses
@@ -280,15 +286,21 @@
             self.owner.heat.tidy(self.clock.now())
 
     async def _leave(self) -> None:
-        """Answer what was read, then end."""
+        """Answer what was read, then end.
+
+        Notes
+        -----
+        Callers are sent elsewhere once two questions in a row found the node
+        not ready; until then it serves as before.
+        """
         self.log.info('leaving', unanswered=self.callers.unanswered)
-        self.peers.leaving = True
-        self.callers.leave()
-        self.peers.tell_all()
+        self.draining = True
         limit = self.settings.grace_ms - LEAVE_MARGIN_MS
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit / MS_PER_SECOND):
-                await asyncio.sleep(LINGER_MS / MS_PER_SECOND)
+                await self._callers_leave()
+                self.peers.leaving = True
+                self.peers.tell_all()
                 await self._idle()
         self.log.info(
             'stopped',
@@ -296,9 +308,14 @@
             running=self.owner.running(),
         )
 
+    async def _callers_leave(self) -> None:
+        waited = 0
+        while self._unready_answers < LEAVE_ANSWERS and waited < LINGER_MS:
+            await asyncio.sleep(LEAVE_POLL_MS / MS_PER_SECOND)
+            waited += LEAVE_POLL_MS
+        await asyncio.sleep(LAST_CALLERS_MS / MS_PER_SECOND)
+
     async def _idle(self) -> None:
-        quiet = 0
-        while quiet < 3:
+        await self.callers.drain()
+        while self.owner.running():
             await asyncio.sleep(LEAVE_POLL_MS / MS_PER_SECOND)
-            busy = self.callers.unanswered or self.owner.running()
-            quiet = 0 if busy else quiet + 1
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -120,11 +120,13 @@
 
         It had granted nothing itself, and took that for nothing held.
         """
-        self.learn(table(1, row(LOW, ME, 3), row(HIGH, OTHER, 1)), 0)
+        mine = table(1, row(LOW, ME, 3), row(HIGH, OTHER, 1))
         held = report(LIFE, (LOW, 3 * 1024))
-        self.machine.on_report(held, 10)
+        self.machine.learn(mine, 0)
+        self.assertIsNone(self.machine.on_report(held, 10))
         self.machine.give(LOW, OTHER)
         self.assertEqual(self.machine.given(15), {})
+        self.machine.prove(1, 16)
         self.machine.on_report(held, 20)
         self.assertEqual(self.machine.given(25), {})
         self.machine.on_report(report(LIFE), 30)
@@ -132,7 +134,9 @@
 
     def test_word_on_what_the_last_life_granted(self) -> None:
         """Nor is a word given while the target reports the span."""
-        self.learn(table(3, row(LOW, OTHER, 3, ME), row(HIGH, ME, 2)), 0)
+        self.machine.learn(
+            table(3, row(LOW, OTHER, 3, ME), row(HIGH, ME, 2)), 0
+        )
         self.machine.on_report(report(LIFE, (LOW, 2048)), 10)
         self.assertIsNone(self.machine.word_on(LOW, Epoch(3), 15))
         self.machine.on_report(report(LIFE), 20)
--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -19,6 +19,7 @@
 MS_PER_SECOND = 1000
 MAX_PIPELINED = 32  # further requests wait unread
 SWEEP_MS = 500
+DRAIN_POLL_MS = 10
 REASONS = {
     200: b'OK',
     400: b'Bad Request',
@@ -267,6 +268,8 @@
             if now - self._begun_at > limits.header_ms and self._in_head:
                 self._fail(408)
             return
+        if self._closing:
+            return
         idle = not self.open and now - self.idle_since > limits.idle_ms
         if idle or (self.server.closing and not self.open):
             self._close()
@@ -337,15 +340,27 @@
             for conn in list(self.connections):
                 conn.sweep(now)
 
-    def leave(self) -> None:
-        """Close each connection behind its last answer."""
-        self.closing = True
-
     def stop(self) -> None:
         """Accept no further connection."""
         if self._server is not None:
             self._server.close()
 
+    async def drain(self) -> None:
+        """Answer all that was read, closing each connection behind it.
+
+        Notes
+        -----
+        Idle connections are closed before this returns, so that no request
+        is read by a process that is about to end.
+        """
+        self.closing = True
+        self.stop()
+        while self.connections:
+            now = self.now()
+            for conn in list(self.connections):
+                conn.sweep(now)
+            await asyncio.sleep(DRAIN_POLL_MS / MS_PER_SECOND)
+
     @property
     def unanswered(self) -> int:
         """Return how many requests wait for their answer."""
--- /dev/null
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -0,0 +1,143 @@
+"""The callers' side of HTTP/1.1, on loopback sockets."""
+
+import asyncio
+import unittest
+
+from savoryhold.core.clock import MonotonicClock
+from savoryhold.traffic import CallerLimits
+from savoryhold.wire import Exchange, HttpServer
+
+LIMIT_S = 5
+GET = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
+
+
+class ServerCase(unittest.IsolatedAsyncioTestCase):
+    """A server whose exchanges the test answers."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.exchanges: list[Exchange] = []
+        self.arrived = asyncio.Event()
+        self.limits = CallerLimits(header_bytes=300, body_bytes=1000)
+        self.server = HttpServer(
+            self.on_exchange, MonotonicClock().now, lambda: self.limits
+        )
+        await self.server.start('127.0.0.1:0', 16)
+        listener = self.server._server
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+        self.reader, self.writer = await asyncio.open_connection(
+            '127.0.0.1', self.port
+        )
+
+    async def asyncTearDown(self) -> None:
+        """Close everything."""
+        self.writer.close()
+        self.server.stop()
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        """Keep an exchange."""
+        self.exchanges.append(exchange)
+        self.arrived.set()
+
+    async def wait_for(self, count: int) -> None:
+        """Wait until so many requests have been read."""
+        async with asyncio.timeout(LIMIT_S):
+            while len(self.exchanges) < count:
+                self.arrived.clear()
+                await self.arrived.wait()
+
+    async def rest(self) -> bytes:
+        """Return all that the server still sends."""
+        async with asyncio.timeout(LIMIT_S):
+            return await self.reader.read()
+
+
+class TestOrder(ServerCase):
+    """Requests that were sent before earlier ones were answered."""
+
+    async def test_answers_come_in_the_order_of_requests(self) -> None:
+        """The second answer waits for the first."""
+        self.writer.write(GET + GET.replace(b'/a', b'/b'))
+        await self.wait_for(2)
+        first, second = self.exchanges
+        self.assertEqual(second.req.target, b'/b')
+        second.reply(200, b'', b'two')
+        first.reply(200, b'', b'one')
+        async with asyncio.timeout(LIMIT_S):
+            found = await self.reader.readuntil(b'two')
+        self.assertLess(found.index(b'one'), found.index(b'two'))
+
+    async def test_caller_that_leaves_is_noticed(self) -> None:
+        """Whoever works on a request hears that its caller has gone."""
+        self.writer.write(GET)
+        await self.wait_for(1)
+        gone = asyncio.Event()
+        self.exchanges[0].on_gone = gone.set
+        self.writer.close()
+        async with asyncio.timeout(LIMIT_S):
+            await gone.wait()
+
+
+class TestLimits(ServerCase):
+    """What a caller may not send."""
+
+    async def check(self, sent: bytes, status: bytes) -> None:
+        """Send bytes and expect a status, and the end."""
+        self.writer.write(sent)
+        found = await self.rest()
+        self.assertTrue(found.startswith(b'HTTP/1.1 ' + status), found)
+        self.assertEqual(self.exchanges, [])
+
+    async def test_long_head(self) -> None:
+        """A head over the limit is answered 431."""
+        await self.check(GET[:-2] + b'x: ' + b'y' * 400 + b'\r\n\r\n', b'431')
+
+    async def test_long_body(self) -> None:
+        """A body over the limit is answered 413."""
+        head = b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2000\r\n\r\n'
+        await self.check(head, b'413')
+
+    async def test_no_http(self) -> None:
+        """Other bytes are answered 400."""
+        await self.check(b'\x16\x03\x01\x02\x00\r\n\r\n', b'400')
+
+    async def test_two_lengths(self) -> None:
+        """A request that could be cut in two ways is answered 400."""
+        head = (
+            b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n'
+            b'transfer-encoding: chunked\r\n\r\n0\r\n\r\n'
+        )
+        await self.check(head, b'400')
+
+
+class TestDrain(ServerCase):
+    """A server that is about to end."""
+
+    async def test_read_request_is_answered(self) -> None:
+        """What was read is answered, then the connection closes."""
+        self.writer.write(GET)
+        await self.wait_for(1)
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0)
+        self.exchanges[0].reply(200, b'', b'done')
+        found = await self.rest()
+        self.assertIn(b'connection: close', found)
+        self.assertTrue(found.endswith(b'done'))
+        await asyncio.wait_for(drained, LIMIT_S)
+
+    async def test_idle_connections_end_before_the_process(self) -> None:
+        """A process ended with a kept connection on which it had read.
+
+        It ended as soon as no request was open, with the connections kept;
+        a request that came in its last moment was passed on, and cut.
+        """
+        self.writer.write(GET)
+        await self.wait_for(1)
+        self.exchanges[0].reply(200, b'', b'one')
+        await self.reader.readuntil(b'one')
+        await asyncio.wait_for(self.server.drain(), LIMIT_S)
+        self.assertEqual(self.server.connections, set())
+        self.assertEqual(await self.rest(), b'')
+        with self.assertRaises(OSError):
+            await asyncio.open_connection('127.0.0.1', self.port)
