--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -9,7 +9,14 @@
     RequestError,
     UncertainError,
 )
-from savoryhold.core.ids import NodeId, Region, RequestId, ServiceName, Version, Zone
+from savoryhold.core.ids import (
+    NodeId,
+    Region,
+    RequestId,
+    ServiceName,
+    Version,
+    Zone,
+)
 from savoryhold.core.poison import fingerprint_of
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.members import NodeStatus
@@ -128,9 +135,7 @@
         raise UncertainError(f'unexpected {type(message).__name__}')
     if message.failed:
         raise _error_of(message)
-    return RelayedAnswer(
-        message.status, _raw(message.head), _raw(message.body)
-    )
+    return RelayedAnswer(message.status, _raw(message.head), _raw(message.body))
 
 
 def error_message(exc: RequestError) -> messages.Message:
--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -62,7 +62,7 @@
         if self.routes is None:
             return set()
         return {
-            info.name for info in self.routes.services.values() if info.keyed
+            known.name for known in self.routes.services.values() if known.keyed
         }
 
     def limits(self) -> CallerLimits:
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -1,67 +1,64 @@
-"""The ingress side: reads a caller's request and sees it answered."""
+"""The ingress side: sees a caller's request answered."""
 
 import asyncio
 from functools import partial
+from http import HTTPStatus
 
-from savoryhold.core.clock import Clock
-from savoryhold.core.errors import (
-    BadRequestError,
-    LinkError,
-    RequestError,
-    UncertainError,
-)
-from savoryhold.core.ids import NodeId, RequestId
-from savoryhold.core.poison import fingerprint_of
+from savoryhold.core.errors import LinkError, RequestError, UncertainError
+from savoryhold.core.ids import NodeId
 from savoryhold.core.verdict import Verdict
+from savoryhold.mesh.choosing import AWAY_RETRY_MS, NodeChooser
 from savoryhold.mesh.codec import answer_of, relay_message
-from savoryhold.mesh.config import ConfigTask
-from savoryhold.mesh.members import MemberTable
-from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.parts import Parts
+from savoryhold.mesh.reading import RequestReader
 from savoryhold.mesh.requests import (
     NO_KEY,
     RelayedAnswer,
     RelayedRequest,
     TargetDownError,
 )
-from savoryhold.mesh.settings import MeshSettings
-from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.telemetry import Telemetry
-from savoryhold.peer import LinkStream, PeerPool, messages
-from savoryhold.ranges import KEY_COUNT
-from savoryhold.traffic import (
-    Candidate,
-    Distance,
-    Route,
-    RouteKind,
-    SharedBudget,
-    choose,
-)
-from savoryhold.wire import HOP_BY_HOP, Exchange, HeaderNames, HttpRequest
+from savoryhold.peer import LinkStream, messages
+from savoryhold.traffic import Route, RouteKind, SharedBudget
+from savoryhold.wire import Exchange, HeaderNames
 
 __all__ = ['IngressTask']
 
 MS_PER_SECOND = 1000
-DEFAULT_DEADLINE_MS = 10_000
 ANSWER_SLACK_MS = 40  # the owner's own word on a late request may still come
-LOOK_MS = 100
 REROUTE_MS = 15
-HOLD_MS = 450  # an owner that restarts is often back within this
-MAX_REROUTES = 40
+MAX_TRIES = 60  # with the pauses between them, longer than any deadline
+MOST_REFUSALS = 2  # nodes that are asked after one has refused
 MIN_RETRY_MS = 50
 RETRY_LEFT = 2.0  # service times that must be left for another run
-SERVER_ERROR = 500
-OUTSTANDING_MS = 8.0  # wait that a request on its way adds at a node
+# Pauses before another try, by the reason of the last refusal.
+PAUSE_MS = {'moved': 15, 'shed': 30, 'target-down': 30}
+REFUSALS = frozenset(
+    {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
+)
 
 
 class _Attempt:
-    """What has been tried for one request."""
+    """What has been tried for one request.
+
+    Parameters
+    ----------
+    req : RelayedRequest
+        The request.
+    route : Route
+        Its route.
+    """
 
-    def __init__(self, limit: int) -> None:
-        self.limit = max(1, limit)
-        self.sent = 0
+    def __init__(self, req: RelayedRequest, route: Route) -> None:
+        self.req = req
+        self.large = route.kind is RouteKind.DOWNLOAD
+        self.left = max(1, route.attempts)
         self.refused: set[NodeId] = set()
         self.may_have_run: RequestError | None = None
-        self.answer: RelayedAnswer | None = None
+
+    def outcome(self, exc: RequestError) -> RequestError:
+        """Return what holds for all tries together."""
+        return self.may_have_run or exc
 
 
 class IngressTask:
@@ -69,59 +66,27 @@
 
     Parameters
     ----------
-    settings : MeshSettings
-        This node's settings.
+    parts : Parts
+        The node.
     names : HeaderNames
         Headers of callers.
-    configs : ConfigTask
-        Routes.
-    members : MemberTable
-        The other nodes.
-    owner : OwnerTask
-        The local target.
-    tables : TableTask
-        Who owns which keys.
-    pool : PeerPool
-        Links to the other nodes.
-    clock : Clock
-        Source of time.
     telemetry : Telemetry
         Logs and counters.
     """
 
     def __init__(
-        self,
-        settings: MeshSettings,
-        names: HeaderNames,
-        configs: ConfigTask,
-        members: MemberTable,
-        owner: OwnerTask,
-        tables: TableTask,
-        pool: PeerPool,
-        clock: Clock,
-        telemetry: Telemetry,
+        self, parts: Parts, names: HeaderNames, telemetry: Telemetry
     ) -> None:
+        cfg = parts.settings
         self.names = names
         self.budget = SharedBudget(
-            settings.retry_ratio,
-            settings.retry_slack,
-            settings.retry_window_ms,
+            cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
         )
-        self._settings = settings
-        self._configs = configs
-        self._members = members
-        self._owner = owner
-        self._tables = tables
-        self._pool = pool
-        self._clock = clock
+        self._parts = parts
+        self._clock = parts.clock
+        self._reader = RequestReader(parts, names)
+        self._chooser = NodeChooser(parts)
         self._telemetry = telemetry
-        self._here = Distance(settings.zone, settings.region)
-        self._dropped = HOP_BY_HOP | {
-            b'content-length',
-            names.deadline.lower(),
-            names.target.lower(),
-            names.caller.lower(),
-        }
         self._tasks: set[asyncio.Task[None]] = set()
 
     def handle(self, exchange: Exchange) -> None:
@@ -134,10 +99,11 @@
     async def _serve(self, exchange: Exchange) -> None:
         http = exchange.req
         try:
-            req, route = self._read(http)
-            answer = await self._answer(req, route)
+            req, route = self._reader.read(http)
+            answer = await self._answer(_Attempt(req, route))
         except RequestError as exc:
             self._refuse(exchange, exc)
+            return
         except asyncio.CancelledError:
             self._telemetry.gone(http, self.names)
             raise
@@ -145,290 +111,130 @@
             # A defect must not leave the caller without an answer.
             self._telemetry.log.error('defect', error=repr(exc))
             self._refuse(exchange, UncertainError('internal error'))
-        else:
-            sized = http.method != b'HEAD'
-            exchange.reply(answer.status, answer.head, answer.body, sized=sized)
-            self._telemetry.answered(req, answer, http.read_at)
-
-    # Reading ----------------------------------------------------------------
-
-    def _read(self, http: HttpRequest) -> tuple[RelayedRequest, Route]:
-        routes = self._configs.routes
-        if routes is None:
-            raise TargetDownError('no configuration yet', MIN_RETRY_MS * 4)
-        host = http.header(b'host').decode('latin-1')
-        path = http.target.split(b'?', 1)[0].decode('latin-1')
-        route = routes.match(host, path)
-        if route is None:
-            raise _no_route(host, path)
-        service = routes.pick(route)
-        keyed = service in routes.services and routes.services[service].keyed
-        request = http.header(self.names.request_id.lower()).decode('latin-1')
-        if not request:
-            raise BadRequestError(
-                f'{self.names.request_id.decode()}: is missing'
-            )
-        now = self._clock.now()
-        left = min(self._deadline_ms(http), route.timeout_ms)
-        deadline = http.read_at + left
-        if deadline <= now:
-            raise TargetDownError('the deadline has passed', MIN_RETRY_MS)
-        return RelayedRequest(
-            RequestId(request),
-            service,
-            self._key(http) if keyed else NO_KEY,
-            route.name,
-            http.method,
-            http.target,
-            self._head(http),
-            http.body,
-            deadline,
-            http.read_at + route.aim_ms,
-            route.priority,
-            route.kind.repeatable,
-            fingerprint_of(
-                service,
-                http.method.decode('latin-1'),
-                http.target.decode('latin-1'),
-                http.body,
-            ),
-        ), route
-
-    def _deadline_ms(self, http: HttpRequest) -> int:
-        text = http.header(self.names.deadline.lower())
-        if not text:
-            return DEFAULT_DEADLINE_MS
-        try:
-            return max(0, int(float(text)))
-        except ValueError:
-            raise BadRequestError(
-                f'{self.names.deadline.decode()}: expected ms, got '
-                f'{text.decode("latin-1")!r}'
-            ) from None
-
-    def _key(self, http: HttpRequest) -> int:
-        text = http.header(self.names.key.lower())
-        if text.isdigit() and int(text) < KEY_COUNT:
-            return int(text)
-        raise BadRequestError(
-            f'{self.names.key.decode()}: expected 0 to {KEY_COUNT - 1}, got '
-            f'{text.decode("latin-1")!r}'
-        )
-
-    def _head(self, http: HttpRequest) -> bytes:
-        caller = self._settings.service
-        if self._owner.report is not None:
-            caller = self._owner.report.service
-        named = _connection_names(http.header(b'connection'))
-        lines = [
-            b'%s: %s\r\n' % (name, text)
-            for name, text in http.headers
-            if name.lower() not in self._dropped and name.lower() not in named
-        ]
-        lines.append(b'%s: %s\r\n' % (self.names.caller, caller.encode()))
-        return b''.join(lines)
+            return
+        sized = http.method != b'HEAD'
+        exchange.reply(answer.status, answer.head, answer.body, sized=sized)
+        self._telemetry.answered(req, answer, http.read_at)
 
     # Trying -----------------------------------------------------------------
 
-    async def _answer(
-        self, req: RelayedRequest, route: Route
-    ) -> RelayedAnswer:
+    async def _answer(self, attempt: _Attempt) -> RelayedAnswer:
         self.budget.sent(self._clock.now())
-        self.budget.nodes = 1 + len(self._members.addresses)
-        attempt = _Attempt(route.attempts)
-        for _ in range(MAX_REROUTES):
+        self.budget.nodes = 1 + len(self._parts.members.addresses)
+        for _ in range(MAX_TRIES):
             try:
-                answer = await self._try(req, route, attempt)
+                answer = await self._try(attempt)
             except RequestError as exc:
-                await self._before_again(req, attempt, exc)
+                await self._before_again(attempt, exc)
                 continue
-            if answer.status < SERVER_ERROR or not req.repeatable:
+            failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+            again = failed and attempt.req.repeatable
+            if not again or not self._may_run_again(attempt):
                 return answer
-            attempt.answer = answer
-            if not self._may_run_again(req, attempt):
-                return answer
-        raise TargetDownError('no owner was found', MIN_RETRY_MS * 4)
+        raise attempt.outcome(TargetDownError('no owner was found'))
 
-    async def _before_again(
-        self, req: RelayedRequest, attempt: _Attempt, exc: RequestError
-    ) -> None:
+    async def _try(self, attempt: _Attempt) -> RelayedAnswer:
+        node = self._chooser.choose(
+            attempt.req, attempt.refused, large=attempt.large
+        )
+        attempt.left -= 1
+        try:
+            if node == self._parts.settings.node:
+                return await self._parts.owner.submit(attempt.req)
+            return await self._ask(node, attempt.req)
+        except RequestError as exc:
+            attempt.refused.add(node)
+            if exc.verdict is Verdict.NOT_RUN and exc.code != 'shed':
+                # Nothing was sent to a target.
+                attempt.left += 1
+            raise
+
+    async def _before_again(self, attempt: _Attempt, exc: RequestError) -> None:
         """Wait before another try, or raise what is known."""
         if exc.verdict is Verdict.MAY_HAVE_RUN:
             attempt.may_have_run = exc
-            if req.repeatable and self._may_run_again(req, attempt):
-                return
-            self._give_up(attempt, exc)
-        if exc.code == 'moved':
-            await self._pause(req, attempt, exc, REROUTE_MS)
-        elif exc.code == 'shed':
-            if not self._may_run_again(req, attempt):
-                self._give_up(attempt, exc)
-            await self._pause(req, attempt, exc, REROUTE_MS * 2)
-        elif exc.code == 'target-down':
-            await self._pause(req, attempt, exc, REROUTE_MS * 2)
-        elif req.key != NO_KEY or len(attempt.refused) > 2:
-            self._give_up(attempt, exc)
-
-    def _give_up(self, attempt: _Attempt, exc: RequestError) -> None:
-        """End with the most that is known of all tries."""
-        if attempt.may_have_run is not None:
-            raise attempt.may_have_run
-        raise exc
+            if not self._may_run_again(attempt):
+                raise exc
+            return
+        if exc.code == 'shed' and not self._may_run_again(attempt):
+            raise attempt.outcome(exc)
+        pause_ms = PAUSE_MS.get(exc.code)
+        if pause_ms is not None:
+            await self._pause(attempt, exc, pause_ms)
+        elif attempt.req.key != NO_KEY or (
+            len(attempt.refused) > MOST_REFUSALS
+        ):
+            raise attempt.outcome(exc)
 
     async def _pause(
-        self,
-        req: RelayedRequest,
-        attempt: _Attempt,
-        exc: RequestError,
-        pause_ms: int,
+        self, attempt: _Attempt, exc: RequestError, pause_ms: int
     ) -> None:
-        now = self._clock.now()
-        begun = req.aim_at if req.aim_at < req.deadline else req.deadline
-        limit = min(req.deadline, max(begun, now))
-        if now + pause_ms >= limit:
-            self._give_up(attempt, exc)
+        limit = min(attempt.req.deadline, attempt.req.aim_at)
+        if self._clock.now() + pause_ms >= limit:
+            raise attempt.outcome(exc)
         await asyncio.sleep(pause_ms / MS_PER_SECOND)
 
-    def _may_run_again(self, req: RelayedRequest, attempt: _Attempt) -> bool:
+    def _may_run_again(self, attempt: _Attempt) -> bool:
+        """Return whether a target may get the request once more."""
+        req = attempt.req
         now = self._clock.now()
-        service_ms = self._owner.queue.service_ms(req.route)
-        if attempt.sent >= attempt.limit:
-            return False
-        if req.deadline - now < service_ms * RETRY_LEFT:
+        service_ms = self._parts.owner.queue.service_ms(req.route)
+        late = req.deadline - now < service_ms * RETRY_LEFT
+        # What a target has refused may go to another, whatever it does.
+        repeatable = req.repeatable or attempt.may_have_run is None
+        if late or attempt.left < 1 or not repeatable:
             return False
         return self.budget.spend(now)
 
-    async def _try(
-        self, req: RelayedRequest, route: Route, attempt: _Attempt
-    ) -> RelayedAnswer:
-        node = self._choose(req, route, attempt)
-        attempt.sent += 1
-        try:
-            if node == self._settings.node:
-                return await self._owner.submit(req)
-            return await self._ask(node, req)
-        except RequestError as exc:
-            attempt.refused.add(node)
-            if exc.verdict is Verdict.NOT_RUN and exc.code != 'shed':
-                attempt.sent -= 1
-            raise
-
-    def _choose(
-        self, req: RelayedRequest, route: Route, attempt: _Attempt
-    ) -> NodeId:
-        now = self._clock.now()
-        if req.key == NO_KEY:
-            return self._choose_any(req, route, attempt, now)
-        table = self._tables.tables.get(req.service)
-        if table is None:
-            raise TargetDownError('no table of keys yet', MIN_RETRY_MS * 4)
-        owner = table.row_at(req.key).owner
-        member = self._members.members.get(owner)
-        gone = member is None or member.status.leaving
-        if owner != self._settings.node and (
-            gone or not self._members.is_alive(owner, now)
-        ):
-            raise TargetDownError(f'{owner} is away', HOLD_MS)
-        return owner
-
-    def _choose_any(
-        self,
-        req: RelayedRequest,
-        route: Route,
-        attempt: _Attempt,
-        now: int,
-    ) -> NodeId:
-        found = [
-            Candidate(
-                member.status.node,
-                member.status.zone,
-                member.status.region,
-                self._members.wait_ms(member, now)
-                + member.outstanding * OUTSTANDING_MS,
-            )
-            for member in self._members.serving(req.service, now)
-            if member.status.node not in attempt.refused
-        ]
-        if (
-            self._owner.serves(req.service)
-            and self._owner.is_ready()
-            and self._settings.node not in attempt.refused
-        ):
-            found.append(
-                Candidate(
-                    self._settings.node,
-                    self._settings.zone,
-                    self._settings.region,
-                    self._owner.queue.backlog_ms(),
-                )
-            )
-        large = route.kind is RouteKind.DOWNLOAD
-        node = choose(found, self._here, large=large)
-        if node is None:
-            attempt.refused.clear()
-            raise TargetDownError(
-                f'no target serves {req.service}', MIN_RETRY_MS * 4
-            )
-        return node
-
     async def _ask(self, node: NodeId, req: RelayedRequest) -> RelayedAnswer:
-        address = self._members.addresses[node]
-        member = self._members.members.get(node)
-        if member is not None:
-            member.outstanding += 1
+        """Have another node run a request."""
+        member = self._parts.members.members.get(node)
+        if member is None:
+            raise TargetDownError(f'{node} is not known', AWAY_RETRY_MS)
+        member.outstanding += 1
         try:
-            return await self._ask_at(address, req)
+            call = await self._send(member.status.address, req)
+            return await self._receive(call, req)
         finally:
-            if member is not None:
-                member.outstanding -= 1
+            member.outstanding -= 1
 
-    async def _ask_at(self, address: str, req: RelayedRequest) -> RelayedAnswer:
+    async def _send(self, address: str, req: RelayedRequest) -> LinkStream:
         try:
-            call = await self._pool.open(address)
+            call = await self._parts.pool.open(address)
         except LinkError as exc:
-            raise TargetDownError(str(exc), HOLD_MS) from exc
-        now = self._clock.now()
+            raise TargetDownError(str(exc), AWAY_RETRY_MS) from exc
         try:
-            call.send(relay_message(req, now))
+            call.send(relay_message(req, self._clock.now()))
         except LinkError as exc:
             call.close()
-            raise TargetDownError(str(exc), HOLD_MS) from exc
+            raise TargetDownError(str(exc), AWAY_RETRY_MS) from exc
+        return call
+
+    async def _receive(
+        self, call: LinkStream, req: RelayedRequest
+    ) -> RelayedAnswer:
+        left_ms = req.deadline - self._clock.now() + ANSWER_SLACK_MS
         try:
-            first = await call.receive(req.deadline - now + ANSWER_SLACK_MS)
+            return answer_of(await call.receive(left_ms))
         except LinkError as exc:
-            raise UncertainError(f'{address}: {exc}') from exc
+            raise UncertainError(f'{call.peer}: {exc}') from exc
         except asyncio.CancelledError:
             _send_cancel(call)
             raise
         finally:
             call.close()
-        return answer_of(first)
 
     # Ending -----------------------------------------------------------------
 
     def _refuse(self, exchange: Exchange, exc: RequestError) -> None:
-        status = exc.status
         head = b''
-        if status in {503, 429}:
+        if exc.status in REFUSALS:
             retry_ms = max(MIN_RETRY_MS, exc.retry_after_ms)
             head = b'retry-after: %.3f\r\n' % (retry_ms / MS_PER_SECOND)
-        exchange.reply(status, head)
+        exchange.reply(exc.status, head)
         self._telemetry.refused(exchange.req, self.names, exc)
 
 
-def _no_route(host: str, path: str) -> RequestError:
-    exc = RequestError(f'no route for host {host!r} and path {path!r}')
-    exc.status = 404
-    exc.code = 'no-route'
-    return exc
-
-
-def _connection_names(text: bytes) -> frozenset[bytes]:
-    if not text:
-        return frozenset()
-    return frozenset(name.strip().lower() for name in text.split(b','))
-
-
 def _cancel(task: 'asyncio.Task[None]') -> None:
     task.cancel()
 
@@ -439,5 +245,3 @@
     except LinkError:
         # The link is gone, and with it the work that was asked for.
         return
-
-
--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -110,7 +110,9 @@
     def decode_config(self, spec: Any) -> MeshConfig:
         """Read a stored configuration."""
 
-    def decode_call(self, req: HttpRequest) -> TargetReport | TargetLeave | None:
+    def decode_call(
+        self, req: HttpRequest
+    ) -> TargetReport | TargetLeave | None:
         """Read a target's call, None if it is not one."""
 
     def encode_reply(self, reply: GrantReply | None) -> bytes:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -5,6 +5,7 @@
 import random
 import signal
 from collections.abc import Callable, Coroutine
+from http import HTTPStatus
 from typing import Any
 
 from savoryhold import __version__
@@ -17,6 +18,7 @@
 from savoryhold.mesh.interface import Adapter
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.parts import Parts
 from savoryhold.mesh.peers import PeerTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.settings import MeshSettings
@@ -39,8 +41,8 @@
 LINGER_MS = 3000  # the platform may not ask at all
 LAST_CALLERS_MS = 150  # callers that were sent here meanwhile
 TIDY_MS = 1000
-OK = 200
-UNAVAILABLE = 503
+EXIT_OK = 0
+EXIT_FAILED = 1
 
 
 class MeshNode:
@@ -90,7 +92,7 @@
             clock,
             self.log,
         )
-        self.peers = PeerTask(
+        parts = Parts(
             settings,
             self.members,
             self.owner,
@@ -100,18 +102,9 @@
             clock,
             self.log,
         )
+        self.peers = PeerTask(parts)
         self.telemetry = Telemetry(clock, self.log)
-        self.ingress = IngressTask(
-            settings,
-            adapter.names,
-            self.configs,
-            self.members,
-            self.owner,
-            self.tables,
-            self.pool,
-            clock,
-            self.telemetry,
-        )
+        self.ingress = IngressTask(parts, adapter.names, self.telemetry)
         reports = ReportHandler(
             adapter, self.owner, self.tables, clock, self.log
         )
@@ -124,13 +117,20 @@
         self._lines = lines
         self._reload = reload
         self.draining = False
+        self._failed = False
         self._unready_answers = 0
         self._leave_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._connect()
 
-    async def run(self) -> None:
-        """Run until told to stop."""
+    async def run(self) -> int:
+        """Run until told to stop.
+
+        Returns
+        -------
+        int
+            Exit status; not 0 if a task failed.
+        """
         loop = asyncio.get_running_loop()
         for signum in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signum, self._leave_asked.set)
@@ -146,6 +146,7 @@
         for task in self._tasks:
             task.cancel()
         self._lines.flush()
+        return EXIT_FAILED if self._failed else EXIT_OK
 
     def _connect(self) -> None:
         self.tables.keyed = self.configs.keyed
@@ -218,7 +219,7 @@
             if isinstance(entry.spec, dict):
                 address = str(entry.spec.get('address', ''))
                 self.members.introduce(NodeId(entry.name), address)
-        return {entry.name: entry.spec for entry in found.objects}
+        return {known.name: known.spec for known in found.objects}
 
     async def _on_peer(
         self, call: LinkStream, message: messages.Message
@@ -227,11 +228,13 @@
 
     def _on_ready(self, exchange: Exchange) -> None:
         if not self.adapter.is_ready_check(exchange.req):
-            exchange.reply(404)
+            exchange.reply(HTTPStatus.NOT_FOUND)
             return
         if self.draining:
             self._unready_answers += 1
-        exchange.reply(OK if self.is_ready() else UNAVAILABLE)
+        exchange.reply(
+            HTTPStatus.OK if self.is_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        )
 
     def is_ready(self) -> bool:
         """Return whether callers may be sent here."""
@@ -252,13 +255,13 @@
             'key_moves': float(self.tables.moves),
             'queue_waiting': float(len(self.owner.queue.waiting)),
             'queue_running': float(len(self.owner.queue.running)),
-            'members_heard': float(
-                len(self.members.alive(self.clock.now()))
-            ),
+            'members_heard': float(len(self.members.alive(self.clock.now()))),
             'log_lines_lost': float(self._lines.lost),
         }
         exchange.reply(
-            OK, b'content-type: text/plain\r\n', self.telemetry.render(gauges)
+            HTTPStatus.OK,
+            b'content-type: text/plain\r\n',
+            self.telemetry.render(gauges),
         )
 
     def _on_hup(self) -> None:
@@ -273,6 +276,7 @@
         if task.cancelled() or task.exception() is None:
             return
         self.log.error('task_failed', error=repr(task.exception()))
+        self._failed = True
         self._leave_asked.set()
 
     async def _flush(self) -> None:
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
+from http import HTTPStatus
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import LinkError, RequestError, UncertainError
@@ -31,8 +32,7 @@
 __all__ = ['OwnerTask']
 
 MS_PER_SECOND = 1000
-STATUS_OK = range(200, 300)
-MISDIRECTED = 421
+STATUS_OK = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 MIN_LEFT_MS = 5  # a request with less time left is not sent
 TICK_MS = 25
 REPORT_SLACK_MS = 120  # a report may come this much later than usual
@@ -45,6 +45,7 @@
 DEAD_REPORTS = 1.5  # report intervals without a report before a refusal counts
 CRASH_SPREAD_MS = 200  # a crash breaks all its connections within this
 BROKEN_KEPT = 64
+PROBE_MS = 300  # a local port answers or refuses far sooner
 NOT_MINE = b'content-encoding'
 
 
@@ -282,9 +283,7 @@
             return
         fut.set_result(refused)
 
-    async def _run(
-        self, req: RelayedRequest, ticket: Ticket
-    ) -> RelayedAnswer:
+    async def _run(self, req: RelayedRequest, ticket: Ticket) -> RelayedAnswer:
         now = self.clock.now()
         self._check_start(req, now)
         started = asyncio.ensure_future(self._send(req, now))
@@ -328,9 +327,7 @@
         except TimeoutError as exc:
             raise UncertainError('no answer of the target in time') from exc
 
-    def _link_error(
-        self, req: RelayedRequest, exc: LinkError
-    ) -> RequestError:
+    def _link_error(self, req: RelayedRequest, exc: LinkError) -> RequestError:
         if not exc.sent:
             self.suspect()
             return TargetDownError(str(exc), DOWN_RETRY_MS)
@@ -384,17 +381,15 @@
     ) -> RelayedAnswer:
         names = self.names
         not_run = names.not_run.lower() in answer.fields
-        shed = not_run or answer.status == MISDIRECTED
+        shed = not_run or answer.status == HTTPStatus.MISDIRECTED_REQUEST
         self.success += SHED_SMOOTHING * ((not shed) - self.success)
         if shed:
             raise ShedError(f'target answered {answer.status}', TICK_MS)
         good = answer.status in STATUS_OK
         proved = not names.proof or names.proof.lower() in answer.fields
         if good and (not proved or NOT_MINE in answer.fields):
-            raise BadAnswerError('the answer is not the target\'s own')
-        return RelayedAnswer(
-            answer.status, _head_of(answer), answer.body
-        )
+            raise BadAnswerError("the answer is not the target's own")
+        return RelayedAnswer(answer.status, _head_of(answer), answer.body)
 
     def _request_bytes(
         self, req: RelayedRequest, left: int, life: TargetLife
@@ -438,7 +433,7 @@
     """Return whether nothing listens at the target's address."""
     host, _, port = pool.address.rpartition(':')
     try:
-        async with asyncio.timeout(0.3):
+        async with asyncio.timeout(PROBE_MS / MS_PER_SECOND):
             _, writer = await asyncio.open_connection(host, int(port))
     except ConnectionRefusedError:
         pool.refused += 1
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -3,11 +3,9 @@
 import asyncio
 from functools import singledispatchmethod
 
-from savoryhold.core.clock import Clock
 from savoryhold.core.errors import LinkError, RequestError
 from savoryhold.core.ids import Epoch, NodeId, ServiceName
 from savoryhold.core.poison import Fingerprint, Strike
-from savoryhold.daemon.logs import Log
 from savoryhold.mesh.codec import (
     error_message,
     request_of,
@@ -15,12 +13,8 @@
     table_news,
     word_message,
 )
-from savoryhold.mesh.config import ConfigTask
-from savoryhold.mesh.members import MemberTable
-from savoryhold.mesh.owner import OwnerTask
-from savoryhold.mesh.settings import MeshSettings
-from savoryhold.mesh.tables import TableTask
-from savoryhold.peer import LinkStream, PeerPool, messages
+from savoryhold.mesh.parts import Parts
+from savoryhold.peer import LinkStream, messages
 from savoryhold.ranges import RangeTable, Span
 
 __all__ = ['PeerTask']
@@ -29,6 +23,8 @@
 STATUS_MS = 400
 STATUS_NODES = 16  # with more members, statuses come more rarely
 SEND_LIMIT_MS = 300
+# Messages that are not answered.
+_NEWS = (messages.MeshStatus, messages.TableNews, messages.StrikeNews)
 
 
 class PeerTask:
@@ -36,54 +32,30 @@
 
     Parameters
     ----------
-    settings : MeshSettings
-        This node's settings.
-    members : MemberTable
-        The other nodes.
-    owner : OwnerTask
-        The local target.
-    tables : TableTask
-        Key ranges.
-    configs : ConfigTask
-        The configuration.
-    pool : PeerPool
-        Links to the other nodes.
-    clock : Clock
-        Source of time.
-    log : Log
-        Where decisions go.
+    parts : Parts
+        The node.
     """
 
-    def __init__(
-        self,
-        settings: MeshSettings,
-        members: MemberTable,
-        owner: OwnerTask,
-        tables: TableTask,
-        configs: ConfigTask,
-        pool: PeerPool,
-        clock: Clock,
-        log: Log,
-    ) -> None:
+    def __init__(self, parts: Parts) -> None:
         self.leaving = False
-        self._settings = settings
-        self._members = members
-        self._owner = owner
-        self._tables = tables
-        self._configs = configs
-        self._pool = pool
-        self._clock = clock
-        self._log = log
+        self._settings = parts.settings
+        self._members = parts.members
+        self._owner = parts.owner
+        self._tables = parts.tables
+        self._configs = parts.configs
+        self._pool = parts.pool
+        self._clock = parts.clock
+        self._log = parts.log
         self._alive: frozenset[NodeId] = frozenset()
 
     async def handle(self, call: LinkStream, message: messages.Message) -> None:
-        """Serve a call of another node."""
+        """Serve a call of another node, or take in its news."""
         if isinstance(message, messages.Relay):
             await self._relay(call, message)
-            return
-        reply = self._answer(message)
-        if reply is not None:
-            call.send(reply)
+        elif isinstance(message, _NEWS):
+            self._take(message)
+        else:
+            call.send(self._answer(message))
 
     async def run(self) -> None:
         """Tell all members this node's status until cancelled."""
@@ -164,35 +136,16 @@
         )
 
     @singledispatchmethod
-    def _answer(self, message: object) -> messages.Message | None:
+    def _answer(self, message: object) -> messages.Message:
         self._log.warning('message_unknown', kind=type(message).__name__)
-        return None
+        return messages.Ack(ok=False, text='unknown message')
 
     @_answer.register(messages.Probe)
-    def _(self, message: messages.Message) -> messages.Message | None:
+    def _(self, message: messages.Message) -> messages.Message:
         return messages.Ack(ok=True)
 
-    @_answer.register(messages.MeshStatus)
-    def _(self, message: messages.Message) -> messages.Message | None:
-        status = status_of(message)
-        self._members.learn(status, self._clock.now())
-        address = status.address
-        if (message.config_version or 0) > self._configs.version:
-            asyncio.ensure_future(self._configs.pull(address))
-        for entry in message.tables or ():
-            service = ServiceName(entry.service_name)
-            known = self._tables.tables.get(service)
-            if known is None or known.version < entry.version:
-                asyncio.ensure_future(self._tables.pull(service, address))
-        return None
-
-    @_answer.register(messages.TableNews)
-    def _(self, message: messages.Message) -> messages.Message | None:
-        self._tables.on_news(message)
-        return None
-
     @_answer.register(messages.MeshPull)
-    def _(self, message: messages.Message) -> messages.Message | None:
+    def _(self, message: messages.Message) -> messages.Message:
         if not message.service_name:
             return self._configs.news()
         table = self._tables.tables.get(ServiceName(message.service_name))
@@ -201,14 +154,14 @@
         return table_news(table)
 
     @_answer.register(messages.ProofAsk)
-    def _(self, message: messages.Message) -> messages.Message | None:
+    def _(self, message: messages.Message) -> messages.Message:
         found = self._tables.proof(ServiceName(message.service_name))
         if found is None:
             return messages.Proof()
         return messages.Proof(version=found[0], age_ms=found[1])
 
     @_answer.register(messages.WordAsk)
-    def _(self, message: messages.Message) -> messages.Message | None:
+    def _(self, message: messages.Message) -> messages.Message:
         word = self._tables.word(
             ServiceName(message.service_name),
             Span(message.first, message.last),
@@ -217,7 +170,7 @@
         return word_message(word)
 
     @_answer.register(messages.GiveOrder)
-    def _(self, message: messages.Message) -> messages.Message | None:
+    def _(self, message: messages.Message) -> messages.Message:
         self._tables.give(
             ServiceName(message.service_name),
             NodeId(message.taker),
@@ -225,11 +178,31 @@
         )
         return messages.Ack(ok=True)
 
-    @_answer.register(messages.StrikeNews)
-    def _(self, message: messages.Message) -> messages.Message | None:
+    @singledispatchmethod
+    def _take(self, message: object) -> None:
+        self._log.warning('news_unknown', kind=type(message).__name__)
+
+    @_take.register(messages.MeshStatus)
+    def _(self, message: messages.Message) -> None:
+        status = status_of(message)
+        self._members.learn(status, self._clock.now())
+        address = status.address
+        if (message.config_version or 0) > self._configs.version:
+            asyncio.ensure_future(self._configs.pull(address))
+        for entry in message.tables or ():
+            service = ServiceName(entry.service_name)
+            known = self._tables.tables.get(service)
+            if known is None or known.version < entry.version:
+                asyncio.ensure_future(self._tables.pull(service, address))
+
+    @_take.register(messages.TableNews)
+    def _(self, message: messages.Message) -> None:
+        self._tables.on_news(message)
+
+    @_take.register(messages.StrikeNews)
+    def _(self, message: messages.Message) -> None:
         strike = Strike(Fingerprint(message.fingerprint), message.incident)
         self._owner.poison.strike(strike, self._clock.now())
-        return None
 
     def _note_alive(self) -> None:
         now = self._clock.now()
@@ -241,5 +214,3 @@
         for node in self._alive - alive:
             self._log.warning('node_silent', peer=node)
         self._alive = alive
-
-
--- /dev/null
+++ b/src/savoryhold/mesh/reading.py
@@ -0,0 +1,142 @@
+"""From a caller's HTTP request to one that an owner can run."""
+
+from http import HTTPStatus
+
+from savoryhold.core.errors import BadRequestError, RequestError
+from savoryhold.core.ids import RequestId
+from savoryhold.core.poison import fingerprint_of
+from savoryhold.mesh.parts import Parts
+from savoryhold.mesh.requests import NO_KEY, RelayedRequest, TargetDownError
+from savoryhold.ranges import KEY_COUNT
+from savoryhold.traffic import Route, RouteTable
+from savoryhold.wire import HOP_BY_HOP, HeaderNames, HttpRequest
+
+__all__ = ['RequestReader']
+
+DEFAULT_DEADLINE_MS = 10_000
+NO_CONFIG_RETRY_MS = 200
+LATE_RETRY_MS = 50
+
+
+class RequestReader:
+    """Reads callers' requests by the configuration in force.
+
+    Parameters
+    ----------
+    parts : Parts
+        The node.
+    names : HeaderNames
+        Headers of callers.
+    """
+
+    def __init__(self, parts: Parts, names: HeaderNames) -> None:
+        self._parts = parts
+        self._names = names
+        self._dropped = HOP_BY_HOP | {
+            b'content-length',
+            names.deadline.lower(),
+            names.target.lower(),
+            names.caller.lower(),
+        }
+
+    def read(self, http: HttpRequest) -> tuple[RelayedRequest, Route]:
+        """Return the request and its route.
+
+        Raises
+        ------
+        RequestError
+            If no route, no time or no usable header is there.
+        """
+        routes = self._parts.configs.routes
+        if routes is None:
+            raise TargetDownError('no configuration yet', NO_CONFIG_RETRY_MS)
+        route = self._route(routes, http)
+        service = routes.pick(route)
+        known = routes.services.get(service)
+        keyed = known is not None and known.keyed
+        left = min(self._deadline_ms(http), route.timeout_ms)
+        deadline = http.read_at + left
+        if deadline <= self._parts.clock.now():
+            raise TargetDownError('the deadline has passed', LATE_RETRY_MS)
+        req = RelayedRequest(
+            self._request_id(http),
+            service,
+            self._key(http) if keyed else NO_KEY,
+            route.name,
+            http.method,
+            http.target,
+            self._head(http),
+            http.body,
+            deadline,
+            http.read_at + route.aim_ms,
+            route.priority,
+            route.kind.repeatable,
+            fingerprint_of(
+                service,
+                http.method.decode('latin-1'),
+                http.target.decode('latin-1'),
+                http.body,
+            ),
+        )
+        return req, route
+
+    def _route(self, routes: RouteTable, http: HttpRequest) -> Route:
+        host = http.header(b'host').decode('latin-1')
+        path = http.target.split(b'?', 1)[0].decode('latin-1')
+        route = routes.match(host, path)
+        if route is None:
+            exc = RequestError(f'no route for {host!r} and path {path!r}')
+            exc.status = HTTPStatus.NOT_FOUND
+            exc.code = 'no-route'
+            raise exc
+        return route
+
+    def _request_id(self, http: HttpRequest) -> RequestId:
+        name = self._names.request_id
+        found = http.header(name.lower()).decode('latin-1')
+        if not found:
+            raise BadRequestError(f'{name.decode()}: is missing')
+        return RequestId(found)
+
+    def _deadline_ms(self, http: HttpRequest) -> int:
+        name = self._names.deadline
+        text = http.header(name.lower()).decode('latin-1')
+        if not text:
+            return DEFAULT_DEADLINE_MS
+        try:
+            return max(0, int(float(text)))
+        except (ValueError, OverflowError):
+            raise BadRequestError(
+                f'{name.decode()}: expected ms, got {text!r}'
+            ) from None
+
+    def _key(self, http: HttpRequest) -> int:
+        name = self._names.key
+        text = http.header(name.lower()).decode('latin-1')
+        if text.isdecimal() and int(text) < KEY_COUNT:
+            return int(text)
+        raise BadRequestError(
+            f'{name.decode()}: expected 0 to {KEY_COUNT - 1}, got {text!r}'
+        )
+
+    def _head(self, http: HttpRequest) -> bytes:
+        """Return the header lines that the target gets."""
+        report = self._parts.owner.report
+        caller = self._parts.settings.service
+        if report is not None:
+            caller = report.service
+        dropped = self._dropped | _listed(http.header(b'connection'))
+        lines = [
+            b'%s: %s\r\n' % (name, text)
+            for name, text in http.headers
+            if name.lower() not in dropped
+        ]
+        lines.append(b'%s: %s\r\n' % (self._names.caller, caller.encode()))
+        return b''.join(lines)
+
+
+def _listed(text: bytes) -> frozenset[bytes]:
+    """Return the header names that a Connection header lists."""
+    if not text:
+        return frozenset()
+    return frozenset(name.strip().lower() for name in text.split(b','))
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -1,5 +1,7 @@
 """Heartbeats of the local target, and the grants that answer them."""
 
+from http import HTTPStatus
+
 from savoryhold.core.clock import Clock
 from savoryhold.daemon.logs import Log
 from savoryhold.mesh.interface import Adapter, TargetLeave, TargetReport
@@ -11,7 +13,6 @@
 
 JSON_HEAD = b'content-type: application/json\r\n'
 LIVE_MS = 1500  # a life that reported this recently is still up
-BAD_REQUEST = 400
 
 
 class ReportHandler:
@@ -53,10 +54,8 @@
         elif isinstance(call, TargetLeave):
             self._on_leave(exchange, call)
         else:
-            self._log.warning(
-                'report_unreadable', bytes=len(exchange.req.body)
-            )
-            exchange.reply(BAD_REQUEST)
+            self._log.warning('report_unreadable', bytes=len(exchange.req.body))
+            exchange.reply(HTTPStatus.BAD_REQUEST)
 
     def _on_report(self, exchange: Exchange, report: TargetReport) -> None:
         if self._is_old(report):
@@ -66,7 +65,9 @@
                 born=report.keys.life.born,
                 sequence=report.sequence,
             )
-            exchange.reply(200, JSON_HEAD, self._adapter.encode_reply(None))
+            exchange.reply(
+                HTTPStatus.OK, JSON_HEAD, self._adapter.encode_reply(None)
+            )
             return
         self._owner.on_report(report)
         reply = None
@@ -74,13 +75,15 @@
             machine = self._tables.machine(report.service)
             reply = machine.on_report(report.keys, self._clock.now())
             self._owner.wake()
-        exchange.reply(200, JSON_HEAD, self._adapter.encode_reply(reply))
+        exchange.reply(
+            HTTPStatus.OK, JSON_HEAD, self._adapter.encode_reply(reply)
+        )
 
     def _on_leave(self, exchange: Exchange, call: TargetLeave) -> None:
         report = self._owner.report
         if report is not None and report.keys.life.target == call.target:
             self._owner.begin_leave('left')
-        exchange.reply(200, JSON_HEAD, b'{}')
+        exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
 
     def _is_old(self, report: TargetReport) -> bool:
         """Return whether a report was held up on its way."""
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -50,6 +50,8 @@
 FIRST_TABLE_MS = 2500  # all nodes of a first start have reported by then
 CLAIM_AFTER_START_MS = 4500  # other nodes may be starting, too
 WRITE_PAUSE_MS = 150
+JITTER = (0.8, 1.3)
+WORDS_KEPT = 1000
 
 
 class TableTask:
@@ -180,9 +182,7 @@
     async def prove(self) -> None:
         """Keep the proof of the local target's table fresh."""
         while True:
-            await asyncio.sleep(
-                PROOF_EVERY_MS * (0.8 + random.random() / 2) / MS_PER_SECOND
-            )
+            await asyncio.sleep(PROOF_EVERY_MS * _jitter() / MS_PER_SECOND)
             report = self._owner.report
             if report is not None and report.service in self.keyed():
                 await self._prove(report.service)
@@ -246,7 +246,7 @@
                 continue
             self._word_at[row] = now
             asyncio.ensure_future(self._ask_word(machine, row))
-        if len(self._word_at) > 1000:
+        if len(self._word_at) > WORDS_KEPT:
             self._word_at.clear()
 
     async def _ask_word(self, machine: GrantMachine, row: Row) -> None:
@@ -476,9 +476,7 @@
             )
         return sorted(found, key=lambda load: load.node)
 
-    def _send_order(
-        self, service: ServiceName, order: Order, now: int
-    ) -> None:
+    def _send_order(self, service: ServiceName, order: Order, now: int) -> None:
         paused = max(
             self._planned_at.get(order.giver, 0),
             self._planned_at.get(order.taker, 0),
@@ -541,6 +539,11 @@
         return machine.word_on(span, epoch, self._clock.now())
 
 
+def _jitter() -> float:
+    # Nodes that started together must not call together.
+    return random.uniform(*JITTER)
+
+
 def _confirmation(row: Row, reply: messages.Message) -> Confirmation:
     releases = tuple(
         Release(Span(entry.first, entry.last), entry.token)
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -3,6 +3,8 @@
 import os
 import sys
 from collections import Counter, deque
+from functools import partial
+from typing import TextIO, cast
 
 import structlog
 
@@ -75,12 +77,16 @@
                 bool_as_flag=False,
             ),
         ],
-        logger_factory=lambda *names: structlog.WriteLogger(lines),  # type: ignore[arg-type]
+        logger_factory=partial(_make_logger, lines),
         cache_logger_on_first_use=True,
     )
     return lines
 
 
+def _make_logger(lines: LineBuffer, *names: str) -> structlog.WriteLogger:
+    return structlog.WriteLogger(cast(TextIO, lines))
+
+
 class Telemetry:
     """Counts requests by outcome and logs the eventful ones.
 
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -399,5 +399,5 @@
                 parts.extend(part.without(release.span))
                 cut = part.common(release.span)
                 found.append(Grant(cut, fence, release.token))
-        found.extend(Grant(part, fence, '') for part in parts)
+        found.extend(Grant(left, fence, '') for left in parts)
         return sorted(found, key=lambda grant: grant.span)
--- a/src/savoryhold/ranges/heat.py
+++ b/src/savoryhold/ranges/heat.py
@@ -36,9 +36,7 @@
             if heat * _decay(now - at) > FORGET
         }
 
-    def cut(
-        self, spans: Iterable[Span], share: float, now: int
-    ) -> Span | None:
+    def cut(self, spans: Iterable[Span], share: float, now: int) -> Span | None:
         """Return the narrowest span that carries a share of the work.
 
         Parameters
@@ -50,18 +48,11 @@
         now : int
             Time in ms.
         """
-        wanted_spans = sorted(spans)
-        size = sum(span.size for span in wanted_spans)
+        ordered = sorted(spans)
+        size = sum(span.size for span in ordered)
         if not size or share <= 0:
             return None
-        inside = {
-            span: [
-                (key, heat)
-                for key, heat in self._current(now)
-                if span.first <= key <= span.last
-            ]
-            for span in wanted_spans
-        }
+        inside = self._inside(ordered, now)
         total = sum(heat for found in inside.values() for _, heat in found)
         base = (total * SPREAD + FORGET) / size
         wanted = share * (total + base * size)
@@ -71,9 +62,22 @@
             for cut in _narrowest(span, found, base, wanted)
         ]
         if not cuts:
-            return max(wanted_spans, key=lambda span: span.size)
+            return max(ordered, key=lambda span: span.size)
         return min(cuts, key=lambda cut: cut.size)
 
+    def _inside(
+        self, spans: list[Span], now: int
+    ) -> dict[Span, list[tuple[int, float]]]:
+        current = self._current(now)
+        return {
+            span: [
+                (key, heat)
+                for key, heat in current
+                if span.first <= key <= span.last
+            ]
+            for span in spans
+        }
+
     def _current(self, now: int) -> list[tuple[int, float]]:
         return sorted(
             (key, heat * _decay(now - at))
--- a/src/savoryhold/ranges/planner.py
+++ b/src/savoryhold/ranges/planner.py
@@ -61,7 +61,7 @@
     mean = sum(load.demand for load in loads) / max(1, slots)
     givers = sorted(
         (load for load in loads if _is_over(load, mean)),
-        key=lambda load: -load.use,
+        key=_busiest_first,
     )
     room = {
         load.node: (mean - load.use) * load.slots
@@ -127,20 +127,25 @@
     share = 1 / len(loads)
     return [
         Order(giver.node, empty[place % len(empty)].node, share)
-        for place, giver in enumerate(
-            sorted(givers, key=lambda load: (-load.use, load.node))
-        )
+        for place, giver in enumerate(sorted(givers, key=_busiest_first))
     ]
 
 
+def _busiest_first(load: Load) -> tuple[float, NodeId]:
+    return -load.use, load.node
+
+
 def _is_over(load: Load, mean: float) -> bool:
     return load.use > BUSY and load.use > mean * UNEVEN and load.keys > 1
 
 
-def _relieve(giver: Load, mean: float, room: dict[NodeId, float]) -> list[Order]:
+def _relieve(
+    giver: Load, mean: float, room: dict[NodeId, float]
+) -> list[Order]:
     excess = giver.demand - mean * giver.slots
     found: list[Order] = []
-    for taker in sorted(room, key=lambda node: -room[node])[:MOST_ORDERS]:
+    roomiest = sorted(room, key=room.__getitem__, reverse=True)
+    for taker in roomiest[:MOST_ORDERS]:
         part = min(excess, room[taker])
         if part < SMALLEST * giver.demand:
             continue
--- a/src/savoryhold/ranges/table.py
+++ b/src/savoryhold/ranges/table.py
@@ -220,7 +220,7 @@
         raise MalformedMessageError(f'range table: {entry!r} is not a row')
     first, last, owner, epoch, previous = entry
     numbers = (first, last, epoch)
-    if not all(type(number) is int for number in numbers):
+    if not all(isinstance(number, int) for number in numbers):
         raise MalformedMessageError(f'range table: {entry!r} has no numbers')
     return Row(
         Span(first, last), NodeId(str(owner)), Epoch(epoch), NodeId(previous)
--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -37,13 +37,16 @@
     """Return the node with the least expected completion time."""
     best = min(
         found,
-        key=lambda one: (one.wait_ms + _far_ms(one, here, large), one.node),
+        key=lambda one: (
+            one.wait_ms + _far_ms(one, here, large=large),
+            one.node,
+        ),
         default=None,
     )
     return None if best is None else best.node
 
 
-def _far_ms(one: Candidate, here: Distance, large: bool) -> float:  # noqa: FBT001
+def _far_ms(one: Candidate, here: Distance, *, large: bool) -> float:
     if one.zone == here.zone:
         return 0.0
     if one.region == here.region:
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -123,7 +123,7 @@
         ]
         for ticket in found:
             self.waiting.pop(ticket.number)
-        return [Refused(ticket, 'deadline', MIN_RETRY_MS) for ticket in found]
+        return [Refused(gone, 'deadline', MIN_RETRY_MS) for gone in found]
 
     def next(self, now: int) -> Ticket | None:
         """Start and return the ticket to run now, if a slot is free."""
--- a/src/savoryhold/traffic/routes.py
+++ b/src/savoryhold/traffic/routes.py
@@ -93,13 +93,13 @@
 
     def __init__(self, cfg: MeshConfig) -> None:
         self.cfg = cfg
-        self.services = {info.name: info for info in cfg.services}
+        self.services = {known.name: known for known in cfg.services}
         self._hosts: dict[str, list[Route]] = {}
         self._credit: dict[tuple[str, ServiceName], float] = {}
         for route in cfg.routes:
             self._hosts.setdefault(route.host.lower(), []).append(route)
         for routes in self._hosts.values():
-            routes.sort(key=lambda route: -len(route.prefix))
+            routes.sort(key=_by_length, reverse=True)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
@@ -123,9 +123,13 @@
         for part in route.parts:
             place = (route.name, part.service)
             self._credit[place] = self._credit.get(place, 0.0) + part.weight
-        best = max(
-            route.parts,
-            key=lambda part: self._credit[(route.name, part.service)],
-        )
+        best = max(route.parts, key=lambda one: self._credit_of(route, one))
         self._credit[(route.name, best.service)] -= total
         return best.service
+
+    def _credit_of(self, route: Route, part: Part) -> float:
+        return self._credit[(route.name, part.service)]
+
+
+def _by_length(route: Route) -> int:
+    return len(route.prefix)
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -216,15 +216,13 @@
             max(timeout_ms, 1) / MS_PER_SECOND, _expire, fut
         )
         try:
-            answer = await fut
+            return await fut
         except BaseException:
             conn.reusable = False
             raise
         finally:
             timer.cancel()
-            self._busy.discard(conn)
             self._give_back(conn)
-        return answer
 
     def dropped(self, conn: _Connection) -> None:
         """Forget a connection that has closed."""
@@ -233,7 +231,8 @@
 
     def close(self) -> None:
         """Close all connections."""
-        for conn in [*self._idle, *self._busy]:
+        everyone = [*self._idle, *self._busy]
+        for conn in everyone:
             conn.reusable = False
             conn.close()
 
@@ -271,6 +270,7 @@
         return conn
 
     def _give_back(self, conn: _Connection) -> None:
+        self._busy.discard(conn)
         conn.fut = None
         conn.belongs = None
         if conn.closed:
--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -8,6 +8,7 @@
 import dataclasses
 from collections import deque
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import cast
 
 import httptools
@@ -20,19 +21,7 @@
 MAX_PIPELINED = 32  # further requests wait unread
 SWEEP_MS = 500
 DRAIN_POLL_MS = 10
-REASONS = {
-    200: b'OK',
-    400: b'Bad Request',
-    404: b'Not Found',
-    408: b'Request Timeout',
-    413: b'Content Too Large',
-    429: b'Too Many Requests',
-    431: b'Request Header Fields Too Large',
-    500: b'Internal Server Error',
-    502: b'Bad Gateway',
-    503: b'Service Unavailable',
-    504: b'Gateway Timeout',
-}
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
 @dataclasses.dataclass(slots=True)
@@ -98,12 +87,14 @@
             return
         reason = REASONS.get(status, b'Status')
         length = b'content-length: %d\r\n' % len(body) if sized else b''
+        closes = self.conn.closes_after(self)
+        close = b'connection: close\r\n' if closes else b''
         self._answer = b'HTTP/1.1 %d %s\r\n%s%s%s\r\n%s' % (
             status,
             reason,
             head,
             length,
-            b'connection: close\r\n' if self.conn.closes_after(self) else b'',
+            close,
             body,
         )
         self.conn.flush()
@@ -151,12 +142,12 @@
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
-            self._fail(400)
+            self._fail(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
-            self._fail(400)
+            self._fail(HTTPStatus.BAD_REQUEST)
         limit = self.server.limits().header_bytes
         if self._in_head and self._head_bytes > limit:
-            self._fail(431)
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def eof_received(self) -> bool:
         """Take a half-closed connection as closed."""
@@ -198,15 +189,15 @@
         size = sum(len(name) + len(text) + 4 for name, text in self._headers)
         length = self._fields.get(b'content-length', b'0')
         if size + len(self._url) > limits.header_bytes:
-            self._fail(431)
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         elif length.isdigit() and int(length) > limits.body_bytes:
-            self._fail(413)
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self.server.limits().body_bytes:
-            self._fail(413)
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         self._body.append(body)
 
@@ -266,7 +257,7 @@
         limits = self.server.limits()
         if self._begun_at is not None:
             if now - self._begun_at > limits.header_ms and self._in_head:
-                self._fail(408)
+                self._fail(HTTPStatus.REQUEST_TIMEOUT)
             return
         if self._closing:
             return
