A proof of an earlier table version counts while the own rows are the same

Cause: on the grown site each node read the store about once a second, since its table had changed elsewhere between a neighbour's proof and its own copy. Change: a proof counts from the version in which the own rows became what they are; six nodes a region watch the configuration, the others hear of it.

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -22,7 +22,8 @@
 __all__ = ['ConfigTask']
 
 MS_PER_SECOND = 1000
-WATCH_MS = 20_000
+WATCH_MS = 30_000  # the longest that the store allows
+REST_MS = 500
 RETRY_MS = 400
 REREAD_MS = 150  # a store without history would be read in a busy loop
 PULL_LIMIT_MS = 500
@@ -57,6 +58,7 @@
         self._spec: Any = None
         self._connected = True
         self._pulling: asyncio.Task[None] | None = None
+        self.watches: Callable[[], bool] = lambda: True
 
     def keyed(self) -> set[ServiceName]:
         """Return the services that have keys."""
@@ -145,6 +147,10 @@
                 return None
             self.accept(found.spec, 'store')
             return found.version
+        if not self.watches():
+            # Others watch, and their statuses tell of a newer version.
+            await asyncio.sleep(REST_MS / MS_PER_SECOND)
+            return at
         seen = await self._adapter.watch_config(at, WATCH_MS)
         for entry in seen.objects:
             self.accept(entry.spec, 'watch')
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -148,6 +148,16 @@
             if not self.is_alive(node, now) and self._is_outvoted(node, now)
         )
 
+    def is_among_first(self, count: int, now: int) -> bool:
+        """Return whether few alive nodes of the region come before this."""
+        before = sum(
+            1
+            for member in self.alive(now)
+            if member.status.region == self._region
+            and member.status.node < self.node
+        )
+        return before < count
+
     def serving(self, service: ServiceName, now: int) -> list[Member]:
         """Return the members with a target of a service that takes work."""
         return [
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -42,6 +42,7 @@
 LINGER_MS = 3000  # the platform may not ask at all
 LAST_CALLERS_MS = 150  # callers that were sent here meanwhile
 TIDY_MS = 1000
+CONFIG_WATCHERS = 6  # of a region; the others hear of changes from them
 EXIT_OK = 0
 EXIT_FAILED = 1
 TRACE_FRAMES = 4
@@ -152,6 +153,8 @@
 
     def _connect(self) -> None:
         self.tables.keyed = self.configs.keyed
+        self.configs.watches = self._watches_config
+        self.configs.on_change = self.peers.tell_all
         self.tables.on_table = self.peers.tell_table
         self.owner.machine_of = self.tables.machines.get
         self.owner.on_strike = self.peers.tell_strike
@@ -246,6 +249,10 @@
             self.members.addresses
         )
 
+    def _watches_config(self) -> bool:
+        now = self.clock.now()
+        return self.members.is_among_first(CONFIG_WATCHERS, now)
+
     def _on_metrics(self, exchange: Exchange) -> None:
         gauges = {
             'keys_owned': float(self.tables.keys()),
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -151,7 +151,8 @@
         machine = self.machines.get(service)
         if machine is None or machine.table is None:
             return None
-        return machine.table.version, self._clock.now() - machine.proved_at
+        version, at = machine.proof
+        return version, self._clock.now() - at
 
     def keys(self) -> int:
         """Return how many keys this node owns."""
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -118,6 +118,8 @@
         self.node = node
         self.table: RangeTable | None = None
         self.proved_at = now - LEASE_MS
+        self.proof = (0, now - LEASE_MS)
+        self._same_since = 0
         self.life: TargetLife | None = None
         self.leaving: dict[Span, NodeId] = {}
         self.held: tuple[Held, ...] = ()
@@ -151,8 +153,10 @@
         first = self.table is None
         if self.table is not None and table.version <= self.table.version:
             return
-        self.table = table
         mine = table.rows_of(self.node)
+        if first or set(mine) != set(self._seen_at):
+            self._same_since = table.version
+        self.table = table
         if first:
             self._inherited = {
                 row for row in mine if not fresh or row.epoch > FIRST_EPOCH
@@ -170,8 +174,18 @@
                 self._clear(row.span, row.epoch)
 
     def prove(self, version: int, at: int) -> None:
-        """Note that the stored table had a version at a moment, in ms."""
-        if self.table is not None and version == self.table.version:
+        """Note that the stored table had a version at a moment, in ms.
+
+        Notes
+        -----
+        An earlier version counts as long as the own rows are the same: a row
+        that had gone and come back would have a higher epoch.
+        """
+        if at > self.proof[1]:
+            self.proof = (version, at)
+        if self.table is None:
+            return
+        if self._same_since <= version <= self.table.version:
             self.proved_at = max(self.proved_at, at)
 
     def confirm(self, word: Confirmation) -> None:
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -212,6 +212,26 @@
         """An old copy of the table extends nothing."""
         self.assertIsNone(self.machine.on_report(report(LIFE), LEASE_MS - 400))
 
+    def test_proof_outlives_changes_of_other_rows(self) -> None:
+        """In a busy table, a proof of the version before was worth nothing.
+
+        Each node then read the store itself, about once a second.
+        """
+        machine = GrantMachine(ME, 0)
+        machine.learn(table(2, row(LOW, ME, 2), row(HIGH, OTHER, 1)), 0)
+        third = NodeId('third')
+        machine.learn(table(3, row(LOW, ME, 2), row(HIGH, third, 2)), 5)
+        machine.prove(2, 40)
+        self.assertEqual(machine.proved_at, 40)
+
+    def test_proof_from_before_an_own_row_counts_for_nothing(self) -> None:
+        """It does not show that the row was this node's then."""
+        machine = GrantMachine(ME, 0)
+        machine.learn(table(2, row(LOW, ME, 2), row(HIGH, OTHER, 1)), 0)
+        machine.learn(table(3, row(LOW, ME, 2), row(HIGH, ME, 2)), 5)
+        machine.prove(2, 40)
+        self.assertLess(machine.proved_at, 0)
+
     def test_proof_of_another_version_counts_for_nothing(self) -> None:
         """A proof of a version that is not the copy is passed over."""
         self.machine.prove(3, LEASE_MS - 400)
