--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -16,7 +16,7 @@
 FIRST_SERVICE_MS = 60.0  # before the first measurement of a kind
 SMOOTHING = 0.06
 AIM_SLACK = 1.0  # part of the aim that a forecast may use up
-MIN_RETRY_MS = 60
+MIN_RETRY_MS = 220
 MAX_RETRY_MS = 1000
 RUN_LEFT = 0.4  # part of a running request's time that is left on average
 
