--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -327,7 +327,8 @@
         -----
         The span must lie in one row that this node may grant.
         """
-        if any(known.overlaps(span) for known in self.leaving):
+        busy = any(known.overlaps(span) for known in self.leaving)
+        if busy or to == self.node:
             return False
         for row in self._seen_at:
             if row.span.contains(span) and self.is_clear(row):
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -286,6 +286,10 @@
         self.learn(table(4, row(ALL, ME, 4, OTHER)), 20)
         self.assertFalse(self.machine.give(LOW, OTHER))
 
+    def test_span_is_not_given_to_its_own_node(self) -> None:
+        """A span that left for its own node was dropped again and again."""
+        self.assertFalse(self.machine.give(LOW, ME))
+
     def test_dead_target_frees_its_spans(self) -> None:
         """A target whose process has ended holds nothing."""
         self.machine.target_lost()
