--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -119,8 +119,13 @@
 class Adapter(Protocol):
     """Translates between the product and the platform."""
 
-    names: HeaderNames
-    store: MeshStore
+    @property
+    def names(self) -> HeaderNames:
+        """Return the header names towards callers and targets."""
+
+    @property
+    def store(self) -> MeshStore:
+        """Return the object API."""
 
     async def read_config(self) -> Stored | None:
         """Return the operators' configuration as it is stored."""
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -121,6 +121,7 @@
         self._lines = lines
         self._reload = reload
         self.draining = False
+        self._peer_server: asyncio.Server | None = None
         self._failure = ''
         self._unready_answers = 0
         self._leave_asked = asyncio.Event()
@@ -149,9 +150,20 @@
         await self._leave()
         for task in self._tasks:
             task.cancel()
-        self._lines.flush()
+        self.close()
         return EXIT_FAILED if self._failure else EXIT_OK
 
+    def close(self) -> None:
+        """Close all sockets and write the last log lines."""
+        for server in (self.callers, self.reports, self.ready, self.metrics):
+            server.stop()
+        if self._peer_server is not None:
+            self._peer_server.close()
+        if self.owner.pool is not None:
+            self.owner.pool.close()
+        self.pool.close()
+        self._lines.flush()
+
     def _connect(self) -> None:
         self.tables.keyed = self.configs.keyed
         self.configs.watches = self._watches_config
@@ -181,7 +193,7 @@
         cfg = self.settings
         loop = asyncio.get_running_loop()
         host, _, port = cfg.peers.rpartition(':')
-        await loop.create_server(
+        self._peer_server = await loop.create_server(
             self.pool.accept, host, int(port), backlog=BACKLOG
         )
         await self.reports.start(cfg.reports, BACKLOG)
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -1,7 +1,6 @@
 """What a node tells of its requests: log lines, counters, latencies."""
 
 import os
-import sys
 from collections import Counter, deque
 from functools import partial
 from typing import TextIO, cast
@@ -59,15 +58,20 @@
             self._lines.append(packed[written:].decode(errors='replace'))
 
 
-def set_up_mesh_logs() -> LineBuffer:
-    """Send log lines to a buffer of standard output.
+def set_up_mesh_logs(fileno: int) -> LineBuffer:
+    """Send log lines to a buffer.
+
+    Parameters
+    ----------
+    fileno : int
+        Open file that the buffer is flushed to.
 
     Returns
     -------
     LineBuffer
         To be flushed now and then.
     """
-    lines = LineBuffer(sys.stdout.fileno())
+    lines = LineBuffer(fileno)
     structlog.configure(
         processors=[
             structlog.processors.TimeStamper(fmt='iso', utc=True),
--- /dev/null
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -0,0 +1,301 @@
+"""Mesh nodes on stand-ins of the platform, on loopback sockets."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import socket
+import sys
+import unittest
+from typing import Any
+
+from savoryhold.core.clock import BootClock
+from savoryhold.core.errors import ConfigurationError
+from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
+from savoryhold.mesh import MeshSettings, TargetLeave, TargetReport
+from savoryhold.mesh.node import MeshNode
+from savoryhold.mesh.telemetry import set_up_mesh_logs
+from savoryhold.ranges import GrantReply
+from savoryhold.wire import ClientPool, HttpRequest
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[4] / 'platform'))
+
+from adapter import PlatformAdapter  # noqa: E402
+from decode import decode_call, decode_config, encode_reply  # noqa: E402
+from standins import ObjectApi, Target  # noqa: E402
+
+LIMIT_S = 20
+POLL_S = 0.02
+ASK_MS = 3000
+REPORT_PATH = '/v1/rpc?call=instances.heartbeat&of=i-1'
+GOOD_REPORT = (
+    b'{"address":"10.0.0.1:80","born":7,"info":{"service":"desk",'
+    b'"slots":6},"status":{"state":"ready","seq":4},'
+    b'"holds":[[0,9,1024]],"released":[[10,19,"t"]]}'
+)
+CONFIG: dict[str, Any] = {
+    'version': 3,
+    'services': [{'name': 'desk', 'sharded': True}, {'name': 'media'}],
+    'limits': {},
+    'virtual_hosts': [
+        {
+            'host': 'h.example',
+            'paths': [
+                {
+                    'path_prefix': '/desk/',
+                    'kind': 'idempotent',
+                    'timeout_ms': 2000,
+                    'target_latency_ms': 1000,
+                    'priority': 1,
+                    'service': 'desk',
+                    'max_attempts': 2,
+                },
+                {
+                    'path_prefix': '/media/',
+                    'kind': 'download',
+                    'timeout_ms': 2000,
+                    'target_latency_ms': 1000,
+                    'priority': 1,
+                    'service': 'media',
+                    'max_attempts': 2,
+                },
+            ],
+        }
+    ],
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on."""
+    found = []
+    with contextlib.ExitStack() as stack:
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(('127.0.0.1', 0))
+            found.append(sock.getsockname()[1])
+    return found
+
+
+class Host:
+    """A node and its target."""
+
+    def __init__(self, name: str, service: str, store: str) -> None:
+        local = [f'127.0.0.1:{port}' for port in free_ports(6)]
+        self.target = Target(f't-{name}', service, local[0], local[1])
+        self.callers = local[2]
+        settings = MeshSettings(
+            node=NodeId(name),
+            zone=Zone('a'),
+            region=Region('r'),
+            service=ServiceName(service),
+            target=local[0],
+            callers=local[2],
+            reports=local[1],
+            ready=local[3],
+            peers=local[4],
+            metrics=local[5],
+            store=store,
+            report_ms=200,
+            drain_ms=1000,
+            grace_ms=2000,
+            hold_max_ms=10_000,
+            retry_ratio=0.2,
+            retry_slack=50,
+            retry_window_ms=10_000,
+        )
+        clock = BootClock()
+        adapter = PlatformAdapter(store, clock.now)
+        self.ready = local[3]
+        self.metrics = local[5]
+        self.node = MeshNode(
+            settings,
+            adapter,
+            set_up_mesh_logs(os.open(os.devnull, os.O_WRONLY)),
+            lambda: settings,
+        )
+
+
+class MeshCase(unittest.IsolatedAsyncioTestCase):
+    """Two hosts of a keyed service, one of a service without keys."""
+
+    async def asyncSetUp(self) -> None:
+        """Start everything and wait until all keys are held."""
+        self.tasks: list[asyncio.Future[Any]] = []
+        self.api = ObjectApi()
+        store = f'127.0.0.1:{free_ports(1)[0]}'
+        await self.api.server.start(store, 64)
+        self.api.put('config', 'main', CONFIG)
+        self.hosts = [
+            Host(name, service, store)
+            for name, service in (
+                ('one', 'desk'),
+                ('two', 'desk'),
+                ('three', 'media'),
+            )
+        ]
+        for host in self.hosts:
+            await host.target.server.start(host.target.address, 64)
+            self.tasks.append(asyncio.ensure_future(host.node.run()))
+            self.tasks.append(asyncio.ensure_future(host.target.run()))
+        await self.until(lambda: self.held() == 65_536)
+
+    async def asyncTearDown(self) -> None:
+        """End everything."""
+        for host in self.hosts:
+            for loop_task in host.node._tasks:
+                loop_task.cancel()
+            host.node.close()
+            host.target.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.api.server.stop()
+
+    def held(self) -> int:
+        """Return how many keys the targets hold."""
+        return sum(
+            row[1] - row[0] + 1
+            for host in self.hosts
+            for row in host.target.rows
+        )
+
+    async def until(self, done: Any) -> None:
+        """Wait until something is so."""
+        async with asyncio.timeout(LIMIT_S):
+            while not done():
+                await asyncio.sleep(POLL_S)
+
+    async def ask(
+        self, host: Host, path: str, number: int, key: int | None = None
+    ) -> tuple[int, bytes]:
+        """Send a request to a node; return status and body."""
+        pool = ClientPool(host.callers, BootClock().now)
+        head = (
+            f'GET {path} HTTP/1.1\r\nHost: h.example\r\n'
+            f'X-Savoryhold-Attempt-Id: r{number}\r\n'
+            f'X-Savoryhold-Deadline-Ms: 2000\r\n'
+        )
+        if key is not None:
+            head += f'X-Savoryhold-Shard-Key: {key}\r\n'
+        answer = await pool.ask(f'{head}\r\n'.encode(), ASK_MS)
+        pool.close()
+        return answer.status, answer.body
+
+    async def get(self, address: str, path: str) -> tuple[int, bytes]:
+        """Ask one of a node's own addresses."""
+        pool = ClientPool(address, BootClock().now)
+        head = f'GET {path} HTTP/1.1\r\nHost: n\r\n\r\n'
+        answer = await pool.ask(head.encode(), ASK_MS)
+        pool.close()
+        return answer.status, answer.body
+
+
+class TestMesh(MeshCase):
+    """Requests through the mesh."""
+
+    async def test_each_key_has_one_owner_from_everywhere(self) -> None:
+        """All nodes give the answer of the one target that holds a key."""
+        number = 0
+        for key in (0, 20_000, 40_000, 65_535):
+            found = set()
+            for host in self.hosts:
+                number += 1
+                found.add(await self.ask(host, '/desk/x', number, key))
+            self.assertEqual(len(found), 1)
+            self.assertEqual(found.pop()[0], 200)
+        media = await self.ask(self.hosts[0], '/media/x', 99)
+        self.assertEqual(media, (200, b't-three'))
+
+    async def test_unknown_route_and_bad_key(self) -> None:
+        """What no route or key allows is answered as such."""
+        host = self.hosts[0]
+        self.assertEqual((await self.ask(host, '/none/', 1))[0], 404)
+        self.assertEqual((await self.ask(host, '/desk/x', 2, 99_999))[0], 400)
+        self.assertEqual((await self.ask(host, '/desk/x', 3))[0], 400)
+
+    async def test_draining_target_gives_its_keys_away(self) -> None:
+        """All keys of a target that leaves are served by the other."""
+        leaving, staying = self.hosts[0], self.hosts[1]
+        leaving.target.state = 'draining'
+        await self.until(
+            lambda: not leaving.target.rows and self.held() == 65_536
+        )
+        found = await self.ask(leaving, '/desk/x', 1, 0)
+        self.assertEqual(found, (200, staying.target.name.encode()))
+
+    async def test_store_away_stops_nothing_at_once(self) -> None:
+        """Requests are served on what is known."""
+        self.api.away = True
+        found = await self.ask(self.hosts[0], '/desk/x', 1, 0)
+        self.assertEqual(found[0], 200)
+
+    async def test_newer_configuration_is_in_force(self) -> None:
+        """A route that was dropped is gone, and never comes back."""
+        newer = dict(CONFIG, version=8, virtual_hosts=[])
+        self.api.put('config', 'main', newer)
+        await self.until(
+            lambda: all(host.node.configs.version == 8 for host in self.hosts)
+        )
+        self.assertEqual((await self.ask(self.hosts[2], '/media/x', 1))[0], 404)
+        self.assertFalse(self.hosts[0].node.configs.accept(CONFIG, 'late'))
+
+    async def test_ready_and_metrics(self) -> None:
+        """A node tells whether it takes callers, and its figures."""
+        host = self.hosts[0]
+        self.assertEqual((await self.get(host.ready, '/v1/ready'))[0], 200)
+        host.node.draining = True
+        self.assertEqual((await self.get(host.ready, '/v1/ready'))[0], 503)
+        status, body = await self.get(host.metrics, '/metrics')
+        self.assertEqual(status, 200)
+        self.assertIn(b'savoryhold_mesh_config_version 3', body)
+
+
+def call_of(target: str, body: bytes) -> HttpRequest:
+    """Return a target's call."""
+    return HttpRequest(b'POST', target.encode(), [], body, 0, {})
+
+
+class TestDecode(unittest.TestCase):
+    """The platform's messages."""
+
+    def test_report(self) -> None:
+        """A report has its life, rows and state."""
+        found = decode_call(call_of(REPORT_PATH, GOOD_REPORT))
+        assert isinstance(found, TargetReport)
+        self.assertEqual(found.keys.life.target, 'i-1')
+        self.assertEqual(found.keys.held[0].fence, 1024)
+        self.assertEqual(found.keys.released[0].token, 't')
+
+    def test_leave(self) -> None:
+        """A leave names its target."""
+        path = '/v1/rpc?call=instances.leave&of=i-1'
+        self.assertEqual(decode_call(call_of(path, b'')), TargetLeave('i-1'))
+
+    def test_unreadable_reports_name_no_target(self) -> None:
+        """Missing fields, other types and rubbish are no report."""
+        for old, new in (
+            (b'"ready"', b'"odd"'),
+            (b'"seq":4', b'"seq":"4"'),
+            (b'"slots":6', b'"slots":0'),
+            (b'"slots":6', b'"slots":true'),
+            (b'[[0,9,1024]]', b'[[9,0,1024]]'),
+            (b'[[0,9,1024]]', b'[[0,70000,1]]'),
+            (b'"born":7', b'"born":"x"'),
+            (b'"10.0.0.1:80"', b'7'),
+            (b'}', b''),
+        ):
+            with self.subTest(new=new):
+                body = GOOD_REPORT.replace(old, new)
+                self.assertIsNone(decode_call(call_of(REPORT_PATH, body)))
+
+    def test_configuration_with_a_missing_field(self) -> None:
+        """The error names what was read."""
+        with self.assertRaises(ConfigurationError):
+            decode_config({'version': 1, 'services': []})
+
+    def test_no_grants_and_none_at_all(self) -> None:
+        """An empty list takes all keys away; its absence changes nothing."""
+        self.assertEqual(encode_reply(None), b'{}')
+        self.assertEqual(
+            encode_reply(GrantReply((), 3000)), b'{"holds":[],"hold_ms":3000}'
+        )
--- a/src/savoryhold/ranges/tests/test_ownership_world.py
+++ b/src/savoryhold/ranges/tests/test_ownership_world.py
@@ -2,8 +2,14 @@
 
 import unittest
 
-from savoryhold.core.ids import Epoch
-from savoryhold.ranges import Confirmation, GrantMachine, Report, Span
+from savoryhold.core.ids import Epoch, NodeId
+from savoryhold.ranges import (
+    Confirmation,
+    GrantMachine,
+    GrantReply,
+    Report,
+    Span,
+)
 from savoryhold.ranges.tests.world import OracleError, World
 
 SEEDS = range(40)
@@ -43,7 +49,7 @@
 class ForgetfulStart(GrantMachine):
     """Takes its own start for the start of everything."""
 
-    def on_report(self, report: Report, now: int):  # noqa: ANN201
+    def on_report(self, report: Report, now: int) -> GrantReply | None:
         """Clear inherited rows as if no earlier life had granted them."""
         self._inherited.clear()
         for row in self._seen_at:
@@ -55,7 +61,7 @@
 class HastyGift(GrantMachine):
     """Lists a span for its next owner before the target has dropped it."""
 
-    def given(self, now: int):  # noqa: ANN201
+    def given(self, now: int) -> dict[Span, NodeId]:
         """Return all leaving spans."""
         return dict(self.leaving)
 
--- a/src/savoryhold/ranges/tests/world.py
+++ b/src/savoryhold/ranges/tests/world.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 from collections.abc import Callable
+from functools import partial
 
 from savoryhold.core.ids import NodeId, ServiceName, Version
 from savoryhold.ranges import (
@@ -21,6 +22,7 @@
     RangeTable,
     Release,
     Report,
+    Row,
     Span,
     TargetLife,
     even_rows,
@@ -95,22 +97,26 @@
         self.targets = {node: self.new_target(node) for node in NODES}
         self.fences: dict[int, dict[TargetLife, int]] = {}
         for node in NODES:
-            self.later(self.rng.randrange(REPORT_MS), self.reporter(node))
-            self.later(self.rng.randrange(300), self.stepper(node))
+            self.later(self.rng.randrange(REPORT_MS), partial(self.send, node))
+            self.later(self.rng.randrange(300), partial(self.step, node))
 
-    def later(self, delay: int, do: Callable[[], None]) -> None:
+    def chance(self, share: float) -> bool:
+        """Return whether something happens that happens this often."""
+        return self.rng.random() < share
+
+    def later(self, delay: int, work: Callable[[], None]) -> None:
         """Do something after a delay in ms."""
         heapq.heappush(
-            self.events, (self.now + max(1, delay), next(self.numbers), do)
+            self.events, (self.now + max(1, delay), next(self.numbers), work)
         )
 
     def run(self, until: int) -> None:
         """Let time pass."""
         while self.events and self.events[0][0] <= until:
-            self.now, _, do = heapq.heappop(self.events)
-            do()
+            self.now, _, work = heapq.heappop(self.events)
+            work()
             self.check()
-            if self.faults and self.rng.random() < 0.02:
+            if self.faults and self.chance(0.02):
                 self.fault()
         self.now = until
 
@@ -153,7 +159,7 @@
                 lambda: self.claim(node),
                 lambda: self.give(node),
                 lambda: self.give(node),
-                lambda: (self.restart(node), self.crash(node)),
+                lambda: self.lose_power(node),
             )
         )()
 
@@ -180,6 +186,11 @@
         """Let a target end and a new one start."""
         self.targets[node] = self.new_target(node)
 
+    def lose_power(self, node: NodeId) -> None:
+        """Let a process and its target end together."""
+        self.restart(node)
+        self.crash(node)
+
     def claim(self, node: NodeId) -> None:
         """Let some node take all keys of another, alive or not."""
         others = [other for other in NODES if other != node]
@@ -216,103 +227,98 @@
         if not self.store_up or not changes:
             return
         rows = known.changed(changes)
-        late = self.faults and self.rng.random() < 0.2
+        late = self.faults and self.chance(0.2)
         delay = self.rng.randrange(5000) if late else self.rng.randrange(30)
         self.later(delay, lambda: self.apply(known.version, rows))
 
-    def apply(self, version: int, rows: list) -> None:
+    def apply(self, version: int, rows: list[Row]) -> None:
         """Apply a write if its condition still holds."""
         if self.table.version == version:
             self.table = RangeTable(SERVICE, Version(version + 1), rows)
 
     def read(self, node: NodeId) -> None:
         """Let a node read the table; the answer may come late."""
-        lost = self.faults and self.rng.random() < 0.2
+        lost = self.faults and self.chance(0.2)
         if not self.store_up or lost or node in self.cut:
             return
         machine, sent_at = self.machines[node], self.now
         found: list[RangeTable] = []
         self.later(self.rng.randrange(1, 20), lambda: found.append(self.table))
 
-        def answer() -> None:
-            if found and self.machines[node] is machine:
-                machine.learn(found[0], self.now)
-                machine.prove(found[0].version, sent_at)
+        self.later(
+            self.rng.randrange(20, 400),
+            partial(self.answer, node, machine, found, sent_at),
+        )
 
-        self.later(self.rng.randrange(20, 400), answer)
+    def answer(
+        self,
+        node: NodeId,
+        machine: GrantMachine,
+        found: list[RangeTable],
+        sent_at: int,
+    ) -> None:
+        """Let a node take in what it has read."""
+        if found and self.machines[node] is machine:
+            machine.learn(found[0], self.now)
+            machine.prove(found[0].version, sent_at)
 
     # A node's work ----------------------------------------------------------
 
-    def stepper(self, node: NodeId) -> Callable[[], None]:
-        """Return what a node does every few ms."""
-
-        def step() -> None:
-            self.later(
-                self.rng.randrange(3000)
-                if self.faults and self.rng.random() < 0.02
-                else STEP_MS,
-                step,
-            )
-            if self.rng.random() < 0.1:
-                self.read(node)
-            machine = self.machines[node]
-            if machine.table is None:
-                return
-            changes = [
-                Change(span, to, settled=True)
-                for span, to in machine.given(self.now).items()
-            ]
-            changes.extend(
-                Change(row.span, node, settled=row.settled)
-                for row in machine.stale()
-            )
-            changes.extend(
-                Change(span, node, settled=True) for span in machine.mergeable()
-            )
-            self.write(machine.table, changes)
-            self.ask_words(machine)
-
-        return step
+    def step(self, node: NodeId) -> None:
+        """Do what a node does every few ms."""
+        slow = self.faults and self.chance(0.02)
+        pause = self.rng.randrange(3000) if slow else STEP_MS
+        self.later(pause, partial(self.step, node))
+        if self.chance(0.1):
+            self.read(node)
+        machine = self.machines[node]
+        if machine.table is None:
+            return
+        changes = [
+            Change(span, to, settled=True)
+            for span, to in machine.given(self.now).items()
+        ]
+        changes.extend(
+            Change(row.span, node, settled=row.settled)
+            for row in machine.stale()
+        )
+        changes.extend(
+            Change(span, node, settled=True) for span in machine.mergeable()
+        )
+        self.write(machine.table, changes)
+        self.ask_words(machine)
 
     def ask_words(self, machine: GrantMachine) -> None:
         """Let a node ask the former owners of its waiting rows."""
         for row in machine.waiting(self.now):
             if row.previous not in self.machines:
                 continue
-            if self.faults and self.rng.random() < 0.3:
+            if self.faults and self.chance(0.3):
                 continue
             former = self.machines[row.previous]
             word = former.word_on(row.span, row.epoch, self.now)
             if word is not None:
                 self.later(
                     self.rng.randrange(1, 300),
-                    lambda word=word: machine.confirm(word),
+                    partial(machine.confirm, word),
                 )
 
     # A target's reports -----------------------------------------------------
 
-    def reporter(self, node: NodeId) -> Callable[[], None]:
-        """Return what sends the reports of a node's target."""
-
-        def send() -> None:
-            target = self.targets[node]
-            sent_at = self.now
-            held = tuple(
-                Held(span, fence)
-                for span, (fence, until) in target.rows.items()
-                if self.now < until
-            )
-            report = Report(target.life, held, tuple(target.released))
-            there = self.rng.randrange(1, 10)
-            if self.faults and self.rng.random() < 0.1:
-                there = self.rng.randrange(900)
-            self.later(
-                there, lambda: self.receive(node, target, sent_at, report)
-            )
-            busy = self.dropped(node, target)
-            self.later(100 if busy else REPORT_MS, send)
-
-        return send
+    def send(self, node: NodeId) -> None:
+        """Send a report of a node's target."""
+        target = self.targets[node]
+        held = tuple(
+            Held(span, fence)
+            for span, (fence, until) in target.rows.items()
+            if self.now < until
+        )
+        report = Report(target.life, held, tuple(target.released))
+        late = self.faults and self.chance(0.1)
+        there = self.rng.randrange(900) if late else self.rng.randrange(1, 10)
+        self.later(there, partial(self.receive, node, target, self.now, report))
+        busy = self.dropped(node, target)
+        self.later(100 if busy else REPORT_MS, partial(self.send, node))
 
     def dropped(self, node: NodeId, target: Target) -> bool:
         """Return whether the target reports often, as it has dropped keys."""
@@ -326,7 +332,7 @@
             return
         reply = self.machines[node].on_report(report, self.now)
         back = self.rng.randrange(1, 10)
-        if self.faults and self.rng.random() < 0.1:
+        if self.faults and self.chance(0.1):
             back = self.rng.randrange(900)
         self.later(back, lambda: self.take(target, sent_at, reply))
 
