--- a/src/savoryhold/cli/main.py
+++ b/src/savoryhold/cli/main.py
@@ -10,6 +10,7 @@
 from savoryhold.cli import commands
 from savoryhold.cli.apply import ChangeConflictError
 from savoryhold.cli.client import AdminError
+from savoryhold.cli.explain import check_settings, run_explain
 from savoryhold.core.errors import (
     ConfigurationError,
     PlatformError,
@@ -82,6 +83,7 @@
     kinds = parser.add_subparsers(metavar='COMMAND', required=True)
     _add_config_commands(kinds)
     _add_node_commands(kinds)
+    _add_mesh_commands(kinds)
     return parser
 
 
@@ -130,5 +132,20 @@
     recover.set_defaults(run=commands.run_recover)
 
 
+def _add_mesh_commands(kinds: 'Kinds[argparse.ArgumentParser]') -> None:
+    story = kinds.add_parser(
+        'explain',
+        help="a request's story, from log lines on standard input",
+        description='Reads log lines of any nodes from standard input.',
+    )
+    story.add_argument('request', metavar='REQUEST-ID')
+    story.set_defaults(run=run_explain)
+    settings = kinds.add_parser(
+        'check-settings', help="check a mesh node's settings file"
+    )
+    settings.add_argument('file', type=pathlib.Path)
+    settings.set_defaults(run=check_settings)
+
+
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/src/savoryhold/cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
