What a first report holds is kept until the table comes

Also requests for a moved key were refused for 5 s while the word was 30 ms away. Change: the first report's rows are kept; a report waits up to 400 ms for the configuration; a former owner that is heard is expected to give its word soon. The test failed first.

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -58,6 +58,7 @@
         self._log = log
         self._spec: Any = None
         self._connected = True
+        self.known = asyncio.Event()
         self._pulling: asyncio.Task[None] | None = None
         self.watches: Callable[[], bool] = lambda: True
 
@@ -110,6 +111,7 @@
         self.routes = RouteTable(cfg)
         self.version = cfg.version
         self._spec = spec
+        self.known.set()
         self.on_change()
         return True
 
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -110,7 +110,12 @@
         self.telemetry = Telemetry(clock, self.log)
         self.ingress = IngressTask(parts, adapter.names, self.telemetry)
         reports = ReportHandler(
-            adapter, self.owner, self.tables, clock, self.log
+            adapter,
+            self.owner,
+            self.tables,
+            self.configs.known,
+            clock,
+            self.log,
         )
         self.callers = HttpServer(
             self.ingress.handle, clock.now, self.configs.limits
@@ -170,6 +175,7 @@
         self.configs.on_change = self.peers.tell_all
         self.tables.on_table = self.peers.tell_table
         self.owner.machine_of = self.tables.machines.get
+        self.owner.hears = self._hears
         self.owner.on_strike = self.peers.tell_strike
         self.owner.on_dead = self.peers.tell_all
 
@@ -263,6 +269,9 @@
             self.members.addresses
         )
 
+    def _hears(self, node: NodeId) -> bool:
+        return self.members.is_alive(node, self.clock.now())
+
     def _watches_config(self) -> bool:
         now = self.clock.now()
         return self.members.is_among_first(CONFIG_WATCHERS, now)
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -39,6 +39,7 @@
 SETTLE_MS = 4  # the target reads the reply to its report
 RETRY_AFTER_MOVE_MS = 150
 DOWN_RETRY_MS = 400
+WORD_MS = 250
 COLD_FACTOR = 2.0
 SHED_SMOOTHING = 0.05
 MIN_SUCCESS = 0.3
@@ -93,6 +94,7 @@
         self.machine_of: Callable[[ServiceName], GrantMachine | None] = (
             lambda service: None
         )
+        self.hears: Callable[[NodeId], bool] = lambda node: False
         self.success = 1.0
         self.pool: ClientPool | None = None
         self._report_ms = report_ms
@@ -226,13 +228,22 @@
         if machine.is_leaving(req.key):
             delay = RETRY_AFTER_MOVE_MS
         else:
-            delay = max(delay, machine.clear_in(req.key, now))
+            delay = max(delay, self._clear_in(req.key, machine, now))
             if machine.hold_ms(now) <= 0:
                 delay = max(delay, DOWN_RETRY_MS)
         left = req.deadline - now - self.queue.service_ms(req.route)
         if delay > left:
             raise BusyError('the key is not held yet', delay)
 
+    def _clear_in(self, key: int, machine: GrantMachine, now: int) -> int:
+        """Return how long a row may have to wait for its former owner."""
+        wait_ms = machine.clear_in(key, now)
+        if not wait_ms or machine.table is None:
+            return 0
+        # A former owner that is heard gives its word within moments.
+        heard = self.hears(machine.table.row_at(key).previous)
+        return min(wait_ms, WORD_MS) if heard else wait_ms
+
     async def _wait_change(self, limit_ms: int) -> None:
         changed = self._changed
         try:
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -1,7 +1,10 @@
 """Heartbeats of the local target, and the grants that answer them."""
 
 import asyncio
+import contextlib
+from collections.abc import Coroutine
 from http import HTTPStatus
+from typing import Any
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.ids import ServiceName
@@ -15,6 +18,8 @@
 __all__ = ['ReportHandler']
 
 JSON_HEAD = b'content-type: application/json\r\n'
+MS_PER_SECOND = 1000
+CONFIG_WAIT_MS = 400  # a reply counts if it comes within a second
 LIVE_MS = 1500  # a life that reported this recently is still up
 
 
@@ -29,6 +34,8 @@
         The local target.
     tables : TableTask
         Key ranges.
+    config_known : asyncio.Event
+        Set once a configuration is in force.
     clock : Clock
         Source of time.
     log : Log
@@ -40,9 +47,11 @@
         adapter: Adapter,
         owner: OwnerTask,
         tables: TableTask,
+        config_known: asyncio.Event,
         clock: Clock,
         log: Log,
     ) -> None:
+        self._config_known = config_known
         self._adapter = adapter
         self._owner = owner
         self._tables = tables
@@ -72,6 +81,21 @@
             self._reply(exchange, None)
             return
         self._owner.on_report(report)
+        if self._config_known.is_set():
+            self._answer(exchange, report)
+            return
+        # Whether the service has keys is not known in the first moments.
+        self._start(self._answer_later(exchange, report))
+
+    async def _answer_later(
+        self, exchange: Exchange, report: TargetReport
+    ) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIG_WAIT_MS / MS_PER_SECOND):
+                await self._config_known.wait()
+        self._answer(exchange, report)
+
+    def _answer(self, exchange: Exchange, report: TargetReport) -> None:
         if report.service not in self._tables.keyed():
             self._reply(exchange, None)
             return
@@ -81,7 +105,10 @@
         if machine.can_reply(now):
             self._reply(exchange, machine.reply(now))
             return
-        task = asyncio.ensure_future(self._reply_late(exchange, report.service))
+        self._start(self._reply_late(exchange, report.service))
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
         self._late.add(task)
         task.add_done_callback(self._late.discard)
 
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -127,6 +127,7 @@
         self.hold_until = now + round(HOLD_MS * CLOCK_SLACK) + MARGIN_MS
         self.retired = False
         self._lives = 0
+        self._adopted: tuple[Held, ...] = ()
         self._cleared: list[tuple[Span, Epoch]] = []
         self._seen_at: dict[Row, int] = {}
         self._inherited: set[Row] = set()
@@ -162,6 +163,8 @@
                 row for row in mine if not fresh or row.epoch > FIRST_EPOCH
             }
         self._seen_at = {row: self._sighting(row, now) for row in mine}
+        if first:
+            self._clear_adopted()
         epochs = {row.epoch for row in mine}
         self._cleared = [known for known in self._cleared if known[1] in epochs]
         self.leaving = {
@@ -416,8 +419,13 @@
         """Continue the grants of this process's last life."""
         for held in report.held:
             self._lives = max(self._lives, held.fence % LIFE_FACTOR)
+        self._adopted = report.held
+        self._clear_adopted()
+
+    def _clear_adopted(self) -> None:
+        for held in self._adopted:
             epoch = held.fence // LIFE_FACTOR
-            for row in self._seen_at:
+            for row in self._inherited:
                 if row.epoch == epoch and held.span.overlaps(row.span):
                     self._clear(row.span, row.epoch)
 
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -92,6 +92,13 @@
         reply = self.machine.on_report(report(LIFE), 30)
         self.assertEqual(self.spans(reply), [ALL])
 
+    def test_report_that_comes_before_the_table(self) -> None:
+        """What it holds was forgotten, and its rows got a new epoch."""
+        self.machine.note(report(LIFE, (ALL, 3 * 1024)))
+        self.learn(table(1, row(ALL, ME, 3)), 5)
+        self.assertEqual(self.machine.stale(), [])
+        self.assertEqual(self.spans(self.machine.reply(10)), [ALL])
+
     def test_first_report_is_answered_once_a_proof_is_there(self) -> None:
         """A restarted node left its target without keys until a later report.
 
