--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -34,7 +34,7 @@
     'TargetLife',
 ]
 
-LEASE_MS = 5000  # a copy of the table counts as current for this long
+LEASE_MS = 8000  # a copy of the table counts as current for this long
 HOLD_MS = 3000  # outlives two lost reports at the usual interval
 MIN_HOLD_MS = 400  # a shorter hold would lapse before the next report
 CLOCK_SLACK = 1.02  # a target's clock may run 2% slow
