--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -21,6 +21,7 @@
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.parts import Parts
 from savoryhold.mesh.peers import PeerTask
+from savoryhold.mesh.planning import PlanTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.tables import TableTask
@@ -107,6 +108,7 @@
             self.log,
         )
         self.peers = PeerTask(parts)
+        self.planner = PlanTask(parts)
         self.telemetry = Telemetry(clock, self.log)
         self.ingress = IngressTask(parts, adapter.names, self.telemetry)
         reports = ReportHandler(
@@ -188,7 +190,7 @@
             self.owner.watch_target(),
             self.tables.run(),
             self.tables.prove(),
-            self.tables.plan(),
+            self.planner.run(),
             self.pool.watch_silence(),
             self.callers.sweep(),
             self._flush(),
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -25,14 +25,10 @@
     Confirmation,
     GrantMachine,
     Load,
-    Order,
     RangeTable,
     Release,
     Row,
     Span,
-    claims,
-    even_rows,
-    orders,
     spread,
 )
 
@@ -46,10 +42,6 @@
 PROOF_OWN_MS = 1900  # an older proof is renewed by an own read
 ASK_LIMIT_MS = 250
 WORD_EVERY_MS = 120
-PLAN_EVERY_MS = 300
-PLAN_PAUSE_MS = 1500  # until a move shows in the loads
-FIRST_TABLE_MS = 2500  # all nodes of a first start have reported by then
-CLAIM_AFTER_START_MS = 4500  # other nodes may be starting, too
 WRITE_PAUSE_MS = 150
 JITTER = (0.8, 1.3)
 WORDS_KEPT = 1000
@@ -110,9 +102,7 @@
         self._clock = clock
         self._log = log
         self._started_at = clock.now()
-        self._ready_since: int | None = None
         self._word_at: dict[Row, int] = {}
-        self._planned_at: dict[NodeId, int] = {}
         self._pause_until = 0
         self._missing: set[ServiceName] = set()
         self._stepping = asyncio.Lock()
@@ -236,19 +226,6 @@
             await self._step(service)
             await asyncio.sleep(HASTEN_PAUSE_MS / MS_PER_SECOND)
 
-    async def plan(self) -> None:
-        """Give keys their places, if this node is the one to plan."""
-        while True:
-            await asyncio.sleep(PLAN_EVERY_MS / MS_PER_SECOND)
-            now = self._clock.now()
-            report = self._owner.report
-            if report is None or report.service not in self.keyed():
-                continue
-            if self._ready_since is None:
-                self._ready_since = now
-            if self._is_planner(report.service, now):
-                await self._plan(report.service, now)
-
     # Steps of the owner -------------------------------------------------
 
     async def _step(self, service: ServiceName) -> None:
@@ -264,8 +241,8 @@
         self._shed(machine, service, now)
         await self._ask_words(machine, now)
         changes = self._due_changes(machine, now)
-        if changes and now >= self._pause_until:
-            await self._write(service, changes, machine.unsettled(), 'owner')
+        if changes and self.may_write(now):
+            await self.write(service, changes, machine.unsettled(), 'owner')
 
     def _due_changes(self, machine: GrantMachine, now: int) -> list[Change]:
         changes = [
@@ -293,7 +270,7 @@
             return
         machine.keep(lambda to: self._members.is_alive(to, now))
         rows = machine.clear_rows()
-        takers = self._loads(service, now)
+        takers = self.loads(service, now)
         for span, to in spread([row.span for row in rows], takers):
             machine.give(span, to)
 
@@ -340,13 +317,26 @@
 
     # Writes -------------------------------------------------------------
 
-    async def _write(
+    async def write(
         self,
         service: ServiceName,
         changes: Sequence[Change],
         settled: Sequence[Row],
         reason: str,
     ) -> bool:
+        """Write changes of owners; return whether they are stored.
+
+        Parameters
+        ----------
+        service : ServiceName
+            Whose table.
+        changes : sequence of Change
+            New owners.
+        settled : sequence of Row
+            Rows whose earlier owners need not be waited for any more.
+        reason : str
+            For the log.
+        """
         table = self.tables[service]
         rows = table.changed(changes, settled)
         updated = RangeTable(service, table.version, rows, table.lives)
@@ -466,75 +456,48 @@
         if table is not None:
             self.learn(table)
 
-    # Planning -----------------------------------------------------------
+    def may_write(self, now: int) -> bool:
+        """Return whether no failed write asks for a pause."""
+        return now >= self._pause_until
 
-    def _is_planner(self, service: ServiceName, now: int) -> bool:
-        if not self._owner.is_ready():
-            return False
-        return all(
-            self.node < member.status.node
-            for member in self._members.serving(service, now)
-        )
+    def is_missing(self, service: ServiceName) -> bool:
+        """Return whether the store has said that there is no table."""
+        return service in self._missing
 
-    async def _plan(self, service: ServiceName, now: int) -> None:
-        loads = self._loads(service, now, me=True)
-        table = self.tables.get(service)
-        if table is None:
-            await self._first_table(service, loads, now)
-            return
-        if now - self._started_at > CLAIM_AFTER_START_MS:
-            lost = self._lost_owners(table, now)
-            changes = claims(table, lost, loads)
-            if changes and now >= self._pause_until:
-                self._log.warning('claim', service=service, lost=sorted(lost))
-                await self._write(service, changes, (), 'claim')
-                return
-        for order in orders(loads):
-            self._send_order(service, order, now)
-
-    def _lost_owners(self, table: RangeTable, now: int) -> set[NodeId]:
-        lost = self._members.lost(now)
-        return {
-            owner
-            for owner in table.owners()
-            if owner != self.node
-            and (owner in lost or owner not in self._members.addresses)
-        }
-
-    async def _first_table(
-        self, service: ServiceName, loads: Sequence[Load], now: int
-    ) -> None:
-        if service not in self._missing:
-            await self.read(service)
-            return
-        if self._ready_since is None:
-            return
-        if now - self._ready_since < FIRST_TABLE_MS:
-            return
-        owners = [(load.node, float(load.slots)) for load in loads]
+    async def create(self, service: ServiceName, rows: Sequence[Row]) -> None:
+        """Store the first table of a service, unless there is one."""
+        now = self._clock.now()
         lives = [
             member.status.life for member in self._members.serving(service, now)
         ]
-        spec = _spec_of(
-            RangeTable(
-                service, Version(0), even_rows(owners), [*lives, self.life]
-            )
-        )
-        sent_at = self._clock.now()
+        table = RangeTable(service, Version(0), rows, [*lives, self.life])
         try:
-            found = await self._store.create(TABLE_KIND, service, spec)
+            found = await self._store.create(
+                TABLE_KIND, service, _spec_of(table)
+            )
         except PlatformError as exc:
             self._log.warning('first_table_failed', error=str(exc))
             self._missing.discard(service)
             return
-        self._log.info('first_table', service=service, owners=len(owners))
+        self._log.info('first_table', service=service, rows=len(rows))
         self._learn_stored(service, found)
-        self.machine(service).prove(found.version, sent_at)
+        self.machine(service).prove(found.version, now)
         self.on_table(self.tables[service], None)
 
-    def _loads(
+    def loads(
         self, service: ServiceName, now: int, *, me: bool = False
     ) -> list[Load]:
+        """Return what the ready targets of a service carry.
+
+        Parameters
+        ----------
+        service : ServiceName
+            The service.
+        now : int
+            Time in ms.
+        me : bool
+            Whether to count the local target.
+        """
         found = [
             Load(
                 member.status.node,
@@ -555,40 +518,6 @@
             )
         return sorted(found, key=lambda load: load.node)
 
-    def _send_order(self, service: ServiceName, order: Order, now: int) -> None:
-        paused = max(
-            self._planned_at.get(order.giver, 0),
-            self._planned_at.get(order.taker, 0),
-        )
-        # Orders of one round may share a node.
-        if paused != now and now - paused < PLAN_PAUSE_MS:
-            return
-        self._planned_at[order.giver] = now
-        self._planned_at[order.taker] = now
-        self._log.info(
-            'order',
-            service=service,
-            giver=order.giver,
-            taker=order.taker,
-            share=round(order.share, 3),
-        )
-        if order.giver == self.node:
-            self.give(service, order.taker, order.share)
-            return
-        address = self._members.addresses.get(order.giver)
-        if address is not None:
-            message = messages.GiveOrder(
-                service_name=service, taker=order.taker, share=order.share
-            )
-            asyncio.ensure_future(self._tell(address, message))
-
-    async def _tell(self, address: str, message: messages.Message) -> None:
-        try:
-            await self._pool.call(address, message, ASK_LIMIT_MS)
-        except LinkError as exc:
-            # The next round plans anew.
-            self._log.info('order_lost', address=address, error=str(exc))
-
     def give(self, service: ServiceName, taker: NodeId, share: float) -> None:
         """Begin to give a share of this node's work to another node."""
         machine = self.machines.get(service)
--- a/src/savoryhold/ranges/__init__.py
+++ b/src/savoryhold/ranges/__init__.py
@@ -1,18 +1,17 @@
 """Key ranges: the stored table, grants to targets, and where keys go."""
 
-from savoryhold.ranges.grants import (
-    LEASE_MS,
+from savoryhold.ranges.grants import LEASE_MS, GrantMachine
+from savoryhold.ranges.heat import KeyHeat
+from savoryhold.ranges.planner import Load, Order, claims, orders, spread
+from savoryhold.ranges.reports import (
     Confirmation,
     Grant,
-    GrantMachine,
     GrantReply,
     Held,
     Release,
     Report,
     TargetLife,
 )
-from savoryhold.ranges.heat import KeyHeat
-from savoryhold.ranges.planner import Load, Order, claims, orders, spread
 from savoryhold.ranges.table import (
     KEY_COUNT,
     UNKNOWN,
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -16,23 +16,21 @@
 `LEASE_MS` without a message from anybody.
 """
 
-import dataclasses
 from collections.abc import Callable
 
 from savoryhold.core.ids import Epoch, NodeId
+from savoryhold.ranges.reports import (
+    Confirmation,
+    Grant,
+    GrantReply,
+    Held,
+    Release,
+    Report,
+    TargetLife,
+)
 from savoryhold.ranges.table import RangeTable, Row, Span
 
-__all__ = [
-    'LEASE_MS',
-    'Confirmation',
-    'Grant',
-    'GrantMachine',
-    'GrantReply',
-    'Held',
-    'Release',
-    'Report',
-    'TargetLife',
-]
+__all__ = ['LEASE_MS', 'GrantMachine']
 
 LEASE_MS = 8000  # a copy of the table counts as current for this long
 HOLD_MS = 3000  # outlives two lost reports at the usual interval
@@ -44,65 +42,6 @@
 TOKENS_KEPT = 64  # more would not fit one reply
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetLife:
-    """One start of a target; `born` is its own time of day in ms."""
-
-    target: str
-    born: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Held:
-    """A span that a target holds or still works on."""
-
-    span: Span
-    fence: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Release:
-    """A span that a target gave up, with the token for its next holder."""
-
-    span: Span
-    token: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
-    """What a target says of the keys that it holds."""
-
-    life: TargetLife
-    held: tuple[Held, ...]
-    released: tuple[Release, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
-    """A span that the target is to hold."""
-
-    span: Span
-    fence: int
-    token: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class GrantReply:
-    """All that the target is to hold, and for how long from its report."""
-
-    grants: tuple[Grant, ...]
-    hold_ms: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Confirmation:
-    """A former owner's word that it extends no grant on a span."""
-
-    span: Span
-    epoch: Epoch
-    releases: tuple[Release, ...] = ()
-
-
 class GrantMachine:
     """Decides what the local target of one service holds.
 
