--- a/src/savoryhold/ranges/tests/world.py
+++ b/src/savoryhold/ranges/tests/world.py
@@ -15,6 +15,7 @@
 
 from savoryhold.core.ids import NodeId, ServiceName, Version
 from savoryhold.ranges import (
+    LEASE_MS,
     Change,
     GrantMachine,
     GrantReply,
@@ -36,7 +37,8 @@
 REPORT_LIMIT_MS = 1000
 SLOW_CLOCK = 0.98
 STEP_MS = 40
-HEAL_MS = 16_000
+HEAL_MS = 3 * LEASE_MS  # a claimed row waits for one lease, at times for two
+CUT_MS = 3 * LEASE_MS  # long enough for a claim and its wait behind the cut
 PROBES = tuple(range(0, 65_536, 1024))
 
 
@@ -176,7 +178,7 @@
     def cut_off(self, node: NodeId) -> None:
         """Cut a node off from the store for some seconds."""
         self.cut.add(node)
-        self.later(self.rng.randrange(12_000), lambda: self.cut.discard(node))
+        self.later(self.rng.randrange(CUT_MS), lambda: self.cut.discard(node))
 
     def restart(self, node: NodeId) -> None:
         """Let a node's process end and a new one start."""
