--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -26,7 +26,6 @@
 
 MS_PER_SECOND = 1000
 ANSWER_SLACK_MS = 40  # the owner's own word on a late request may still come
-REROUTE_MS = 15
 MAX_TRIES = 60  # with the pauses between them, longer than any deadline
 MOST_REFUSALS = 2  # nodes that are asked after one has refused
 MIN_RETRY_MS = 50
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -20,6 +20,7 @@
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.peer import PeerPool, messages
 from savoryhold.ranges import (
+    HOLD_MS,
     UNKNOWN,
     Change,
     Confirmation,
@@ -45,6 +46,7 @@
 WRITE_PAUSE_MS = 150
 JITTER = (0.8, 1.3)
 WORDS_KEPT = 1000
+HOLD_REPORTS = 3.4  # report intervals, so that two lost reports are borne
 LIFE_BITS = 48
 HASTEN_MS = 400  # a reply counts if it comes within a second
 HASTEN_PAUSE_MS = 15
@@ -86,6 +88,10 @@
     ) -> None:
         self.node = settings.node
         self._service = settings.service
+        self._hold_limit_ms = min(
+            settings.hold_max_ms,
+            max(HOLD_MS, round(settings.report_ms * HOLD_REPORTS)),
+        )
         self.tables: dict[ServiceName, RangeTable] = {}
         self.machines: dict[ServiceName, GrantMachine] = {}
         self.keyed: Callable[[], set[ServiceName]] = set
@@ -135,7 +141,9 @@
         """Return the grants of a service at this node."""
         machine = self.machines.get(service)
         if machine is None:
-            machine = GrantMachine(self.node, self._started_at)
+            machine = GrantMachine(
+                self.node, self._started_at, self._hold_limit_ms
+            )
             self.machines[service] = machine
             table = self.tables.get(service)
             if table is not None:
--- a/src/savoryhold/ranges/__init__.py
+++ b/src/savoryhold/ranges/__init__.py
@@ -1,6 +1,6 @@
 """Key ranges: the stored table, grants to targets, and where keys go."""
 
-from savoryhold.ranges.grants import LEASE_MS, GrantMachine
+from savoryhold.ranges.grants import HOLD_MS, LEASE_MS, GrantMachine
 from savoryhold.ranges.heat import KeyHeat
 from savoryhold.ranges.planner import Load, Order, claims, orders, spread
 from savoryhold.ranges.reports import (
@@ -25,6 +25,7 @@
 )
 
 __all__ = [
+    'HOLD_MS',
     'KEY_COUNT',
     'LEASE_MS',
     'UNKNOWN',
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -30,7 +30,7 @@
 )
 from savoryhold.ranges.table import RangeTable, Row, Span
 
-__all__ = ['LEASE_MS', 'GrantMachine']
+__all__ = ['HOLD_MS', 'LEASE_MS', 'GrantMachine']
 
 LEASE_MS = 8000  # a copy of the table counts as current for this long
 HOLD_MS = 3000  # outlives two lost reports at the usual interval
@@ -51,10 +51,15 @@
         This node.
     now : int
         Time of the start, in ms.
+    hold_limit_ms : int
+        Longest hold that a target may be given.
     """
 
-    def __init__(self, node: NodeId, now: int) -> None:
+    def __init__(
+        self, node: NodeId, now: int, hold_limit_ms: int = HOLD_MS
+    ) -> None:
         self.node = node
+        self._hold_limit_ms = min(hold_limit_ms, LEASE_MS // 2)
         self.table: RangeTable | None = None
         self.proved_at = now - LEASE_MS
         self.proof = (0, now - LEASE_MS)
@@ -63,7 +68,9 @@
         self.leaving: dict[Span, NodeId] = {}
         self.held: tuple[Held, ...] = ()
         # An earlier life of this process may have granted until then.
-        self.hold_until = now + round(HOLD_MS * CLOCK_SLACK) + MARGIN_MS
+        self.hold_until = (
+            now + round(self._hold_limit_ms * CLOCK_SLACK) + MARGIN_MS
+        )
         self.retired = False
         self._lives = 0
         self._adopted: tuple[Held, ...] = ()
@@ -251,7 +258,7 @@
     def hold_ms(self, now: int) -> int:
         """Return for how long the target may hold its keys from now on."""
         left = self.proved_at + LEASE_MS - now - MARGIN_MS
-        return min(HOLD_MS, int(left / CLOCK_SLACK))
+        return min(self._hold_limit_ms, int(left / CLOCK_SLACK))
 
     def target_lost(self) -> None:
         """Note that the target's process is known to have ended."""
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -236,6 +236,16 @@
             if reply is not None:
                 self.assertLess(now + reply.hold_ms * 1.02, LEASE_MS)
 
+    def test_hold_keeps_to_the_limit(self) -> None:
+        """An installation may allow less than the usual hold."""
+        machine = GrantMachine(ME, 0, 1200)
+        machine.learn(table(1, row(ALL, OTHER, 1)), 0)
+        machine.learn(table(2, row(ALL, ME, 2)), 0)
+        machine.prove(2, 0)
+        reply = machine.on_report(report(LIFE), 10)
+        assert reply is not None
+        self.assertEqual(reply.hold_ms, 1200)
+
     def test_nothing_is_extended_without_proof(self) -> None:
         """An old copy of the table extends nothing."""
         self.assertIsNone(self.machine.on_report(report(LIFE), LEASE_MS - 400))
