--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -128,7 +128,8 @@
                 continue
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
             again = failed and attempt.req.repeatable
-            if not again or not self._may_run_again(attempt):
+            cause = f'status-{answer.status}'
+            if not again or not self._may_run_again(attempt, cause):
                 return answer
         raise attempt.outcome(TargetDownError('no owner was found'))
 
@@ -152,10 +153,10 @@
         """Wait before another try, or raise what is known."""
         if exc.verdict is Verdict.MAY_HAVE_RUN:
             attempt.may_have_run = exc
-            if not self._may_run_again(attempt):
+            if not self._may_run_again(attempt, exc.code):
                 raise exc
             return
-        if exc.code == 'shed' and not self._may_run_again(attempt):
+        if exc.code == 'shed' and not self._may_run_again(attempt, exc.code):
             raise attempt.outcome(exc)
         pause_ms = PAUSE_MS.get(exc.code)
         if pause_ms is not None:
@@ -173,7 +174,7 @@
             raise attempt.outcome(exc)
         await asyncio.sleep(pause_ms / MS_PER_SECOND)
 
-    def _may_run_again(self, attempt: _Attempt) -> bool:
+    def _may_run_again(self, attempt: _Attempt, cause: str) -> bool:
         """Return whether a target may get the request once more."""
         req = attempt.req
         now = self._clock.now()
@@ -183,7 +184,9 @@
         repeatable = req.repeatable or attempt.may_have_run is None
         if late or attempt.left < 1 or not repeatable:
             return False
-        return self.budget.spend(now)
+        spent = self.budget.spend(now)
+        self._telemetry.repeated(req, cause, spent)
+        return spent.granted
 
     async def _ask(self, node: NodeId, req: RelayedRequest) -> RelayedAnswer:
         """Have another node run a request."""
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -91,6 +91,7 @@
         self.reported_at = 0
         self.left_at: int | None = None
         self.dead = False
+        self._stopped = 0
         self.queue = TargetQueue(1)
         self.heat = KeyHeat()
         self.poison = PoisonGuard()
@@ -186,6 +187,11 @@
         """Return in how many ms the target's next report is due."""
         return max(0, self.reported_at + self._report_ms - now)
 
+    @property
+    def stopped(self) -> int:
+        """Return how many runs ended because their caller had gone."""
+        return self._stopped
+
     def running(self) -> int:
         """Return how many requests the target runs or waits for."""
         return len(self.queue.running) + len(self.queue.waiting)
@@ -210,6 +216,9 @@
         ticket = await self._admit(req)
         try:
             return await self._run(req, ticket)
+        except asyncio.CancelledError:
+            self._log_stopped(req, ticket)
+            raise
         finally:
             self.queue.remove(ticket.number)
             self._pump()
@@ -332,6 +341,18 @@
             self.on_acquit(req.fingerprint)
         return checked
 
+    def _log_stopped(self, req: RelayedRequest, ticket: Ticket) -> None:
+        """Log that a run ends because its caller has gone."""
+        self._stopped += 1
+        if self.may_log():
+            self.log.info(
+                'run_stopped',
+                request=req.request,
+                ran_ms=self.clock.now() - ticket.started_at,
+                left_ms=req.deadline - self.clock.now(),
+                goes_on=not req.repeatable,
+            )
+
     def _log_late(self, req: RelayedRequest, ticket: Ticket, took: int) -> None:
         self.log.info(
             'ran_late',
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -11,6 +11,7 @@
 from savoryhold.core.errors import RequestError
 from savoryhold.daemon.logs import Log
 from savoryhold.mesh.requests import RelayedAnswer, RelayedRequest
+from savoryhold.traffic import Spending
 from savoryhold.wire import HeaderNames, HttpRequest
 
 __all__ = ['LineBuffer', 'Telemetry', 'set_up_mesh_logs']
@@ -107,6 +108,7 @@
         self.outcomes: Counter[tuple[str, str]] = Counter()
         self.latency: Counter[tuple[str, float]] = Counter()
         self.latency_sum: Counter[str] = Counter()
+        self.repeats: Counter[tuple[str, str]] = Counter()
         self.unlogged = 0
         self._clock = clock
         self._seen = 0
@@ -162,6 +164,25 @@
                 took_ms=self._clock.now() - http.read_at,
             )
 
+    def repeated(
+        self, req: RelayedRequest, cause: str, spent: Spending
+    ) -> None:
+        """Note whether a request may reach a target once more."""
+        outcome = 'granted' if spent.granted else 'denied'
+        self.repeats[(req.service, outcome)] += 1
+        if self.may_log():
+            self.log.info(
+                'repeat',
+                request=req.request,
+                service=req.service,
+                cause=cause,
+                outcome=outcome,
+                requests=spent.requests,
+                repeats=spent.repeats,
+                limit=round(spent.limit, 1),
+                nodes=spent.nodes,
+            )
+
     def render(self, gauges: dict[str, float]) -> bytes:
         """Return all figures in the text exposition format."""
         lines = ['# TYPE savoryhold_mesh_requests_total counter']
@@ -170,6 +191,12 @@
                 f'savoryhold_mesh_requests_total{{what="{what}",'
                 f'outcome="{outcome}"}} {count}'
             )
+        lines.append('# TYPE savoryhold_mesh_repeats_total counter')
+        for (service, outcome), count in sorted(self.repeats.items()):
+            lines.append(
+                f'savoryhold_mesh_repeats_total{{service="{service}",'
+                f'outcome="{outcome}"}} {count}'
+            )
         lines.append('# TYPE savoryhold_mesh_request_ms histogram')
         for route in sorted(self.latency_sum):
             lines.extend(self._histogram(route))
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -1,6 +1,6 @@
 """Decisions on requests: routes, queues, targets, retries."""
 
-from savoryhold.traffic.budget import SharedBudget
+from savoryhold.traffic.budget import SharedBudget, Spending
 from savoryhold.traffic.choice import Candidate, Distance, choose
 from savoryhold.traffic.queue import Refused, TargetQueue, Ticket
 from savoryhold.traffic.routes import (
@@ -25,6 +25,7 @@
     'RouteTable',
     'ServiceInfo',
     'SharedBudget',
+    'Spending',
     'TargetQueue',
     'Ticket',
     'choose',
--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -1,12 +1,24 @@
 """This node's part of the retry budget that all nodes share."""
 
+import dataclasses
 from collections import deque
 
-__all__ = ['SharedBudget']
+__all__ = ['SharedBudget', 'Spending']
 
 SAFETY = 0.7  # part of the budget that is used; nodes do not count together
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spending:
+    """Whether a retry was granted, and on which counts of the window."""
+
+    granted: bool
+    requests: int
+    repeats: int
+    limit: float
+    nodes: int
+
+
 class SharedBudget:
     """Allows retries as a share of requests, over a sliding window.
 
@@ -32,14 +44,20 @@
         """Count a request of a caller."""
         self._sent.append(now)
 
-    def spend(self, now: int) -> bool:
-        """Take one retry; return whether there was one left."""
+    def spend(self, now: int) -> Spending:
+        """Take one retry if there is one left."""
         self._expire(now)
         limit = self._ratio * len(self._sent) + self._slack / self.nodes
-        if len(self._again) + 1 > limit * SAFETY:
-            return False
-        self._again.append(now)
-        return True
+        granted = len(self._again) + 1 <= limit * SAFETY
+        if granted:
+            self._again.append(now)
+        return Spending(
+            granted,
+            len(self._sent),
+            len(self._again),
+            limit * SAFETY,
+            self.nodes,
+        )
 
     def _expire(self, now: int) -> None:
         since = now - self._window_ms
