--- /dev/null
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -0,0 +1,510 @@
+"""A fleet in one process, in virtual time and without a network.
+
+Ingress, peers and owners are the real tasks; links, callers and targets are
+stand-ins.  A loop whose clock jumps to the next timer replaces real waiting.
+"""
+
+import asyncio
+import dataclasses
+import random
+import selectors
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+from savoryhold.core.errors import LinkError
+from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
+from savoryhold.core.transit import TransitDelay
+from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.ingress import IngressTask
+from savoryhold.mesh.interface import TargetReport
+from savoryhold.mesh.members import MemberTable, NodeStatus
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.parts import Parts
+from savoryhold.mesh.peers import PeerTask
+from savoryhold.mesh.settings import MeshSettings
+from savoryhold.mesh.telemetry import Telemetry
+from savoryhold.peer import messages
+from savoryhold.ranges import Report, TargetLife
+from savoryhold.traffic import (
+    CallerLimits,
+    MeshConfig,
+    Part,
+    Route,
+    RouteKind,
+    RouteTable,
+    ServiceInfo,
+)
+from savoryhold.wire import ClientAnswer, Exchange, HeaderNames, HttpRequest
+
+__all__ = ['Caller', 'Fleet', 'Target', 'VirtualTimeCase']
+
+MS_PER_SECOND = 1000
+NAMES = HeaderNames(proof=b'')
+RATIO = 0.2
+SLACK = 45
+WINDOW_MS = 10_000
+SLOTS = 12
+STATUS_MS = 200
+DESK = ServiceName('desk')
+FILES = ServiceName('files')
+ROUTES = (
+    Route(
+        'desk',
+        'h',
+        '/desk/',
+        RouteKind.IDEMPOTENT,
+        1500,
+        500,
+        3,
+        2,
+        (Part(DESK, 1),),
+    ),
+    Route(
+        'files',
+        'h',
+        '/files/',
+        RouteKind.IDEMPOTENT,
+        1500,
+        500,
+        3,
+        2,
+        (Part(FILES, 1),),
+    ),
+    Route(
+        'book',
+        'h',
+        '/book/',
+        RouteKind.NON_IDEMPOTENT,
+        1500,
+        500,
+        3,
+        2,
+        (Part(FILES, 1),),
+    ),
+)
+CONFIG = MeshConfig(
+    1,
+    ROUTES,
+    (ServiceInfo(DESK, keyed=False), ServiceInfo(FILES, keyed=False)),
+    CallerLimits(),
+)
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Moves the loop's clock instead of waiting."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time_s = 0.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        """Return what is ready; jump by the timeout if nothing is."""
+        ready = super().select(0)
+        if not ready and timeout:
+            self.time_s += timeout
+        return ready
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        self._jumping = _JumpingSelector()
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._jumping.time_s
+
+
+class VirtualTimeCase(unittest.IsolatedAsyncioTestCase):
+    """Runs each test on a loop in virtual time."""
+
+    def _setupAsyncioRunner(self) -> None:  # noqa: N802
+        self._asyncioRunner = asyncio.Runner(loop_factory=_VirtualLoop)
+
+
+class _LoopClock:
+    def now(self) -> int:
+        """Return the loop's time in ms."""
+        return round(asyncio.get_running_loop().time() * MS_PER_SECOND)
+
+
+class Caller:
+    """The caller's end of one request."""
+
+    def __init__(self, req: HttpRequest) -> None:
+        self.req = req
+        self.on_gone: Callable[[], None] | None = None
+        self.status: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def reply(
+        self,
+        status: int,
+        head: bytes = b'',
+        body: bytes = b'',
+        *,
+        sized: bool = True,
+    ) -> None:
+        """Take the answer."""
+        if not self.status.done():
+            self.status.set_result(status)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        if self.on_gone is not None and not self.status.done():
+            self.on_gone()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request at a target."""
+
+    at: int
+    service: ServiceName
+    request: str
+
+
+class Target:
+    """A server with behaviour that a test sets.
+
+    Parameters
+    ----------
+    service : ServiceName
+        What it runs.
+    fleet : Fleet
+        Where it records what arrives.
+    """
+
+    def __init__(self, service: ServiceName, fleet: 'Fleet') -> None:
+        self.service = service
+        self.work_ms = 40
+        self.rejects = 0.0
+        self.loses = 0.0
+        self.calls = 0.0
+        self.dial_ms = 0
+        self.refused = 0
+        self.node: Node | None = None
+        self._fleet = fleet
+
+    def close(self) -> None:
+        """Satisfy the interface of a pool of connections."""
+
+    async def ask(
+        self,
+        request: bytes,
+        timeout_ms: float,
+        belongs: Any = None,
+        on_sent: Callable[[], None] | None = None,
+    ) -> ClientAnswer:
+        """Take a request as a pool of connections to the target does."""
+        if self.dial_ms:
+            await asyncio.sleep(self.dial_ms / MS_PER_SECOND)
+        if on_sent is not None:
+            on_sent()
+        rng = self._fleet.rng
+        name = _field(request, NAMES.request_id)
+        self._fleet.arrived(self.service, name)
+        if rng.random() < self.rejects:
+            return _answer(503, NAMES.not_run.lower())
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                status = await self._work(name)
+        except asyncio.CancelledError:
+            self._fleet.stopped[name] = self._fleet.clock.now()
+            raise
+        if rng.random() < self.loses:
+            raise LinkError('connection reset', sent=True)
+        return _answer(status)
+
+    async def _work(self, name: str) -> int:
+        self._fleet.running.add(name)
+        try:
+            await asyncio.sleep(self.work_ms / MS_PER_SECOND)
+            if self._fleet.rng.random() < self.calls and self.node is not None:
+                called = f'{name}.{self._fleet.number()}'
+                caller = self.node.ask('/files/', called)
+                return 200 if await caller.status == 200 else 500
+        finally:
+            self._fleet.running.discard(name)
+        return 200
+
+
+class Node:
+    """The real tasks of one node beside a target."""
+
+    def __init__(self, fleet: 'Fleet', index: int, target: Target) -> None:
+        self.name = NodeId(f'n{index}')
+        self.target = target
+        self.fleet = fleet
+        target.node = self
+        self.start()
+
+    def start(self) -> None:
+        """Begin a new life of the process, which knows nothing."""
+        fleet = self.fleet
+        settings = _settings(self.name, self.target.service)
+        log = get_log(node=self.name)
+        self.members = MemberTable(self.name, settings.region)
+        self.owner = OwnerTask(self.name, NAMES, fleet.clock, log, 1000, 1000)
+        self.owner.on_report(_report(self.name, self.target.service))
+        self.owner.pool = cast(Any, self.target)
+        parts = Parts(
+            settings,
+            self.members,
+            self.owner,
+            cast(Any, SimpleNamespace(tables={}, machines={})),
+            cast(Any, SimpleNamespace(routes=RouteTable(CONFIG))),
+            cast(Any, _Links(fleet)),
+            fleet.clock,
+            log,
+        )
+        self.peers = PeerTask(parts)
+        self.ingress = IngressTask(parts, NAMES, Telemetry(fleet.clock, log))
+        self.owner.may_log = bool
+
+    def ask(self, path: str, name: str, deadline_ms: int = 1500) -> Caller:
+        """Send a request to this node."""
+        fields = {
+            b'host': b'h',
+            NAMES.request_id.lower(): name.encode(),
+            NAMES.deadline.lower(): b'%d' % deadline_ms,
+        }
+        now = self.fleet.clock.now()
+        method = b'POST' if path.startswith('/book/') else b'GET'
+        headers = list(fields.items())
+        caller = Caller(
+            HttpRequest(method, path.encode(), headers, b'', now, fields)
+        )
+        self.fleet.asked(path, name)
+        self.ingress.handle(cast(Exchange, caller))
+        return caller
+
+
+class _Links:
+    """In place of the pool of links to other nodes."""
+
+    def __init__(self, fleet: 'Fleet') -> None:
+        self._fleet = fleet
+
+    async def open(self, address: str) -> '_Call':
+        """Begin a call to a node."""
+        return _Call(self._fleet.by_name[NodeId(address)])
+
+
+class _Call:
+    """Both ends of one call."""
+
+    peer = 'peer'
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._task: asyncio.Task[None] | None = None
+        self._reply: asyncio.Future[messages.Message] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.link = SimpleNamespace(transit=TransitDelay())
+
+    def send(self, message: messages.Message) -> None:
+        """Carry a message of either end."""
+        if isinstance(message, messages.Relay):
+            end = cast(Any, self)
+            self._task = asyncio.ensure_future(
+                self._node.peers.handle(end, message)
+            )
+        elif isinstance(message, messages.Cancel):
+            if self._task is not None:
+                self._task.cancel()
+        elif not self._reply.done():
+            self._reply.set_result(message)
+
+    async def receive(self, timeout_ms: float) -> messages.Message:
+        """Return the reply."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                return await asyncio.shield(self._reply)
+        except TimeoutError:
+            raise LinkError('no reply in time', sent=True) from None
+
+    def close(self) -> None:
+        """Forget the call."""
+
+
+class Fleet:
+    """Nodes of two services, and what their targets saw.
+
+    Parameters
+    ----------
+    nodes : int
+        How many nodes; each third runs ``files``, the others ``desk``.
+    seed : int
+        Of all that is random.
+    """
+
+    def __init__(self, nodes: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.clock = _LoopClock()
+        self.arrivals: list[Arrival] = []
+        self.requests: list[Arrival] = []
+        self.running: set[str] = set()
+        self.stopped: dict[str, int] = {}
+        self.by_name: dict[NodeId, Node] = {}
+        self.is_cut = False
+        self._numbers = 0
+        for index in range(nodes):
+            service = FILES if index % 3 == 2 else DESK
+            node = Node(self, index, Target(service, self))
+            self.by_name[node.name] = node
+        self.nodes = list(self.by_name.values())
+        self.gossip()
+
+    def targets(self, service: ServiceName) -> list[Target]:
+        """Return the targets of a service."""
+        return [
+            node.target for node in self.nodes if node.target.service == service
+        ]
+
+    def number(self) -> int:
+        """Return a number that was not used before."""
+        self._numbers += 1
+        return self._numbers
+
+    def arrived(self, service: ServiceName, name: str) -> None:
+        """Record a request at a target."""
+        self.arrivals.append(Arrival(self.clock.now(), service, name))
+
+    def asked(self, path: str, name: str) -> None:
+        """Record a request of a caller or of a target."""
+        service = DESK if path.startswith('/desk/') else FILES
+        self.requests.append(Arrival(self.clock.now(), service, name))
+
+    def gossip(self) -> None:
+        """Let each node hear each other."""
+        now = self.clock.now()
+        for node in [] if self.is_cut else self.nodes:
+            for other in self.nodes:
+                node.members.learn(_status(other), now)
+
+    async def play(self, seconds: float, rates: dict[str, float]) -> None:
+        """Let callers send requests to random nodes.
+
+        Parameters
+        ----------
+        seconds : float
+            For how long.
+        rates : dict of str to float
+            Requests a second by path.
+        """
+        end = self.clock.now() + seconds * MS_PER_SECOND
+        total = sum(rates.values())
+        paths, weights = list(rates), list(rates.values())
+        told_at = self.clock.now()
+        while self.clock.now() < end:
+            await asyncio.sleep(self.rng.expovariate(total))
+            if self.clock.now() - told_at >= STATUS_MS:
+                told_at = self.clock.now()
+                self.gossip()
+            path = self.rng.choices(paths, weights)[0]
+            self.rng.choice(self.nodes).ask(path, f'r{self.number()}')
+
+    def excess(self, service: ServiceName) -> float:
+        """Return by how much repeats exceed their budget in any window.
+
+        Notes
+        -----
+        A repeat is an arrival after the first of its request, or a call
+        that a repeated run makes.  The bound is a ratio of the requests in
+        the window, or in one that begins a half or a whole window before,
+        and a slack for the fleet.
+        """
+        repeats = self._repeats(service)
+        asked = [one.at for one in self.requests if one.service == service]
+        worst = float('-inf')
+        for start in repeats:
+            count = _within(repeats, start)
+            requests = max(
+                _within(asked, start - back)
+                for back in (0, WINDOW_MS // 2, WINDOW_MS)
+            )
+            worst = max(worst, count - RATIO * requests - SLACK)
+        return worst
+
+    def _repeats(self, service: ServiceName) -> list[int]:
+        seen: Counter[str] = Counter()
+        repeated: dict[str, int] = {}
+        found = []
+        for one in self.arrivals:
+            seen[one.request] += 1
+            parent = one.request.rpartition('.')[0]
+            again = seen[one.request] > 1 or parent in repeated
+            if again:
+                repeated[one.request] = one.at
+            if again and one.service == service:
+                found.append(one.at)
+        return found
+
+
+def _within(times: list[int], start: int) -> int:
+    return sum(1 for at in times if start <= at < start + WINDOW_MS)
+
+
+def _field(request: bytes, name: bytes) -> str:
+    for line in request.split(b'\r\n'):
+        found, _, text = line.partition(b': ')
+        if found.lower() == name.lower():
+            return text.decode()
+    return ''
+
+
+def _answer(status: int, flag: bytes = b'') -> ClientAnswer:
+    fields = {flag: b'1'} if flag else {}
+    return ClientAnswer(status, list(fields.items()), fields, b'')
+
+
+def _report(name: NodeId, service: ServiceName) -> TargetReport:
+    keys = Report(TargetLife(f't-{name}', 1), (), ())
+    return TargetReport(keys, service, '127.0.0.1:1', SLOTS, False, 1)
+
+
+def _status(node: Node) -> NodeStatus:
+    return NodeStatus(
+        node.name,
+        node.name,
+        node.target.service,
+        Zone('z'),
+        Region('r'),
+        SLOTS,
+        node.owner.queue.backlog_ms(),
+        0.0,
+        0,
+        True,
+        False,
+        1,
+        frozenset(),
+    )
+
+
+def _settings(name: NodeId, service: ServiceName) -> MeshSettings:
+    return MeshSettings(
+        node=name,
+        zone=Zone('z'),
+        region=Region('r'),
+        service=service,
+        callers='127.0.0.1:1',
+        reports='127.0.0.1:1',
+        ready='127.0.0.1:1',
+        peers='127.0.0.1:1',
+        metrics='',
+        advertised=name,
+        store='127.0.0.1:1',
+        report_ms=1000,
+        drain_ms=1000,
+        grace_ms=2000,
+        hold_max_ms=10_000,
+        retry_ratio=RATIO,
+        retry_slack=SLACK,
+        retry_window_ms=WINDOW_MS,
+    )
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -1,11 +1,13 @@
 """The callers' side of HTTP/1.1, on loopback sockets."""
 
 import asyncio
+import socket
 import unittest
 
 from savoryhold.core.clock import MonotonicClock
 from savoryhold.traffic import CallerLimits
 from savoryhold.wire import Exchange, HttpServer
+from savoryhold.wire.server import ServerConnection
 
 LIMIT_S = 5
 GET = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
@@ -68,6 +70,36 @@
             found = await self.reader.readuntil(b'two')
         self.assertLess(found.index(b'one'), found.index(b'two'))
 
+    # A connection with many requests under way was not read any more.
+    async def test_caller_with_many_requests_that_leaves_is_noticed(
+        self,
+    ) -> None:
+        """The close is seen although not all requests were taken."""
+        self.writer.write(GET * 40)
+        await self.wait_for(32)
+        gone = asyncio.Event()
+        self.exchanges[0].on_gone = gone.set
+        self.writer.close()
+        async with asyncio.timeout(LIMIT_S):
+            await gone.wait()
+
+    # A request was passed on before the close behind it was read.
+    async def test_request_of_a_caller_that_has_left_is_not_taken(
+        self,
+    ) -> None:
+        """A request and a close that are read together bring no work."""
+        with socket.create_connection(('127.0.0.1', self.port)) as sock:
+            sock.sendall(GET)
+        seen: set[ServerConnection] = set()
+        async with asyncio.timeout(LIMIT_S):
+            while len(seen) < 2 or len(self.server.connections) > 1:
+                await asyncio.sleep(0)
+                seen |= self.server.connections
+        self.writer.write(GET.replace(b'/a', b'/b'))
+        await self.wait_for(1)
+        found = [exchange.req.target for exchange in self.exchanges]
+        self.assertEqual(found, [b'/b'])
+
     async def test_caller_that_leaves_is_noticed(self) -> None:
         """Whoever works on a request hears that its caller has gone."""
         self.writer.write(GET)
