Retries draw on a budget of the service that bears them

Cause: a node had one window for all services; requests for a healthy service and calls of targets earned retries that all went to the service in trouble. Change: a window a service. Each node keeps to its own part, so the parts add up to the bound of each service.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -19,7 +19,7 @@
 )
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import LinkStream, messages
-from savoryhold.traffic import Route, RouteKind, SharedBudget
+from savoryhold.traffic import Route, RouteKind, SharedBudgets
 from savoryhold.wire import Exchange, HeaderNames
 
 __all__ = ['IngressTask']
@@ -78,7 +78,7 @@
     ) -> None:
         cfg = parts.settings
         self.names = names
-        self.budget = SharedBudget(
+        self.budgets = SharedBudgets(
             cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
         )
         self._parts = parts
@@ -118,8 +118,8 @@
     # Trying -----------------------------------------------------------------
 
     async def _answer(self, attempt: _Attempt) -> RelayedAnswer:
-        self.budget.sent(self._clock.now())
-        self.budget.nodes = 1 + len(self._parts.members.addresses)
+        self.budgets.requested(attempt.req.service, self._clock.now())
+        self.budgets.nodes = 1 + len(self._parts.members.addresses)
         for _ in range(MAX_TRIES):
             try:
                 answer = await self._try(attempt)
@@ -184,7 +184,7 @@
         repeatable = req.repeatable or attempt.may_have_run is None
         if late or attempt.left < 1 or not repeatable:
             return False
-        spent = self.budget.spend(now)
+        spent = self.budgets.spend(req.service, now)
         self._telemetry.repeated(req, cause, spent)
         return spent.granted
 
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -1,6 +1,6 @@
 """Decisions on requests: routes, queues, targets, retries."""
 
-from savoryhold.traffic.budget import SharedBudget, Spending
+from savoryhold.traffic.budget import SharedBudgets, Spending
 from savoryhold.traffic.choice import Candidate, Distance, choose
 from savoryhold.traffic.queue import Refused, TargetQueue, Ticket
 from savoryhold.traffic.routes import (
@@ -24,7 +24,7 @@
     'RouteKind',
     'RouteTable',
     'ServiceInfo',
-    'SharedBudget',
+    'SharedBudgets',
     'Spending',
     'TargetQueue',
     'Ticket',
--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -1,9 +1,11 @@
-"""This node's part of the retry budget that all nodes share."""
+"""This node's part of the retry budgets that all nodes share."""
 
 import dataclasses
 from collections import deque
 
-__all__ = ['SharedBudget', 'Spending']
+from savoryhold.core.ids import ServiceName
+
+__all__ = ['SharedBudgets', 'Spending']
 
 SAFETY = 0.7  # part of the budget that is used; nodes do not count together
 
@@ -19,17 +21,36 @@
     nodes: int
 
 
-class SharedBudget:
-    """Allows retries as a share of requests, over a sliding window.
+class _Window:
+    """Requests for one service, and repeats, by their times in ms."""
+
+    def __init__(self) -> None:
+        self.requests: deque[int] = deque()
+        self.repeats: deque[int] = deque()
+
+    def expire(self, since: int) -> None:
+        """Forget what came before a time."""
+        for times in (self.requests, self.repeats):
+            while times and times[0] < since:
+                times.popleft()
+
+
+class SharedBudgets:
+    """Allows retries as a share of a service's requests, in a sliding window.
 
     Parameters
     ----------
     ratio : float
-        Retries allowed per request.
+        Retries allowed per request for the same service.
     slack : float
-        Further retries that all nodes together have per window.
+        Further retries of a service that all nodes together have per window.
     window_ms : int
         Length of the window.
+
+    Notes
+    -----
+    A target's service bears the retries, so that each has a budget of its
+    own: requests for a healthy service earn none for one in trouble.
     """
 
     def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
@@ -37,30 +58,28 @@
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        self._sent: deque[int] = deque()
-        self._again: deque[int] = deque()
-
-    def sent(self, now: int) -> None:
-        """Count a request of a caller."""
-        self._sent.append(now)
-
-    def spend(self, now: int) -> Spending:
-        """Take one retry if there is one left."""
-        self._expire(now)
-        limit = self._ratio * len(self._sent) + self._slack / self.nodes
-        granted = len(self._again) + 1 <= limit * SAFETY
+        self._windows: dict[ServiceName, _Window] = {}
+
+    def requested(self, service: ServiceName, now: int) -> None:
+        """Count a request of a caller for a service."""
+        self._window(service).requests.append(now)
+
+    def spend(self, service: ServiceName, now: int) -> Spending:
+        """Take one retry at a service if there is one left."""
+        window = self._window(service)
+        window.expire(now - self._window_ms)
+        earned = self._ratio * len(window.requests)
+        limit = (earned + self._slack / self.nodes) * SAFETY
+        granted = len(window.repeats) + 1 <= limit
         if granted:
-            self._again.append(now)
+            window.repeats.append(now)
         return Spending(
             granted,
-            len(self._sent),
-            len(self._again),
-            limit * SAFETY,
+            len(window.requests),
+            len(window.repeats),
+            limit,
             self.nodes,
         )
 
-    def _expire(self, now: int) -> None:
-        since = now - self._window_ms
-        for times in (self._sent, self._again):
-            while times and times[0] < since:
-                times.popleft()
+    def _window(self, service: ServiceName) -> _Window:
+        return self._windows.setdefault(service, _Window())
