Request times that left the window are forgotten without a retry

Cause: a window was tidied only when a retry was asked for, so that a node whose targets never fail kept the time of each request for its life. Change: it is tidied with each request, too. Test: test_window_without_retries_stays_short failed before (1000 kept of 101).

--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -62,7 +62,9 @@
 
     def requested(self, service: ServiceName, now: int) -> None:
         """Count a request of a caller for a service."""
-        self._window(service).requests.append(now)
+        window = self._window(service)
+        window.expire(now - self._window_ms)
+        window.requests.append(now)
 
     def spend(self, service: ServiceName, now: int) -> Spending:
         """Take one retry at a service if there is one left."""
--- /dev/null
+++ b/src/savoryhold/traffic/tests/test_budget.py
@@ -0,0 +1,22 @@
+"""A node's part of the retry budgets."""
+
+import unittest
+
+from savoryhold.core.ids import ServiceName
+from savoryhold.traffic import SharedBudgets
+
+DESK = ServiceName('desk')
+WINDOW_MS = 10_000
+
+
+class TestSharedBudgets(unittest.TestCase):
+    """What is kept and what is allowed."""
+
+    # A node whose targets never failed kept the times of all its requests.
+    def test_window_without_retries_stays_short(self) -> None:
+        """What is older than a window is forgotten without a retry."""
+        budgets = SharedBudgets(0.2, 50, WINDOW_MS)
+        for now in range(0, 10 * WINDOW_MS, 100):
+            budgets.requested(DESK, now)
+        kept = budgets._windows[DESK].requests
+        self.assertLessEqual(len(kept), WINDOW_MS // 100 + 1)
