A process that has just started takes no part of the retry slack

Cause: a new process had an unspent window, and took the whole slack of the fleet for its own share until it had heard of other nodes. Change: no slack before the nodes are listed and a window has passed. What a process earns by its own requests is its own whatever was before, so that parts of two lives add up to the bound.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -79,7 +79,10 @@
         cfg = parts.settings
         self.names = names
         self.budgets = SharedBudgets(
-            cfg.retry_ratio, cfg.retry_slack, cfg.retry_window_ms
+            cfg.retry_ratio,
+            cfg.retry_slack,
+            cfg.retry_window_ms,
+            parts.clock.now(),
         )
         self._parts = parts
         self._clock = parts.clock
@@ -119,7 +122,7 @@
 
     async def _answer(self, attempt: _Attempt) -> RelayedAnswer:
         self.budgets.requested(attempt.req.service, self._clock.now())
-        self.budgets.nodes = 1 + len(self._parts.members.addresses)
+        self.budgets.nodes = self._parts.members.fleet_size()
         for _ in range(MAX_TRIES):
             try:
                 answer = await self._try(attempt)
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -90,6 +90,7 @@
         self.node = node
         self.members: dict[NodeId, Member] = {}
         self.addresses: dict[NodeId, str] = {}
+        self.is_listed = False
         self._region = region
 
     def period_ms(self, region: Region) -> int:
@@ -123,6 +124,10 @@
         if node != self.node:
             self.addresses.setdefault(node, address)
 
+    def fleet_size(self) -> int | None:
+        """Return how many nodes there are, None before they were listed."""
+        return 1 + len(self.addresses) if self.is_listed else None
+
     def is_alive(self, node: NodeId, now: int) -> bool:
         """Return whether a node was heard lately."""
         if node == self.node:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -257,6 +257,7 @@
             if isinstance(entry.spec, dict):
                 address = str(entry.spec.get('address', ''))
                 self.members.introduce(NodeId(entry.name), address)
+        self.members.is_listed = True
         return {known.name: known.spec for known in found.objects}
 
     async def _on_peer(
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -385,6 +385,7 @@
         """Let each node hear each other."""
         now = self.clock.now()
         for node in [] if self.is_cut else self.nodes:
+            node.members.is_listed = True
             for other in self.nodes:
                 node.members.learn(_status(other), now)
 
--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -46,15 +46,24 @@
         Further retries of a service that all nodes together have per window.
     window_ms : int
         Length of the window.
+    now : int
+        When this process started, in ms.
 
     Notes
     -----
     A target's service bears the retries, so that each has a budget of its
     own: requests for a healthy service earn none for one in trouble.
+
+    A process does not know what the one before it has spent, nor how many
+    nodes share the slack before it has listed them.  It retries on its own
+    requests alone until it has listed them and a window has passed.
     """
 
-    def __init__(self, ratio: float, slack: float, window_ms: int) -> None:
-        self.nodes = 1
+    def __init__(
+        self, ratio: float, slack: float, window_ms: int, now: int
+    ) -> None:
+        self.nodes: int | None = None
+        self._slack_from = now + window_ms
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
@@ -71,7 +80,7 @@
         window = self._window(service)
         window.expire(now - self._window_ms)
         earned = self._ratio * len(window.requests)
-        limit = (earned + self._slack / self.nodes) * SAFETY
+        limit = (earned + self._slack_share(now)) * SAFETY
         granted = len(window.repeats) + 1 <= limit
         if granted:
             window.repeats.append(now)
@@ -80,8 +89,13 @@
             len(window.requests),
             len(window.repeats),
             limit,
-            self.nodes,
+            self.nodes or 0,
         )
 
+    def _slack_share(self, now: int) -> float:
+        if self.nodes is None or now < self._slack_from:
+            return 0.0
+        return self._slack / self.nodes
+
     def _window(self, service: ServiceName) -> _Window:
         return self._windows.setdefault(service, _Window())
--- a/src/savoryhold/traffic/tests/test_budget.py
+++ b/src/savoryhold/traffic/tests/test_budget.py
@@ -15,7 +15,7 @@
     # A node whose targets never failed kept the times of all its requests.
     def test_window_without_retries_stays_short(self) -> None:
         """What is older than a window is forgotten without a retry."""
-        budgets = SharedBudgets(0.2, 50, WINDOW_MS)
+        budgets = SharedBudgets(0.2, 50, WINDOW_MS, now=0)
         for now in range(0, 10 * WINDOW_MS, 100):
             budgets.requested(DESK, now)
         kept = budgets._windows[DESK].requests
