Calls of repeated runs count as repeats of the service that is called

Cause: a run that is itself a repeat makes its calls again; the node counted these as requests of callers, which even earned further retries. Ruled out: a bound on repeated runs for the sake of what they call. First runs and repeats are rejected alike, so that the calls of repeats stay within the ratio of the calls of first runs. Change: a relayed request says whether it is a repeat, the owner knows the repeats that its target runs, and a call of one is charged to the called service's window.

--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -148,6 +148,7 @@
         priority=req.priority,
         repeatable=req.repeatable,
         sent_at=now,
+        repeat=req.repeat,
     )
 
 
@@ -181,6 +182,7 @@
             _raw(message.body),
             message.key,
         ),
+        bool(message.repeat),
     )
 
 
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -1,6 +1,7 @@
 """The ingress side: sees a caller's request answered."""
 
 import asyncio
+import dataclasses
 from functools import partial
 from http import HTTPStatus
 
@@ -121,8 +122,7 @@
     # Trying -----------------------------------------------------------------
 
     async def _answer(self, attempt: _Attempt) -> RelayedAnswer:
-        self.budgets.requested(attempt.req.service, self._clock.now())
-        self.budgets.nodes = self._parts.members.fleet_size()
+        self._count(attempt.req)
         for _ in range(MAX_TRIES):
             try:
                 answer = await self._try(attempt)
@@ -136,6 +136,14 @@
                 return answer
         raise attempt.outcome(TargetDownError('no owner was found'))
 
+    def _count(self, req: RelayedRequest) -> None:
+        """Count a request where it earns retries, or is one."""
+        self.budgets.nodes = self._parts.members.fleet_size()
+        if req.repeat:
+            self.budgets.charge(req.service, self._clock.now())
+        else:
+            self.budgets.requested(req.service, self._clock.now())
+
     async def _try(self, attempt: _Attempt) -> RelayedAnswer:
         node = self._chooser.choose(
             attempt.req, attempt.refused, large=attempt.large
@@ -189,6 +197,8 @@
             return False
         spent = self.budgets.spend(req.service, now)
         self._telemetry.repeated(req, cause, spent)
+        if spent.granted:
+            attempt.req = dataclasses.replace(req, repeat=True)
         return spent.granted
 
     async def _ask(self, node: NodeId, req: RelayedRequest) -> RelayedAnswer:
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -9,7 +9,7 @@
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import LinkError, RequestError, UncertainError
-from savoryhold.core.ids import NodeId, ServiceName
+from savoryhold.core.ids import NodeId, RequestId, ServiceName
 from savoryhold.core.poison import Fingerprint, PoisonGuard, Strike
 from savoryhold.daemon.logs import Log
 from savoryhold.mesh.interface import TargetReport
@@ -92,6 +92,7 @@
         self.left_at: int | None = None
         self.dead = False
         self._stopped = 0
+        self._repeat_runs: set[RequestId] = set()
         self.queue = TargetQueue(1)
         self.heat = KeyHeat()
         self.poison = PoisonGuard()
@@ -192,6 +193,10 @@
         """Return how many runs ended because their caller had gone."""
         return self._stopped
 
+    def is_repeat_run(self, request: RequestId) -> bool:
+        """Return whether the target runs a request that is a repeat."""
+        return request in self._repeat_runs
+
     def running(self) -> int:
         """Return how many requests the target runs or waits for."""
         return len(self.queue.running) + len(self.queue.waiting)
@@ -214,14 +219,20 @@
         self._count_heat(req, now)
         await self._own_key(req)
         ticket = await self._admit(req)
+        if req.repeat:
+            self._repeat_runs.add(req.request)
         try:
             return await self._run(req, ticket)
         except asyncio.CancelledError:
             self._log_stopped(req, ticket)
             raise
         finally:
-            self.queue.remove(ticket.number)
-            self._pump()
+            self._end_run(req, ticket)
+
+    def _end_run(self, req: RelayedRequest, ticket: Ticket) -> None:
+        self._repeat_runs.discard(req.request)
+        self.queue.remove(ticket.number)
+        self._pump()
 
     async def _own_key(self, req: RelayedRequest) -> None:
         """Wait until the target holds the request's key, or refuse."""
--- a/src/savoryhold/mesh/reading.py
+++ b/src/savoryhold/mesh/reading.py
@@ -63,8 +63,9 @@
         if deadline <= self._parts.clock.now():
             raise TargetDownError('the deadline has passed', LATE_RETRY_MS)
         key = self._key(http) if keyed else NO_KEY
+        request = self._request_id(http)
         req = RelayedRequest(
-            self._request_id(http),
+            request,
             service,
             key,
             route.name,
@@ -83,9 +84,17 @@
                 http.body,
                 key,
             ),
+            self._is_called_again(request),
         )
         return req, route
 
+    def _is_called_again(self, request: RequestId) -> bool:
+        """Return whether a repeated run of the local target calls for it."""
+        if not self._names.call_mark:
+            return False
+        run, _, _ = request.rpartition(self._names.call_mark)
+        return self._parts.owner.is_repeat_run(RequestId(run))
+
     def _route(self, routes: RouteTable, http: HttpRequest) -> Route:
         host = http.header(b'host').decode('latin-1')
         path = http.target.split(b'?', 1)[0].decode('latin-1')
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -51,6 +51,11 @@
         0 is the most urgent.
     repeatable : bool
         Whether it may run more than once.
+    fingerprint : Fingerprint
+        What it has in common with requests that ask for the same.
+    repeat : bool
+        Whether a target may have got it before, or whether a run that was
+        a repeat calls for it.
     """
 
     request: RequestId
@@ -66,6 +71,7 @@
     priority: int
     repeatable: bool
     fingerprint: Fingerprint
+    repeat: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -42,7 +42,7 @@
 __all__ = ['Caller', 'Fleet', 'Target', 'VirtualTimeCase']
 
 MS_PER_SECOND = 1000
-NAMES = HeaderNames(proof=b'')
+NAMES = HeaderNames(proof=b'', call_mark='.')
 RATIO = 0.2
 SLACK = 45
 WINDOW_MS = 10_000
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -116,6 +116,7 @@
   11: i32 priority,
   12: bool repeatable,
   13: i64 sent_at,
+  14: bool repeat,
 }
 
 // The owner's answer: a target's, or an error with its verdict.
--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -75,6 +75,12 @@
         window.expire(now - self._window_ms)
         window.requests.append(now)
 
+    def charge(self, service: ServiceName, now: int) -> None:
+        """Count a retry at a service that is made without asking."""
+        window = self._window(service)
+        window.expire(now - self._window_ms)
+        window.repeats.append(now)
+
     def spend(self, service: ServiceName, now: int) -> Spending:
         """Take one retry at a service if there is one left."""
         window = self._window(service)
--- a/src/savoryhold/wire/names.py
+++ b/src/savoryhold/wire/names.py
@@ -55,6 +55,9 @@
         The key of a request to a keyed service.
     proof : bytes
         What a target's whole answer carries; an answer without is not one.
+    call_mark : str
+        Stands in the id of a call between the id of the run that makes it
+        and the rest; empty if ids of calls do not name their runs.
     """
 
     request_id: bytes = b'Idempotency-Key'
@@ -64,3 +67,4 @@
     caller: bytes = b'X-Savoryhold-Caller'
     key: bytes = b'X-Savoryhold-Key'
     proof: bytes = b''
+    call_mark: str = ''
