A booking is not sent once its caller has left

Callers that left while the connection to a target was being opened had their booking sent up to a second later. Cause: work that may not be repeated was kept alive whatever it had done so far. Evidence: a booking that arrived 250 ms after its caller had left (virtual time). Change: it is kept alive only if it has been sent; until then it ends with its caller.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -223,9 +223,6 @@
             self._repeat_runs.add(req.request)
         try:
             return await self._run(req, ticket)
-        except asyncio.CancelledError:
-            self._log_stopped(req, ticket)
-            raise
         finally:
             self._end_run(req, ticket)
 
@@ -332,15 +329,18 @@
     async def _run(self, req: RelayedRequest, ticket: Ticket) -> RelayedAnswer:
         now = self.clock.now()
         self._check_start(req, now)
-        started = asyncio.ensure_future(self._send(req, now))
+        sent = asyncio.Event()
+        started = asyncio.ensure_future(self._send(req, now, sent.set))
         try:
             answer = await asyncio.shield(started)
         except asyncio.CancelledError:
-            if req.repeatable:
-                started.cancel()
-            else:
+            goes_on = sent.is_set() and not req.repeatable
+            self._log_stopped(req, ticket, goes_on=goes_on)
+            if goes_on:
                 # The caller is gone; the booking may end at its target.
                 started.add_done_callback(_consume)
+            else:
+                started.cancel()
             raise
         took = self.clock.now() - now
         self.queue.measured(ticket.kind, took)
@@ -352,8 +352,10 @@
             self.on_acquit(req.fingerprint)
         return checked
 
-    def _log_stopped(self, req: RelayedRequest, ticket: Ticket) -> None:
-        """Log that a run ends because its caller has gone."""
+    def _log_stopped(
+        self, req: RelayedRequest, ticket: Ticket, *, goes_on: bool
+    ) -> None:
+        """Log that the caller of a run has gone."""
         self._stopped += 1
         if self.may_log():
             self.log.info(
@@ -361,7 +363,7 @@
                 request=req.request,
                 ran_ms=self.clock.now() - ticket.started_at,
                 left_ms=req.deadline - self.clock.now(),
-                goes_on=not req.repeatable,
+                goes_on=goes_on,
             )
 
     def _log_late(self, req: RelayedRequest, ticket: Ticket, took: int) -> None:
@@ -387,7 +389,9 @@
         if not machine.may_send(req.key, now):
             raise BusyError('the key is not held any more', DOWN_RETRY_MS)
 
-    async def _send(self, req: RelayedRequest, now: int) -> ClientAnswer:
+    async def _send(
+        self, req: RelayedRequest, now: int, on_sent: Callable[[], None]
+    ) -> ClientAnswer:
         pool, life = self.pool, self.life()
         if pool is None or life is None:
             raise TargetDownError('no target', DOWN_RETRY_MS)
@@ -397,7 +401,7 @@
             _has_id, self.names.request_id.lower(), req.request.encode()
         )
         try:
-            return await pool.ask(request, left, belongs)
+            return await pool.ask(request, left, belongs, on_sent)
         except LinkError as exc:
             raise self._link_error(req, exc) from exc
         except TimeoutError as exc:
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -38,6 +38,10 @@
 Identity = Callable[[dict[bytes, bytes]], bool]
 
 
+def _ignore() -> None:
+    """Take no note of a request that leaves."""
+
+
 @dataclasses.dataclass(slots=True)
 class ClientAnswer:
     """A whole answer."""
@@ -212,9 +216,21 @@
         request: bytes,
         timeout_ms: float,
         belongs: Identity | None = None,
+        on_sent: Callable[[], None] = _ignore,
     ) -> ClientAnswer:
         """Send a request and return its whole answer.
 
+        Parameters
+        ----------
+        request : bytes
+            The whole request.
+        timeout_ms : float
+            How long to wait for the answer.
+        belongs : callable, optional
+            Whether an answer with these headers is the request's.
+        on_sent : callable, optional
+            Called as the request leaves.
+
         Raises
         ------
         LinkError
@@ -225,6 +241,7 @@
         """
         conn = await self._take(timeout_ms)
         self._busy.add(conn)
+        on_sent()
         conn.send(request, belongs)
         fut = cast('asyncio.Future[ClientAnswer]', conn.fut)
         loop = asyncio.get_running_loop()
