A repeat is not begun where its calls have no retries left

Cause: calls of repeats were counted, but not bounded. Where one kind of request earns the retries of a service and another kind, which makes calls, spends them, a node overdraws what it has of the called service; the others do not know. Ruled out: refusing the calls, which fails runs that have begun. Change: the node knows which services runs of a route call, and begins a repeat of it only if these have retries left; calls of repeats and other repeats get half each.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from savoryhold.core.errors import LinkError, RequestError, UncertainError
-from savoryhold.core.ids import NodeId
+from savoryhold.core.ids import NodeId, ServiceName
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.choosing import AWAY_RETRY_MS, NodeChooser
 from savoryhold.mesh.codec import answer_of, relay_message
@@ -91,6 +91,7 @@
         self._chooser = NodeChooser(parts)
         self._telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
+        parts.owner.runs.may_call_again = self._may_call_again
 
     def handle(self, exchange: Exchange) -> None:
         """Serve an exchange in a task of its own."""
@@ -144,6 +145,9 @@
         else:
             self.budgets.requested(req.service, self._clock.now())
 
+    def _may_call_again(self, service: ServiceName) -> bool:
+        return self.budgets.may_call_again(service, self._clock.now())
+
     async def _try(self, attempt: _Attempt) -> RelayedAnswer:
         node = self._chooser.choose(
             attempt.req, attempt.refused, large=attempt.large
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -302,7 +302,7 @@
             ),
             'table_writes': float(self.tables.writes),
             'key_moves': float(self.tables.moves),
-            'runs_stopped': float(self.owner.stopped),
+            'runs_stopped': float(self.owner.runs.stopped),
             'queue_waiting': float(len(self.owner.queue.waiting)),
             'queue_running': float(len(self.owner.queue.running)),
             'members_heard': float(len(self.members.alive(self.clock.now()))),
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -9,7 +9,7 @@
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import LinkError, RequestError, UncertainError
-from savoryhold.core.ids import NodeId, RequestId, ServiceName
+from savoryhold.core.ids import NodeId, ServiceName
 from savoryhold.core.poison import Fingerprint, PoisonGuard, Strike
 from savoryhold.daemon.logs import Log
 from savoryhold.mesh.interface import TargetReport
@@ -25,6 +25,7 @@
     ShedError,
     TargetDownError,
 )
+from savoryhold.mesh.runs import RunBook
 from savoryhold.ranges import GrantMachine, KeyHeat, TargetLife
 from savoryhold.traffic import Refused, TargetQueue, Ticket
 from savoryhold.wire import (
@@ -91,8 +92,7 @@
         self.reported_at = 0
         self.left_at: int | None = None
         self.dead = False
-        self._stopped = 0
-        self._repeat_runs: set[RequestId] = set()
+        self._runs = RunBook()
         self.queue = TargetQueue(1)
         self.heat = KeyHeat()
         self.poison = PoisonGuard()
@@ -189,13 +189,9 @@
         return max(0, self.reported_at + self._report_ms - now)
 
     @property
-    def stopped(self) -> int:
-        """Return how many runs ended because their caller had gone."""
-        return self._stopped
-
-    def is_repeat_run(self, request: RequestId) -> bool:
-        """Return whether the target runs a request that is a repeat."""
-        return request in self._repeat_runs
+    def runs(self) -> RunBook:
+        """Return what runs at the target."""
+        return self._runs
 
     def running(self) -> int:
         """Return how many requests the target runs or waits for."""
@@ -216,18 +212,19 @@
             raise TargetDownError('no target takes requests', DOWN_RETRY_MS)
         if self.poison.is_quarantined(req.fingerprint, now):
             raise PoisonedError('the request crashes its targets')
+        if not self._runs.may_run(req):
+            raise BusyError('the calls of a repeat have no retries left')
         self._count_heat(req, now)
         await self._own_key(req)
         ticket = await self._admit(req)
-        if req.repeat:
-            self._repeat_runs.add(req.request)
+        self._runs.begin(req)
         try:
             return await self._run(req, ticket)
         finally:
             self._end_run(req, ticket)
 
     def _end_run(self, req: RelayedRequest, ticket: Ticket) -> None:
-        self._repeat_runs.discard(req.request)
+        self._runs.end(req)
         self.queue.remove(ticket.number)
         self._pump()
 
@@ -356,7 +353,7 @@
         self, req: RelayedRequest, ticket: Ticket, *, goes_on: bool
     ) -> None:
         """Log that the caller of a run has gone."""
-        self._stopped += 1
+        self._runs.stopped += 1
         if self.may_log():
             self.log.info(
                 'run_stopped',
--- a/src/savoryhold/mesh/reading.py
+++ b/src/savoryhold/mesh/reading.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from savoryhold.core.errors import BadRequestError, RequestError
-from savoryhold.core.ids import RequestId
+from savoryhold.core.ids import RequestId, ServiceName
 from savoryhold.core.poison import fingerprint_of
 from savoryhold.mesh.parts import Parts
 from savoryhold.mesh.requests import NO_KEY, RelayedRequest, TargetDownError
@@ -84,16 +84,18 @@
                 http.body,
                 key,
             ),
-            self._is_called_again(request),
+            self._is_called_again(request, service),
         )
         return req, route
 
-    def _is_called_again(self, request: RequestId) -> bool:
+    def _is_called_again(
+        self, request: RequestId, service: ServiceName
+    ) -> bool:
         """Return whether a repeated run of the local target calls for it."""
         if not self._names.call_mark:
             return False
         run, _, _ = request.rpartition(self._names.call_mark)
-        return self._parts.owner.is_repeat_run(RequestId(run))
+        return self._parts.owner.runs.take_call(RequestId(run), service)
 
     def _route(self, routes: RouteTable, http: HttpRequest) -> Route:
         host = http.header(b'host').decode('latin-1')
--- a/src/savoryhold/mesh/tests/test_repeats_in_trouble.py
+++ b/src/savoryhold/mesh/tests/test_repeats_in_trouble.py
@@ -55,6 +55,22 @@
         self.assertLessEqual(fleet.excess(DESK), 0)
         self.assertLessEqual(fleet.excess(FILES), 0)
 
+    # Nodes beside callers of a service overdrew what others had left of it.
+    async def test_calls_of_repeats_and_rejected_calls_share_a_budget(
+        self,
+    ) -> None:
+        """All repeats at the called service together stay in its budget."""
+        fleet = Fleet(9, seed=4)
+        for target in fleet.targets(DESK):
+            target.loses = 0.7
+            target.calls = 1.0
+        for target in fleet.targets(FILES):
+            target.rejects = 0.6
+        rates = {'/desk/': 60.0, '/plain/': 160.0, '/files/': 30.0}
+        await fleet.play(PLAY_S, rates)
+        self.assertLessEqual(fleet.excess(DESK), 0)
+        self.assertLessEqual(fleet.excess(FILES), 0)
+
 
 async def start_all_in_series(fleet: Fleet) -> None:
     """Kill and start all processes a few times, out of each other's reach."""
--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -7,6 +7,7 @@
 
 __all__ = ['SharedBudgets', 'Spending']
 
+CALLS_SHARE = 0.5  # of a budget; the rest is for requests of its own
 SAFETY = 0.7  # part of the budget that is used; nodes do not count together
 
 
@@ -22,17 +23,29 @@
 
 
 class _Window:
-    """Requests for one service, and repeats, by their times in ms."""
+    """Requests for one service, and repeats, by their times in ms.
+
+    ``calls`` are those repeats that repeated runs of other services make.
+    """
 
     def __init__(self) -> None:
         self.requests: deque[int] = deque()
         self.repeats: deque[int] = deque()
+        self.calls: deque[int] = deque()
+        self.calls_wanted_at: int | None = None
+
+    @property
+    def used(self) -> int:
+        """Return how many repeats there were."""
+        return len(self.repeats) + len(self.calls)
 
     def expire(self, since: int) -> None:
         """Forget what came before a time."""
-        for times in (self.requests, self.repeats):
+        for times in (self.requests, self.repeats, self.calls):
             while times and times[0] < since:
                 times.popleft()
+        if self.calls_wanted_at is not None and self.calls_wanted_at < since:
+            self.calls_wanted_at = None
 
 
 class SharedBudgets:
@@ -76,28 +89,43 @@
         window.requests.append(now)
 
     def charge(self, service: ServiceName, now: int) -> None:
-        """Count a retry at a service that is made without asking."""
+        """Count a call that a repeated run makes at a service."""
         window = self._window(service)
         window.expire(now - self._window_ms)
-        window.repeats.append(now)
+        window.calls.append(now)
 
     def spend(self, service: ServiceName, now: int) -> Spending:
         """Take one retry at a service if there is one left."""
         window = self._window(service)
-        window.expire(now - self._window_ms)
-        earned = self._ratio * len(window.requests)
-        limit = (earned + self._slack_share(now)) * SAFETY
-        granted = len(window.repeats) + 1 <= limit
+        limit = self._limit(window, now)
+        own_limit = limit
+        if window.calls_wanted_at is not None:
+            own_limit *= 1 - CALLS_SHARE
+        granted = (
+            window.used + 1 <= limit and len(window.repeats) + 1 <= own_limit
+        )
         if granted:
             window.repeats.append(now)
         return Spending(
             granted,
             len(window.requests),
-            len(window.repeats),
+            window.used,
             limit,
             self.nodes or 0,
         )
 
+    def may_call_again(self, service: ServiceName, now: int) -> bool:
+        """Return whether repeated runs may go on to call a service."""
+        window = self._window(service)
+        limit = self._limit(window, now)
+        window.calls_wanted_at = now
+        return window.used < limit and len(window.calls) < limit * CALLS_SHARE
+
+    def _limit(self, window: _Window, now: int) -> float:
+        window.expire(now - self._window_ms)
+        earned = self._ratio * len(window.requests)
+        return (earned + self._slack_share(now)) * SAFETY
+
     def _slack_share(self, now: int) -> float:
         if self.nodes is None or now < self._slack_from:
             return 0.0
