The close of a connection is read before its requests are passed on

Callers that had left could still have requests passed on, and work went on for them. Cause: two ways to look at a close too late. A connection with 32 requests under way was not read on, so that its close was seen only behind an answer. A request that lay in the socket together with the close behind it (after a pause of the node, or when a caller gives up on a connection that is not read) was passed on first. Change: further requests wait in the server, up to 1 MiB, while the connection is read on; a request is handed on two steps of the loop after it was read, when a close that was there has been seen.

--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -18,7 +18,8 @@
 __all__ = ['Exchange', 'HttpRequest', 'HttpServer', 'ServerConnection']
 
 MS_PER_SECOND = 1000
-MAX_PIPELINED = 32  # further requests wait unread
+MAX_PIPELINED = 32  # requests of a connection at work; further ones wait
+MAX_WAITING_BYTES = 1_048_576  # that wait; beyond, a connection is not read
 SWEEP_MS = 500
 DRAIN_POLL_MS = 10
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -123,6 +124,11 @@
         self._closing = False
         self._paused = False
         self._in_head = False
+        self._waiting: deque[Exchange] = deque()
+        self._waiting_bytes = 0
+        self._taking = False
+        self._untaken: deque[Exchange] = deque()
+        self._untaken_bytes = 0
 
     # asyncio.Protocol -------------------------------------------------
 
@@ -151,16 +157,13 @@
 
     def eof_received(self) -> bool:
         """Take a half-closed connection as closed."""
+        self._end()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Tell those who work on its requests that the caller is gone."""
-        self._closing = True
+        """Forget the connection."""
         self.server.connections.discard(self)
-        while self.open:
-            exchange = self.open.popleft()
-            if exchange.on_gone is not None and not exchange.answered:
-                exchange.on_gone()
+        self._end()
 
     # httptools callbacks ----------------------------------------------
 
@@ -220,10 +223,44 @@
         self._begun_at = None
         self._head_bytes = 0
         self._fields = {}
-        if len(self.open) >= MAX_PIPELINED and self._transport is not None:
+        self._waiting.append(exchange)
+        self._waiting_bytes += _size(req)
+        if self._waiting_bytes > MAX_WAITING_BYTES and self._transport:
             self._paused = True
             self._transport.pause_reading()
-        self.server.handler(exchange)
+        self._take_soon()
+
+    # Requests that wait --------------------------------------------------
+
+    def _take_soon(self) -> None:
+        """Hand requests on once a close right behind them has been read."""
+        if not self._taking:
+            self._taking = True
+            loop = asyncio.get_running_loop()
+            # The loop reads its sockets between the two.
+            loop.call_soon(loop.call_soon, self._take)
+
+    def _take(self) -> None:
+        """Hand on as many requests as may be at work."""
+        self._taking = False
+        while self._waiting:
+            if len(self.open) - len(self._waiting) >= MAX_PIPELINED:
+                return
+            exchange = self._waiting.popleft()
+            self._waiting_bytes -= _size(exchange.req)
+            self.server.handler(exchange)
+        if self._paused and self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+
+    def _end(self) -> None:
+        """Tell those who work on its requests that the caller is gone."""
+        self._closing = True
+        self._waiting.clear()
+        while self.open:
+            exchange = self.open.popleft()
+            if exchange.on_gone is not None and not exchange.answered:
+                exchange.on_gone()
 
     # Answers -------------------------------------------------------------
 
@@ -248,9 +285,8 @@
             if exchange.last:
                 self._close()
                 return
-        if self._paused and len(self.open) < MAX_PIPELINED:
-            self._paused = False
-            transport.resume_reading()
+        if self._waiting:
+            self._take_soon()
 
     def sweep(self, now: int) -> None:
         """Close the connection if its caller is too slow or idle."""
@@ -272,6 +308,7 @@
 
     def _close(self) -> None:
         self._closing = True
+        self._waiting.clear()
         if self._transport is not None:
             self._transport.close()
 
@@ -288,6 +325,10 @@
         exchange.reply(status)
 
 
+def _size(req: HttpRequest) -> int:
+    return len(req.target) + len(req.body) + sum(map(len, req.fields.values()))
+
+
 class HttpServer:
     """Accepts connections of callers.
 
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -1,6 +1,7 @@
 """The callers' side of HTTP/1.1, on loopback sockets."""
 
 import asyncio
+import re
 import socket
 import unittest
 
@@ -83,6 +84,19 @@
         async with asyncio.timeout(LIMIT_S):
             await gone.wait()
 
+    async def test_requests_beyond_those_at_work_wait_their_turn(self) -> None:
+        """An answer lets the next one in, and all are answered in order."""
+        self.writer.write(GET * 40)
+        await self.wait_for(32)
+        self.assertEqual(len(self.exchanges), 32)
+        for index in range(40):
+            await self.wait_for(index + 1)
+            self.exchanges[index].reply(200, b'', b'%d;' % index)
+        async with asyncio.timeout(LIMIT_S):
+            found = await self.reader.readuntil(b'39;')
+        numbers = re.findall(rb'(\d+);', found)
+        self.assertEqual(numbers, [b'%d' % index for index in range(40)])
+
     # A request was passed on before the close behind it was read.
     async def test_request_of_a_caller_that_has_left_is_not_taken(
         self,
