Answers without end are broken off before they fill the memory

Cause: only the body of one answer was bounded. A head without end was collected until the deadline: 100 MB were sent and taken by the code before, and ended only since the probe stopped; interim and stray answers were passed over for ever; several bodies at once came to more than a node has. Change: 64 KiB for a head, 16 answers passed over, 32 MB for all bytes of one answer and 64 MB for all under way at a target; beyond, the connection is closed and the request may have run.

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -24,6 +24,9 @@
 KEEPALIVE_S = 1  # between probes of a connection on which an answer is awaited
 KEEPALIVE_PROBES = 2
 MAX_ANSWER_BYTES = 32_000_000
+MAX_HEAD_BYTES = 65_536  # of one answer; usual servers send below 8 KiB
+MAX_PASSED_OVER = 16  # interim and stray answers before the awaited one
+MAX_POOL_BYTES = 64_000_000  # of all answers under way at one target
 INFORMATIONAL = 200  # lower statuses announce the final one
 
 # What lies between two ends may forget a connection without a word.
@@ -74,7 +77,10 @@
         self._fields: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
         self._size = 0
+        self._head_bytes = 0
+        self._passed_over = 0
         self._in_answer = False
+        self._in_head = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -96,6 +102,7 @@
             self._break(f'not an answer in the protocol: {exc}')
         except httptools.HttpParserUpgrade:
             self._break('answer switches protocols')
+        self._check_size(len(received))
 
     def eof_received(self) -> bool:
         """End an answer whose body has no stated length."""
@@ -118,20 +125,21 @@
         self._headers = []
         self._fields = {}
         self._body = []
-        self._size = 0
+        self._head_bytes = 0
         self._in_answer = True
+        self._in_head = True
 
     def on_header(self, name: bytes, field: bytes) -> None:
         """Take a header."""
         self._headers.append((name, field))
         self._fields[name.lower()] = field
 
+    def on_headers_complete(self) -> None:
+        """Go on to the body."""
+        self._in_head = False
+
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
-        self._size += len(body)
-        if self._size > MAX_ANSWER_BYTES:
-            self._break('answer is too large')
-            return
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -140,11 +148,13 @@
         self._in_answer = False
         if status < INFORMATIONAL or self.fut is None:
             self.reusable = self.reusable and self.fut is not None
+            self._passed_over += 1
             return
         if self.belongs is not None and not self.belongs(self._fields):
             # An answer to an earlier request; ours may follow it.
             self.reusable = False
             self.pool.strays += 1
+            self._passed_over += 1
             return
         self._note_keep_alive()
         answer = ClientAnswer(
@@ -158,9 +168,15 @@
         self.fut = asyncio.get_running_loop().create_future()
         self.belongs = belongs
         self.received = False
+        self._passed_over = 0
         if self._transport is not None:
             self._transport.write(request)
 
+    def forget_bytes(self) -> None:
+        """Count no bytes of an answer that has ended."""
+        self.pool.bytes_held -= self._size
+        self._size = 0
+
     @property
     def flushed(self) -> bool:
         """Return whether all that was sent has left this process."""
@@ -172,6 +188,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _check_size(self, received: int) -> None:
+        """Break off an answer, or what stands for one, that does not end."""
+        self._size += received
+        self.pool.bytes_held += received
+        if self._in_head:
+            self._head_bytes += received
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._break('the head of the answer is too large')
+        elif self._passed_over > MAX_PASSED_OVER:
+            self._break('other answers come without end')
+        elif self._size > MAX_ANSWER_BYTES:
+            self._break('answer is too large')
+        elif self.pool.bytes_held > MAX_POOL_BYTES:
+            self._break('all answers together are too large')
+
     def _note_keep_alive(self) -> None:
         if not self._parser.should_keep_alive():
             self.reusable = False
@@ -205,6 +236,7 @@
     def __init__(self, address: str, now: Callable[[], int]) -> None:
         self.address = address
         self.opened = 0
+        self.bytes_held = 0
         self.strays = 0
         self.refused = 0
         self._now = now
@@ -304,6 +336,7 @@
 
     def _give_back(self, conn: _Connection) -> None:
         self._busy.discard(conn)
+        conn.forget_bytes()
         conn.fut = None
         conn.belongs = None
         if conn.closed:
