The native daemon's retry budgets are a service's own and start low

Change: a bucket a service; a new one holds five retries. Test: test_budgets_are_a_service_s_own_and_start_low; the class is new, so that it could not fail before: then one bucket served all and held 50.

--- a/src/savoryhold/core/retry.py
+++ b/src/savoryhold/core/retry.py
@@ -3,13 +3,22 @@
 import dataclasses
 
 from savoryhold.core.errors import RequestError
+from savoryhold.core.ids import ServiceName
 from savoryhold.core.verdict import Verdict
 
-__all__ = ['RetryBudget', 'Tries', 'backoff_ms', 'may_retry']
+__all__ = [
+    'RetryBudget',
+    'RetryBudgets',
+    'Tries',
+    'backoff_ms',
+    'may_retry',
+]
 
 FIRST_BACKOFF_MS = 20
 MAX_BACKOFF_MS = 200
 MAX_DOUBLINGS = 8
+FIRST_RETRIES = 5  # of a new process, which does not know what was spent
+SUCCESSES = 10  # that earn one retry
 
 
 def may_retry(exc: RequestError, *, idempotent: bool) -> bool:
@@ -88,9 +97,9 @@
         Successes saved so far.
     """
 
-    successes: int = 10
+    successes: int = SUCCESSES
     reserve: int = 50
-    earned: int = 500
+    earned: int = FIRST_RETRIES * SUCCESSES
 
     def succeeded(self) -> None:
         """Count a success."""
@@ -102,3 +111,20 @@
             return False
         self.earned -= self.successes
         return True
+
+
+class RetryBudgets:
+    """A budget for each service.
+
+    Notes
+    -----
+    The targets of a service bear its retries, so that successes of another
+    service earn it none.
+    """
+
+    def __init__(self) -> None:
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+
+    def of(self, service: ServiceName) -> RetryBudget:
+        """Return the budget of a service."""
+        return self._budgets.setdefault(service, RetryBudget())
--- a/src/savoryhold/core/tests/test_decisions.py
+++ b/src/savoryhold/core/tests/test_decisions.py
@@ -41,7 +41,14 @@
     decode_record,
     encode_record,
 )
-from savoryhold.core.retry import RetryBudget, Tries, backoff_ms, may_retry
+from savoryhold.core.retry import (
+    FIRST_RETRIES,
+    RetryBudget,
+    RetryBudgets,
+    Tries,
+    backoff_ms,
+    may_retry,
+)
 from savoryhold.core.ring import choose_standby
 from savoryhold.core.routing import Directory
 from savoryhold.core.selection import LatencyTable, choose_of_two
@@ -111,6 +118,16 @@
         self.assertTrue(budget.spend())
         self.assertFalse(budget.spend())
 
+    # One bucket held the retries of all services, and was full at a start.
+    def test_budgets_are_a_service_s_own_and_start_low(self) -> None:
+        """Successes of one service pay for no retry of another."""
+        budgets = RetryBudgets()
+        for _ in range(1000):
+            budgets.of(SERVICE).succeeded()
+        other = budgets.of(ServiceName('other'))
+        granted = [other.spend() for _ in range(2 * FIRST_RETRIES)]
+        self.assertEqual(sum(granted), FIRST_RETRIES)
+
     def test_backoff_is_bounded(self) -> None:
         """Waits grow, with jitter, to a ceiling."""
         waits = [backoff_ms(attempt, 1.0) for attempt in range(100)]
--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -17,7 +17,7 @@
 )
 from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
 from savoryhold.core.ids import NodeId
-from savoryhold.core.retry import RetryBudget, Tries, backoff_ms, may_retry
+from savoryhold.core.retry import RetryBudgets, Tries, backoff_ms, may_retry
 from savoryhold.core.selection import LatencyTable, choose_of_two
 from savoryhold.daemon.convert import answer_headers, to_forward
 from savoryhold.daemon.errors_map import error_of
@@ -51,7 +51,7 @@
     """
 
     def __init__(self, node: NodeTask, owner: OwnerTask, clock: Clock) -> None:
-        self.budget = RetryBudget()
+        self.budgets = RetryBudgets()
         self.latencies = LatencyTable()
         self.parked = 0
         self.retries: Counter[str] = Counter()
@@ -76,7 +76,7 @@
                 tries.failed(exc)
                 await self._before_retry(req, tries)
             else:
-                self.budget.succeeded()
+                self.budgets.of(req.service).succeeded()
                 return answer
 
     async def _before_retry(self, req: RoutedRequest, tries: Tries) -> None:
@@ -88,7 +88,7 @@
         self.retries[exc.code] += 1
         if isinstance(exc, NotOwnerError):
             await self._park(tries, wait_ms)
-        elif self.budget.spend():
+        elif self.budgets.of(req.service).spend():
             await asyncio.sleep(wait_ms / MS_PER_SECOND)
         else:
             raise tries.outcome()
