A call that is cancelled before it was begun is forgotten

A call and its cancellation in one read cancel a task before its first step, whose finally is never run: the call's entry stayed for the life of the link. Ruled out: that such a call is served; it is not. Change: the entry is dropped when the task is done, however it ends. Test: test_nothing_is_kept_of_the_call failed before (entry 5 kept).

--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -5,6 +5,7 @@
 import secrets
 from collections import deque
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import cast
 
 from savoryhold.core.errors import LinkError, MalformedMessageError
@@ -262,6 +263,8 @@
         served = LinkStream(self, correlation, ours=False)
         self._served[correlation] = served
         served.task = asyncio.create_task(self._serve(served, message))
+        # A task that is cancelled before its first step runs no `finally`.
+        served.task.add_done_callback(partial(_close, served))
 
     async def _serve(
         self, served: LinkStream, message: messages.Message
@@ -271,8 +274,6 @@
         except LinkError:
             # The peer went away; its own end reports that.
             return
-        finally:
-            served.close()
 
     def _check_greeting(self, frame: Frame) -> None:
         small = len(frame.payload) <= MAX_GREETING_BYTES
@@ -306,3 +307,7 @@
     def _mac(self, nonce: str, node: str) -> str:
         text = f'{nonce}|{node}'.encode()
         return hmac.new(self._secret, text, 'sha256').hexdigest()
+
+
+def _close(call: LinkStream, task: 'asyncio.Task[None]') -> None:
+    call.close()
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -9,7 +9,7 @@
 
 from savoryhold.core.errors import LinkError, MalformedMessageError
 from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
-from savoryhold.peer.link import LinkStream
+from savoryhold.peer.link import Link, LinkStream
 from savoryhold.peer.packing import MAX_PIECE_BYTES, pack, unpack
 
 __all__ = ['TestFrames', 'TestLinks', 'TestPacking', 'TestSilence']
@@ -216,6 +216,29 @@
         self.assertFalse(refused.exception.sent)
 
 
+class TestCancelledAtOnce(unittest.IsolatedAsyncioTestCase):
+    """Calls whose cancellation comes together with their beginning."""
+
+    async def asyncSetUp(self) -> None:
+        """Begin without any call."""
+        self.served: list[messages.Message] = []
+
+    # A call that was cancelled before its task ran was kept for ever.
+    async def test_nothing_is_kept_of_the_call(self) -> None:
+        """The call is not served, and its number is free."""
+        link = Link('a', b'secret', self.serve, dialled=False)
+        link._on_request(5, messages.Probe())
+        link._on_request(5, messages.Cancel())
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.assertEqual(self.served, [])
+        self.assertEqual(link._served, {})
+
+    async def serve(self, call: LinkStream, message: messages.Message) -> None:
+        """Take a call."""
+        self.served.append(message)
+
+
 class TestSilentGreeting(unittest.IsolatedAsyncioTestCase):
     """A peer that accepts and says nothing, as a paused process does."""
 
