--- a/src/savoryhold/traffic/budget.py
+++ b/src/savoryhold/traffic/budget.py
@@ -7,8 +7,8 @@
 
 __all__ = ['SharedBudgets', 'Spending']
 
-CALLS_SHARE = 0.5  # of a budget; the rest is for requests of its own
-SAFETY = 0.7  # part of the budget that is used; nodes do not count together
+CALLS_SHARE = 0.5  # of a budget; the rest is for other repeats
+SAFETY = 0.7  # of the budget; nodes meet their peaks at different times
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
