The run ends when its node stops waiting for the answer

Callers whose request was held up on its way to the owner had left, or been answered 504, while the run went on for as long as the request had been held up. Test: test_run_ends_when_its_answer_is_given_up failed before (still at work 100 ms after the answer).

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -236,6 +236,7 @@
         try:
             return answer_of(await call.receive(left_ms))
         except LinkError as exc:
+            _send_cancel(call)
             raise UncertainError(f'{call.peer}: {exc}') from exc
         except asyncio.CancelledError:
             _send_cancel(call)
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -294,16 +294,17 @@
     def send(self, message: messages.Message) -> None:
         """Carry a message of either end."""
         if isinstance(message, messages.Relay):
-            end = cast(Any, self)
-            self._task = asyncio.ensure_future(
-                self._node.peers.handle(end, message)
-            )
+            self._task = asyncio.ensure_future(self._serve(message))
         elif isinstance(message, messages.Cancel):
             if self._task is not None:
                 self._task.cancel()
         elif not self._reply.done():
             self._reply.set_result(message)
 
+    async def _serve(self, message: messages.Message) -> None:
+        await asyncio.sleep(self._node.fleet.relay_ms / MS_PER_SECOND)
+        await self._node.peers.handle(cast(Any, self), message)
+
     async def receive(self, timeout_ms: float) -> messages.Message:
         """Return the reply."""
         try:
@@ -336,6 +337,7 @@
         self.stopped: dict[str, int] = {}
         self.by_name: dict[NodeId, Node] = {}
         self.is_cut = False
+        self.relay_ms = 0
         self._numbers = 0
         for index in range(nodes):
             service = FILES if index % 3 == 2 else DESK
--- a/src/savoryhold/mesh/tests/test_callers_leave.py
+++ b/src/savoryhold/mesh/tests/test_callers_leave.py
@@ -10,6 +10,7 @@
 
 LEAVE_S = 0.05
 LONG_S = 1.2
+LATE_S = 0.6  # after the deadline and what is allowed for the answer's way
 
 
 class TestCallersLeave(VirtualTimeCase):
@@ -39,6 +40,19 @@
         self.assertEqual(len(fleet.arrivals), 1)
         self.assertEqual(fleet.stopped, {})
 
+    # A run whose request was held up on its way outlived its deadline.
+    async def test_run_ends_when_its_answer_is_given_up(self) -> None:
+        """The node that stops waiting for an answer ends the run."""
+        fleet = Fleet(3, seed=1)
+        fleet.relay_ms = 400
+        for node in fleet.nodes:
+            node.target.work_ms = 5000
+        caller = fleet.nodes[0].ask('/files/', 'f1', deadline_ms=500)
+        await asyncio.sleep(LATE_S)
+        self.assertTrue(caller.status.done())
+        self.assertEqual(len(fleet.arrivals), 1)
+        self.assertEqual(fleet.running, set())
+
     async def test_lookups_end_with_their_callers(self) -> None:
         """No run of an idempotent request outlives its caller."""
         fleet = Fleet(6, seed=1)
