--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -27,7 +27,7 @@
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.telemetry import LineBuffer, Telemetry
-from savoryhold.peer import LinkStream, PeerPool, messages
+from savoryhold.peer import Link, LinkStream, PeerPool, messages
 from savoryhold.wire import Exchange, HttpServer
 
 __all__ = ['NODE_KIND', 'MeshNode', 'linger_ms']
@@ -135,6 +135,8 @@
         self._peer_server: asyncio.Server | None = None
         self._failure = ''
         self._unready_answers = 0
+        self._calls_cut = 0
+        self._is_over = False
         self._leave_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._connect()
@@ -166,6 +168,7 @@
 
     def close(self) -> None:
         """Close all sockets and write the last log lines."""
+        self._is_over = True
         for server in (self.callers, self.reports, self.ready, self.metrics):
             server.stop()
         if self._peer_server is not None:
@@ -187,6 +190,7 @@
         self.owner.may_log = self.telemetry.may_log
         self.owner.on_acquit = self.peers.tell_acquittal
         self.owner.on_dead = self.peers.tell_all
+        self.pool.on_closed = self._on_link_closed
 
     def _loops(self) -> list[Coroutine[Any, Any, None]]:
         return [
@@ -265,6 +269,22 @@
     ) -> None:
         await self.peers.handle(call, message)
 
+    def _on_link_closed(self, link: Link) -> None:
+        if self._is_over or not link.peer:
+            return
+        self._calls_cut += link.waiting
+        if self.telemetry.may_log():
+            silent_s = asyncio.get_running_loop().time() - link.last_received
+            self.log.info(
+                'link_closed',
+                peer=link.peer,
+                reason=link.reason,
+                dialled=link.dialled,
+                calls=link.waiting,
+                serving=link.serving,
+                silent_ms=round(silent_s * MS_PER_SECOND),
+            )
+
     def _on_ready(self, exchange: Exchange) -> None:
         if not self.adapter.is_ready_check(exchange.req):
             exchange.reply(HTTPStatus.NOT_FOUND)
@@ -306,6 +326,8 @@
             'queue_waiting': float(len(self.owner.queue.waiting)),
             'queue_running': float(len(self.owner.queue.running)),
             'members_heard': float(len(self.members.alive(self.clock.now()))),
+            'links_replaced': float(self.pool.replaced),
+            'calls_cut': float(self._calls_cut),
             'log_lines_lost': float(self._lines.lost),
         }
         exchange.reply(
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -62,7 +62,7 @@
             raise LinkError('no reply in time', sent=True)
         message = self._inbox.popleft()
         if message is None:
-            raise LinkError('link closed', sent=True)
+            raise LinkError(f'link closed: {self.link.reason}', sent=True)
         return message
 
     def deliver(self, message: messages.Message | None) -> None:
@@ -124,11 +124,13 @@
         self.last_received = 0.0
         self.bytes_sent = 0
         self.transit = TransitDelay()
+        self.reason = ''
         self.on_malformed: Callable[[str], None] = lambda reason: None
+        self.on_closed: Callable[[Link], None] = lambda link: None
         self._node = node
         self._secret = secret
         self._handler = handler
-        self._dialled = dialled
+        self.dialled = dialled
         self._nonce = secrets.token_hex(NONCE_BYTES)
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
@@ -147,10 +149,15 @@
         """Return how many own calls wait for messages."""
         return len(self._calls)
 
+    @property
+    def serving(self) -> int:
+        """Return how many calls of the peer are being served."""
+        return len(self._served)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin the greeting."""
         self._transport = cast(asyncio.Transport, transport)
-        if not self._dialled:
+        if not self.dialled:
             self.send(messages.Challenge(nonce=self._nonce), 0)
 
     def data_received(self, received: bytes) -> None:
@@ -174,6 +181,8 @@
         if self._closed:
             return
         self._closed = True
+        self.reason = str(exc)
+        self.on_closed(self)
         if self._transport is not None:
             self._transport.abort()
         if not self.ready.done():
@@ -281,15 +290,15 @@
             raise MalformedMessageError('no greeting at the start of a link')
 
     def _greet(self, message: messages.Message) -> None:
-        if isinstance(message, messages.Challenge) and self._dialled:
+        if isinstance(message, messages.Challenge) and self.dialled:
             mac = self._mac(message.nonce, self._node)
             hello = messages.Hello(node=self._node, nonce=self._nonce, mac=mac)
             self.send(hello, 0)
-        elif isinstance(message, messages.Hello) and not self._dialled:
+        elif isinstance(message, messages.Hello) and not self.dialled:
             self._check(message.mac, self._nonce, message.node)
             mac = self._mac(message.nonce, self._node)
             self.send(messages.Welcome(node=self._node, mac=mac), 0)
-        elif isinstance(message, messages.Welcome) and self._dialled:
+        elif isinstance(message, messages.Welcome) and self.dialled:
             self._check(message.mac, self._nonce, message.node)
         else:
             name = type(message).__name__
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -39,6 +39,7 @@
         self.replaced = 0
         self.blocked: set[str] = set()
         self.on_malformed: Callable[[str], None] = lambda reason: None
+        self.on_closed: Callable[[Link], None] = lambda link: None
         self._secret = secret
         self._handler = handler
         self._links: dict[str, Link] = {}
@@ -152,8 +153,12 @@
     def _new_link(self, *, dialled: bool) -> Link:
         link = Link(self.node, self._secret, self._handler, dialled=dialled)
         link.on_malformed = self.on_malformed
+        link.on_closed = self._closed
         return link
 
+    def _closed(self, link: Link) -> None:
+        self.on_closed(link)
+
     async def _probe(self, address: str, link: Link) -> None:
         # A call may take long: only a link that answers no probe is silent.
         fresh: Link | None = None
