Calls between nodes outlive the connection that carries them

Cause: a call was bound to the connection that brought it. Whatever ended the connection (a judgement of silence, a reset, a malformed frame) ended every call on it, both ways: the ingress answered 504, the owner cancelled the runs and dropped answers of bookings that were made.

Change: a relayed call is known by the process that began it and by its number. The beginner sends it again on its next connection to the same process; the owner goes on with a call that it knows, sends again what it has answered, and begins what never arrived. A connection that a newer one has replaced begins nothing, so that late bytes run nothing twice. Calls that are not moved within 0.8 s are cancelled, so that no work is done for a process that has ended.

--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -110,7 +110,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._prune_at = 0
         self._refused: dict[str, int] = {}
-        pool.on_malformed = self._log_refused
+        pool.endpoint.on_malformed = self._log_refused
 
     @property
     def node(self) -> NodeId:
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -223,7 +223,7 @@
         except LinkError as exc:
             raise TargetDownError(str(exc), AWAY_RETRY_MS) from exc
         try:
-            call.send(relay_message(req, self._clock.now()))
+            call.begin(lambda: relay_message(req, self._clock.now()))
         except LinkError as exc:
             call.close()
             raise TargetDownError(str(exc), AWAY_RETRY_MS) from exc
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -190,7 +190,8 @@
         self.owner.may_log = self.telemetry.may_log
         self.owner.on_acquit = self.peers.tell_acquittal
         self.owner.on_dead = self.peers.tell_all
-        self.pool.on_closed = self._on_link_closed
+        self.pool.endpoint.on_closed = self._on_link_closed
+        self.pool.on_moved = self._on_calls_moved
 
     def _loops(self) -> list[Coroutine[Any, Any, None]]:
         return [
@@ -272,7 +273,6 @@
     def _on_link_closed(self, link: Link) -> None:
         if self._is_over or not link.peer:
             return
-        self._calls_cut += link.waiting
         if self.telemetry.may_log():
             silent_s = asyncio.get_running_loop().time() - link.last_received
             self.log.info(
@@ -285,6 +285,19 @@
                 silent_ms=round(silent_s * MS_PER_SECOND),
             )
 
+    def _on_calls_moved(self, old: Link, new: Link | None, calls: int) -> None:
+        moved = new is not None and new.life == old.life
+        if not moved:
+            self._calls_cut += calls
+        if self.telemetry.may_log():
+            self.log.info(
+                'calls_moved' if moved else 'calls_cut',
+                peer=old.peer,
+                calls=calls,
+                reason=old.reason,
+                peer_restarted=new is not None and not moved,
+            )
+
     def _on_ready(self, exchange: Exchange) -> None:
         if not self.adapter.is_ready_check(exchange.req):
             exchange.reply(HTTPStatus.NOT_FOUND)
@@ -327,6 +340,7 @@
             'queue_running': float(len(self.owner.queue.running)),
             'members_heard': float(len(self.members.alive(self.clock.now()))),
             'links_replaced': float(self.pool.replaced),
+            'calls_moved': float(self.pool.moved),
             'calls_cut': float(self._calls_cut),
             'log_lines_lost': float(self._lines.lost),
         }
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -281,6 +281,10 @@
         )
         self.link = SimpleNamespace(transit=TransitDelay())
 
+    def begin(self, renew: Callable[[], messages.Message]) -> None:
+        """Carry the first message."""
+        self.send(renew())
+
     def send(self, message: messages.Message) -> None:
         """Carry a message of either end."""
         if isinstance(message, messages.Relay):
--- a/src/savoryhold/peer/__init__.py
+++ b/src/savoryhold/peer/__init__.py
@@ -1,10 +1,11 @@
 """Links between daemons: frames, messages and connections."""
 
 from savoryhold.peer.frames import Frame, FrameReader, pack_frame
-from savoryhold.peer.link import Link, LinkStream
+from savoryhold.peer.link import Endpoint, Link, LinkStream
 from savoryhold.peer.pool import PeerPool
 
 __all__ = [
+    'Endpoint',
     'Frame',
     'FrameReader',
     'Link',
--- a/src/savoryhold/peer/frames.py
+++ b/src/savoryhold/peer/frames.py
@@ -11,6 +11,7 @@
 
 MAX_FRAME_BYTES = 32_000_000
 REPLY_FLAG = 0x80
+LASTING_FLAG = 0x40  # message codes stay below
 _HEAD = struct.Struct('!IBQI')
 _LENGTH_BYTES = 4
 
@@ -20,13 +21,15 @@
     """One message on a link.
 
     ``is_reply`` tells whether ``correlation`` was chosen by the receiver of
-    the frame (a reply to its call) or by the sender.
+    the frame (a reply to its call) or by the sender.  ``lasting`` tells that
+    the call may go on over another connection.
     """
 
     code: int
     correlation: int
     is_reply: bool
     payload: bytes
+    lasting: bool = False
 
 
 def pack_frame(frame: Frame) -> bytes:
@@ -40,8 +43,11 @@
     size = _HEAD.size - _LENGTH_BYTES + len(frame.payload)
     if size > MAX_FRAME_BYTES:
         raise MalformedMessageError(f'frame has {size} bytes')
-    flag = REPLY_FLAG if frame.is_reply else 0
-    kind = frame.code | flag
+    kind = frame.code
+    if frame.is_reply:
+        kind |= REPLY_FLAG
+    if frame.lasting:
+        kind |= LASTING_FLAG
     check = xxhash.xxh32_intdigest(frame.payload)
     return _HEAD.pack(size, kind, frame.correlation, check) + frame.payload
 
@@ -85,5 +91,10 @@
     _, kind, correlation, check = head
     if xxhash.xxh32_intdigest(payload) != check:
         raise MalformedMessageError('frame checksum does not match')
-    is_reply = bool(kind & REPLY_FLAG)
-    return Frame(kind & ~REPLY_FLAG, correlation, is_reply, payload)
+    return Frame(
+        kind & ~(REPLY_FLAG | LASTING_FLAG),
+        correlation,
+        bool(kind & REPLY_FLAG),
+        payload,
+        bool(kind & LASTING_FLAG),
+    )
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import hmac
+import itertools
 import secrets
-from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import cast
@@ -12,87 +12,50 @@
 from savoryhold.core.transit import TransitDelay
 from savoryhold.peer import messages
 from savoryhold.peer.frames import Frame, FrameReader, pack_frame
+from savoryhold.peer.served import (
+    Arrival,
+    CallKey,
+    ProcessId,
+    ServedCall,
+    ServedCalls,
+)
+from savoryhold.peer.stream import LinkStream
 
-__all__ = ['Link', 'LinkStream', 'PeerHandler']
+__all__ = ['Endpoint', 'Link', 'LinkStream', 'PeerHandler']
 
 NONCE_BYTES = 16
+LIFE_BYTES = 8
 MAX_GREETING_BYTES = 1024
-MS_PER_SECOND = 1000
 
 PeerHandler = Callable[['LinkStream', messages.Message], Awaitable[None]]
 
 
-class LinkStream:
-    """One call on a link: messages of one correlation id, both ways."""
+class Endpoint:
+    """What all links of this process share.
 
-    def __init__(self, link: 'Link', correlation: int, *, ours: bool) -> None:
-        self.link = link
-        self._correlation = correlation
-        self._ours = ours
-        self._inbox: deque[messages.Message | None] = deque()
-        self._waiter: asyncio.Future[None] | None = None
-        self.task: asyncio.Task[None] | None = None
-
-    @property
-    def peer(self) -> str:
-        """Return the id of the node at the other end."""
-        return self.link.peer
-
-    def send(self, message: messages.Message) -> None:
-        """Send a message of this call.
-
-        Raises
-        ------
-        LinkError
-            If the link is closed.
-        """
-        self.link.send(message, self._correlation, is_reply=not self._ours)
-
-    async def receive(self, timeout_ms: float) -> messages.Message:
-        """Return the next message of this call.
-
-        Raises
-        ------
-        LinkError
-            If the link closes or no message comes in time.
-        """
-        if not self._inbox:
-            await self._wait(timeout_ms)
-        if not self._inbox:
-            raise LinkError('no reply in time', sent=True)
-        message = self._inbox.popleft()
-        if message is None:
-            raise LinkError(f'link closed: {self.link.reason}', sent=True)
-        return message
-
-    def deliver(self, message: messages.Message | None) -> None:
-        """Put a received message, or None for the end, in the inbox."""
-        self._inbox.append(message)
-        self._wake()
-
-    def cancel(self) -> None:
-        """Stop serving the call: its beginner is gone."""
-        if self.task is not None:
-            self.task.cancel()
-
-    def close(self) -> None:
-        """Forget the call at this end."""
-        self.link.forget(self._correlation, ours=self._ours)
-
-    async def _wait(self, timeout_ms: float) -> None:
-        # A future and a timer cost less than `asyncio.wait_for`'s task.
-        loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
-        timer = loop.call_later(timeout_ms / MS_PER_SECOND, self._wake)
-        try:
-            await self._waiter
-        finally:
-            timer.cancel()
-            self._waiter = None
+    Parameters
+    ----------
+    node : str
+        This node's id.
+    secret : bytes
+        The secret that all daemons share.
+    handler : callable
+        Awaited for each call that a peer begins.
+    """
 
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+    def __init__(self, node: str, secret: bytes, handler: PeerHandler) -> None:
+        self.node = node
+        self.secret = secret
+        self.handler = handler
+        self.life = secrets.token_hex(LIFE_BYTES)
+        self.numbers = itertools.count(1)
+        self.orders = itertools.count(1)
+        self.served = ServedCalls()
+        self.newest: dict[ProcessId, Link] = {}
+        self.on_malformed: Callable[[str], None] = lambda reason: None
+        self.on_closed: Callable[[Link], None] = lambda link: None
+        self.on_movable: Callable[[Link, list[LinkStream]], None] = _end_all
+        self.on_left: Callable[[Link], None] = lambda link: None
 
 
 class Link(asyncio.Protocol):
@@ -100,12 +63,8 @@
 
     Parameters
     ----------
-    node : str
-        This node's id.
-    secret : bytes
-        The secret that all daemons share.
-    handler : callable
-        Awaited for each call that the peer begins.
+    endpoint : Endpoint
+        What it shares with the other links of this process.
     dialled : bool
         Whether this end opened the connection.
 
@@ -114,10 +73,10 @@
     Both ends prove the secret by an HMAC-SHA256 over the other's nonce.
     """
 
-    def __init__(
-        self, node: str, secret: bytes, handler: PeerHandler, *, dialled: bool
-    ) -> None:
+    def __init__(self, endpoint: Endpoint, *, dialled: bool) -> None:
         self.peer = ''
+        self.life = ''
+        self.address = ''
         self.ready: asyncio.Future[None] = (
             asyncio.get_running_loop().create_future()
         )
@@ -125,19 +84,27 @@
         self.bytes_sent = 0
         self.transit = TransitDelay()
         self.reason = ''
-        self.on_malformed: Callable[[str], None] = lambda reason: None
-        self.on_closed: Callable[[Link], None] = lambda link: None
-        self._node = node
-        self._secret = secret
-        self._handler = handler
         self.dialled = dialled
+        self.order = 0
+        self.retired = False
+        self._endpoint = endpoint
         self._nonce = secrets.token_hex(NONCE_BYTES)
         self._reader = FrameReader()
         self._transport: asyncio.Transport | None = None
         self._calls: dict[int, LinkStream] = {}
         self._served: dict[int, LinkStream] = {}
-        self._next = 1
         self._closed = False
+        self._on_arrival = {
+            Arrival.BEGIN: self._begin,
+            Arrival.FOLLOW_UP: self._follow_up,
+            Arrival.AGAIN: self._take_on,
+            Arrival.OVER: self._say_over,
+        }
+        self._on_cancel = {
+            Arrival.BEGIN: self._refuse,
+            Arrival.FOLLOW_UP: self._cancel,
+            Arrival.AGAIN: self._cancel,
+        }
 
     @property
     def closed(self) -> bool:
@@ -152,7 +119,12 @@
     @property
     def serving(self) -> int:
         """Return how many calls of the peer are being served."""
-        return len(self._served)
+        return len(self._served) + len(self._endpoint.served.on_link(self))
+
+    @property
+    def process(self) -> ProcessId:
+        """Return the peer's process."""
+        return ProcessId(self.life)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin the greeting."""
@@ -169,7 +141,7 @@
             for frame in self._reader.feed(received):
                 self._on_frame(frame)
         except MalformedMessageError as exc:
-            self.on_malformed(str(exc))
+            self._endpoint.on_malformed(str(exc))
             self.abort(exc)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -177,27 +149,62 @@
         self.abort(exc or ConnectionError('connection closed'))
 
     def abort(self, exc: Exception) -> None:
-        """Close the connection; calls in flight end with `LinkError`."""
+        """Close the connection; calls that cannot move end with `LinkError`."""
         if self._closed:
             return
         self._closed = True
         self.reason = str(exc)
-        self.on_closed(self)
+        self._endpoint.on_closed(self)
         if self._transport is not None:
             self._transport.abort()
         if not self.ready.done():
             self.ready.set_exception(LinkError(str(exc), sent=False))
             self.ready.exception()
-        for call in list(self._calls.values()):
-            call.deliver(None)
         for served in list(self._served.values()):
             served.cancel()
+        if self._endpoint.newest.get(self.process) is self:
+            self._endpoint.newest.pop(self.process)
+        self._endpoint.on_left(self)
+        movable = self.movable()
+        for call in list(self._calls.values()):
+            call.deliver(None)
+        if movable:
+            self._endpoint.on_movable(self, movable)
+
+    def movable(self) -> list[LinkStream]:
+        """Take out the calls that can go on over another link."""
+        found = [call for call in self._calls.values() if call.movable]
+        for call in found:
+            self._calls.pop(call.number)
+        return found
+
+    def take_over(self) -> None:
+        """Take the place of all links that this process had to the peer.
+
+        Raises
+        ------
+        LinkError
+            If the link is closed.
+        """
+        if self.life:
+            self.send(messages.Takeover(), 0)
+
+    def adopt(self, call: LinkStream) -> None:
+        """Carry a call of an earlier link on.
+
+        Raises
+        ------
+        LinkError
+            If the link is closed.
+        """
+        self._calls[call.number] = call
+        call.move(self)
 
     def open(self) -> LinkStream:
         """Return a new call to the peer."""
-        self._next += 1
-        call = LinkStream(self, self._next, ours=True)
-        self._calls[self._next] = call
+        number = next(self._endpoint.numbers)
+        call = LinkStream(self, number, ours=True)
+        self._calls[number] = call
         return call
 
     async def call(
@@ -223,6 +230,7 @@
         correlation: int,
         *,
         is_reply: bool = False,
+        lasting: bool = False,
     ) -> None:
         """Send one frame.
 
@@ -235,7 +243,8 @@
             raise LinkError(f'link to {self.peer} is closed', sent=False)
         payload = messages.encode(message)
         code = messages.code_of(message)
-        packed = pack_frame(Frame(code, correlation, is_reply, payload))
+        frame = Frame(code, correlation, is_reply, payload, lasting)
+        packed = pack_frame(frame)
         self.bytes_sent += len(packed)
         self._transport.write(packed)
 
@@ -254,6 +263,10 @@
             call = self._calls.get(frame.correlation)
             if call is not None:
                 call.deliver(message)
+        elif isinstance(message, messages.Takeover):
+            self._on_takeover()
+        elif frame.lasting:
+            self._on_lasting(frame.correlation, message)
         else:
             self._on_request(frame.correlation, message)
 
@@ -275,11 +288,67 @@
         # A task that is cancelled before its first step runs no `finally`.
         served.task.add_done_callback(partial(_close, served))
 
+    def _on_takeover(self) -> None:
+        """Begin calls of the peer's process on this link only."""
+        newest = self._endpoint.newest
+        other = newest.get(self.process, self)
+        if other.order > self.order:
+            # Held up on its way; a still newer link has come meanwhile.
+            self.retired = True
+            return
+        newest[self.process] = self
+        if other is not self:
+            other.retired = True
+            self._endpoint.on_left(other)
+
+    def _on_lasting(self, number: int, message: messages.Message) -> None:
+        """Take in a message of a call that may move between links."""
+        key = CallKey(self.process, number)
+        served = self._endpoint.served
+        arrival = served.arrival(key, self, self.order, retired=self.retired)
+        is_cancel = isinstance(message, messages.Cancel)
+        table = self._on_cancel if is_cancel else self._on_arrival
+        take = table.get(arrival)
+        if take is not None:
+            take(key, message)
+
+    def _known(self, key: CallKey) -> ServedCall:
+        call = self._endpoint.served.get(key)
+        assert call is not None
+        return call
+
+    def _begin(self, key: CallKey, message: messages.Message) -> None:
+        call = ServedCall(self, key.number, self.order)
+        self._endpoint.served.begin(key, call, _now())
+        call.task = asyncio.create_task(self._serve(call, message))
+        call.task.add_done_callback(partial(self._ended, key))
+
+    def _ended(self, key: CallKey, task: 'asyncio.Task[None]') -> None:
+        self._endpoint.served.end(key, _now())
+
+    def _follow_up(self, key: CallKey, message: messages.Message) -> None:
+        self._known(key).deliver(message)
+
+    def _take_on(self, key: CallKey, message: messages.Message) -> None:
+        self._known(key).move_to(self, self.order)
+
+    def _say_over(self, key: CallKey, message: messages.Message) -> None:
+        over = messages.CallOver()
+        self.send(over, key.number, is_reply=True, lasting=True)
+
+    def _cancel(self, key: CallKey, message: messages.Message) -> None:
+        self._known(key).cancel()
+
+    def _refuse(self, key: CallKey, message: messages.Message) -> None:
+        # What it cancels is held up on an older link, or was lost there.
+        refused = ServedCall(self, key.number, self.order)
+        self._endpoint.served.refuse(key, refused, _now())
+
     async def _serve(
         self, served: LinkStream, message: messages.Message
     ) -> None:
         try:
-            await self._handler(served, message)
+            await self._endpoint.handler(served, message)
         except LinkError:
             # The peer went away; its own end reports that.
             return
@@ -290,33 +359,50 @@
             raise MalformedMessageError('no greeting at the start of a link')
 
     def _greet(self, message: messages.Message) -> None:
+        node, life = self._endpoint.node, self._endpoint.life
         if isinstance(message, messages.Challenge) and self.dialled:
-            mac = self._mac(message.nonce, self._node)
-            hello = messages.Hello(node=self._node, nonce=self._nonce, mac=mac)
+            mac = self._mac(message.nonce, node)
+            hello = messages.Hello(
+                node=node, nonce=self._nonce, mac=mac, life=life
+            )
             self.send(hello, 0)
         elif isinstance(message, messages.Hello) and not self.dialled:
-            self._check(message.mac, self._nonce, message.node)
-            mac = self._mac(message.nonce, self._node)
-            self.send(messages.Welcome(node=self._node, mac=mac), 0)
+            self._check(message, self._nonce)
+            mac = self._mac(message.nonce, node)
+            self.send(messages.Welcome(node=node, mac=mac, life=life), 0)
         elif isinstance(message, messages.Welcome) and self.dialled:
-            self._check(message.mac, self._nonce, message.node)
+            self._check(message, self._nonce)
         else:
             name = type(message).__name__
             raise MalformedMessageError(f'{name} before the greeting')
 
-    def _check(self, mac: str, nonce: str, node: str) -> None:
+    def _check(self, message: messages.Message, nonce: str) -> None:
+        node = message.node
         expected = self._mac(nonce, node)
-        if not hmac.compare_digest(str(mac).encode(), expected.encode()):
+        if not hmac.compare_digest(
+            str(message.mac).encode(), expected.encode()
+        ):
             raise MalformedMessageError(
                 f'greeting of {node!r} does not prove the shared secret'
             )
         self.peer = node
+        self.life = message.life or ''
+        self.order = next(self._endpoint.orders)
         self.ready.set_result(None)
 
     def _mac(self, nonce: str, node: str) -> str:
         text = f'{nonce}|{node}'.encode()
-        return hmac.new(self._secret, text, 'sha256').hexdigest()
+        return hmac.new(self._endpoint.secret, text, 'sha256').hexdigest()
 
 
 def _close(call: LinkStream, task: 'asyncio.Task[None]') -> None:
     call.close()
+
+
+def _end_all(link: Link, calls: list[LinkStream]) -> None:
+    for call in calls:
+        call.deliver(None)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -17,6 +17,7 @@
 __all__ = [
     'Ack',
     'Answer',
+    'CallOver',
     'Cancel',
     'Challenge',
     'Chunk',
@@ -53,6 +54,7 @@
     'StrikeNews',
     'TableNews',
     'TableVersion',
+    'Takeover',
     'VersionEntry',
     'Welcome',
     'Word',
@@ -111,6 +113,8 @@
 ReleaseRow = _structs.ReleaseRow
 Word = _structs.Word
 GiveOrder = _structs.GiveOrder
+Takeover = _structs.Takeover
+CallOver = _structs.CallOver
 
 _BY_CODE = dict(
     enumerate(
@@ -149,6 +153,8 @@
             WordAsk,
             Word,
             GiveOrder,
+            Takeover,
+            CallOver,
         ),
         start=1,
     )
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -1,8 +1,9 @@
 // Messages between daemons.
 
 struct Challenge { 1: string nonce }
-struct Hello { 1: string node, 2: string nonce, 3: string mac }
-struct Welcome { 1: string node, 2: string mac }
+// `life` is drawn anew at each start of a process.
+struct Hello { 1: string node, 2: string nonce, 3: string mac, 4: string life }
+struct Welcome { 1: string node, 2: string mac, 3: string life }
 struct Ack { 1: bool ok, 2: string text }
 struct Probe {}
 struct Cancel {}
@@ -182,3 +183,8 @@
 struct Word { 1: bool known, 2: list<ReleaseRow> releases }
 
 struct GiveOrder { 1: string service_name, 2: string taker, 3: double share }
+
+// The connection takes the place of all that its process opened here before.
+struct Takeover {}
+// The answer to a call that has ended and is not known any more.
+struct CallOver {}
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -6,19 +6,20 @@
 
 from savoryhold.core.errors import LinkError
 from savoryhold.peer import messages
-from savoryhold.peer.link import (
-    MS_PER_SECOND,
-    Link,
-    LinkStream,
-    PeerHandler,
-)
+from savoryhold.peer.link import Endpoint, Link, LinkStream, PeerHandler
 
 __all__ = ['PeerPool']
 
+MS_PER_SECOND = 1000
 SILENCE_MS = 300
 PROBE_LIMIT_MS = 300
 DIAL_LIMIT_MS = 500
 CHECK_EVERY_MS = 100
+REPLACE_PAUSE_MS = 2000  # on a narrow path each replacement sends things again
+# A beginner that lives and is reached has dialled anew and answered a probe.
+MOVE_LIMIT_MS = DIAL_LIMIT_MS + PROBE_LIMIT_MS
+MOVE_RETRY_MS = 50
+IDLE_POLL_MS = 10
 
 
 class PeerPool:
@@ -35,17 +36,34 @@
     """
 
     def __init__(self, node: str, secret: bytes, handler: PeerHandler) -> None:
-        self.node = node
         self.replaced = 0
+        self.moved = 0
         self.blocked: set[str] = set()
-        self.on_malformed: Callable[[str], None] = lambda reason: None
-        self.on_closed: Callable[[Link], None] = lambda link: None
-        self._secret = secret
-        self._handler = handler
+        self.on_moved: Callable[[Link, Link | None, int], None] = _ignore
+        self._endpoint = Endpoint(node, secret, handler)
+        self._endpoint.on_movable = self._move_soon
+        self._endpoint.on_left = self._end_orphans_later
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, asyncio.Task[Link]] = {}
         self._probing: set[str] = set()
+        self._replaced_at: dict[str, float] = {}
+        self._moves: set[asyncio.Task[None]] = set()
         self._asked = asyncio.Event()
+        self._is_closed = False
+
+    @property
+    def node(self) -> str:
+        """Return this node's id."""
+        return self._endpoint.node
+
+    @node.setter
+    def node(self, node: str) -> None:
+        self._endpoint.node = node
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return what all links share, with hooks for what happens to them."""
+        return self._endpoint
 
     def cut(self, addresses: set[str]) -> None:
         """Drop and refuse the links to some addresses, for failure tests."""
@@ -89,7 +107,7 @@
 
     def accept(self) -> Link:
         """Return the protocol for a connection that a peer opened."""
-        return self._new_link(dialled=False)
+        return Link(self._endpoint, dialled=False)
 
     async def watch_silence(self) -> None:
         """Replace links on which calls wait and nothing arrives."""
@@ -106,12 +124,16 @@
             silent_ms = (now - link.last_received) * MS_PER_SECOND
             if not link.waiting or address in self._probing:
                 continue
-            if silent_ms >= SILENCE_MS:
+            paused = now < self._replaced_at.get(address, 0)
+            if silent_ms >= SILENCE_MS and not paused:
                 self._probing.add(address)
                 asyncio.create_task(self._probe(address, link))
 
     def close(self) -> None:
         """Close all links."""
+        self._is_closed = True
+        for move in self._moves:
+            move.cancel()
         for link in self._links.values():
             link.abort(ConnectionError('shutting down'))
 
@@ -125,9 +147,16 @@
             self._dialling[address] = task
             task.add_done_callback(partial(self._dialled, address))
         link = await asyncio.shield(task)
-        self._links[address] = link
+        known = self._links.get(address)
+        if known is not None and not known.closed:
+            return known
+        self._adopt(address, link)
         return link
 
+    def _adopt(self, address: str, link: Link) -> None:
+        link.take_over()
+        self._links[address] = link
+
     def _dialled(self, address: str, task: 'asyncio.Task[Link]') -> None:
         self._dialling.pop(address, None)
         if not task.cancelled():
@@ -139,7 +168,8 @@
             raise LinkError(f'link to {address} is cut', sent=False)
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
-        link = self._new_link(dialled=True)
+        link = Link(self._endpoint, dialled=True)
+        link.address = address
         try:
             async with asyncio.timeout(DIAL_LIMIT_MS / MS_PER_SECOND):
                 await loop.create_connection(lambda: link, host, int(port))
@@ -150,15 +180,6 @@
         link.last_received = loop.time()
         return link
 
-    def _new_link(self, *, dialled: bool) -> Link:
-        link = Link(self.node, self._secret, self._handler, dialled=dialled)
-        link.on_malformed = self.on_malformed
-        link.on_closed = self._closed
-        return link
-
-    def _closed(self, link: Link) -> None:
-        self.on_closed(link)
-
     async def _probe(self, address: str, link: Link) -> None:
         # A call may take long: only a link that answers no probe is silent.
         fresh: Link | None = None
@@ -172,12 +193,86 @@
         finally:
             self._probing.discard(address)
         now = asyncio.get_running_loop().time()
-        if (now - link.last_received) * MS_PER_SECOND < SILENCE_MS:
-            fresh.abort(ConnectionError('old link answers'))
+        answers = (now - link.last_received) * MS_PER_SECOND < SILENCE_MS
+        if answers or self._links.get(address) is not link or fresh.closed:
+            fresh.abort(ConnectionError('not needed'))
             return
         self.replaced += 1
-        self._links[address] = fresh
-        link.abort(ConnectionError('silent; a new connection answers'))
+        self._replaced_at[address] = now + REPLACE_PAUSE_MS / MS_PER_SECOND
+        self._adopt(address, fresh)
+        self._retire(link)
+
+    # Calls that move ------------------------------------------------------
+
+    def _retire(self, link: Link) -> None:
+        """Move the calls of a replaced link; those that cannot go on there."""
+        movable = link.movable()
+        if movable:
+            self._move_soon(link, movable)
+        if link.waiting:
+            asyncio.create_task(_close_idle(link))
+        else:
+            link.abort(ConnectionError('replaced; a new connection answers'))
+
+    def _move_soon(self, old: Link, calls: list[LinkStream]) -> None:
+        if self._is_closed:
+            _end(calls)
+            return
+        move = asyncio.create_task(self._move(old, calls))
+        self._moves.add(move)
+        move.add_done_callback(self._moves.discard)
+
+    async def _move(self, old: Link, calls: list[LinkStream]) -> None:
+        """Have calls go on over the next link to the same process."""
+        link: Link | None = None
+        try:
+            async with asyncio.timeout(MOVE_LIMIT_MS / MS_PER_SECOND):
+                link = await self._next_link(old.address)
+        except (LinkError, TimeoutError):
+            # The line of `on_moved` says that there was none.
+            link = None
+        finally:
+            if link is None or link.life != old.life:
+                _end(calls)
+        if link is not None and link.life == old.life:
+            self._carry_on(link, calls)
+        self.on_moved(old, link, len(calls))
+
+    def _carry_on(self, link: Link, calls: list[LinkStream]) -> None:
+        for call in sorted(calls, key=_number):
+            if not call.movable:
+                # Its beginner has given it up meanwhile.
+                continue
+            try:
+                link.adopt(call)
+            except LinkError:
+                # The next link, too, has closed: `movable` takes it out again.
+                call.deliver(None)
+            else:
+                self.moved += 1
+        self._asked.set()
+
+    async def _next_link(self, address: str) -> Link:
+        while True:
+            try:
+                return await self._link(address)
+            except LinkError as exc:
+                if isinstance(exc.__cause__, ConnectionRefusedError):
+                    # The process is gone, and what it ran with it.
+                    raise
+            await asyncio.sleep(MOVE_RETRY_MS / MS_PER_SECOND)
+
+    def _end_orphans_later(self, link: Link) -> None:
+        if not self._endpoint.served.on_link(link):
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(MOVE_LIMIT_MS / MS_PER_SECOND, self._end_orphans, link)
+
+    def _end_orphans(self, link: Link) -> None:
+        """End the calls of a link that their beginner has not moved."""
+        for call in self._endpoint.served.on_link(link):
+            if link.closed or not call.answered:
+                call.cancel()
 
 
 async def _answers(link: Link) -> bool:
@@ -187,3 +282,23 @@
     except LinkError:
         return False
     return True
+
+
+async def _close_idle(link: Link) -> None:
+    """Close a replaced link behind the calls that could not move."""
+    while link.waiting and not link.closed:
+        await asyncio.sleep(IDLE_POLL_MS / MS_PER_SECOND)
+    link.abort(ConnectionError('replaced; a new connection answers'))
+
+
+def _number(call: LinkStream) -> int:
+    return call.number
+
+
+def _end(calls: list[LinkStream]) -> None:
+    for call in calls:
+        call.deliver(None)
+
+
+def _ignore(old: Link, link: Link | None, calls: int) -> None:
+    """Take no note of calls that move."""
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -9,7 +9,7 @@
 
 from savoryhold.core.errors import LinkError, MalformedMessageError
 from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
-from savoryhold.peer.link import Link, LinkStream
+from savoryhold.peer.link import Endpoint, Link, LinkStream
 from savoryhold.peer.packing import MAX_PIECE_BYTES, pack, unpack
 
 __all__ = ['TestFrames', 'TestLinks', 'TestPacking', 'TestSilence']
@@ -165,7 +165,7 @@
     async def test_wrong_secret_is_refused(self) -> None:
         """A peer without the secret gets no link."""
         refused: list[str] = []
-        self.server.on_malformed = refused.append
+        self.server.endpoint.on_malformed = refused.append
         client = PeerPool('client', b'another secret', answer)
         with self.assertRaises(LinkError) as caught:
             await client.call(self.address, messages.Probe(), LIMIT_MS)
@@ -226,7 +226,7 @@
     # A call that was cancelled before its task ran was kept for ever.
     async def test_nothing_is_kept_of_the_call(self) -> None:
         """The call is not served, and its number is free."""
-        link = Link('a', b'secret', self.serve, dialled=False)
+        link = Link(Endpoint('a', b'secret', self.serve), dialled=False)
         link._on_request(5, messages.Probe())
         link._on_request(5, messages.Cancel())
         for _ in range(3):
