The word that a caller has left is sent until its node has heard it

What targets saw: runs that went on until their deadline for callers that had left, where the word of it had gone into a silent connection; nothing waited on that connection any more, so that its silence was not noticed. Held up on a slow one, a request ran 1.5 s after its caller had left.

Cause: a `Cancel` was not answered, and its call forgotten as it was sent.

Change: a call that is given up stays on its link until the other end has confirmed, moves like any other, and is cancelled there. An end that is told of a call it has not seen yet remembers not to begin it.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -19,7 +19,7 @@
     TargetDownError,
 )
 from savoryhold.mesh.telemetry import Telemetry
-from savoryhold.peer import LinkStream, messages
+from savoryhold.peer import LinkStream
 from savoryhold.traffic import Route, RouteKind, SharedBudgets
 from savoryhold.wire import Exchange, HeaderNames
 
@@ -236,10 +236,10 @@
         try:
             return answer_of(await call.receive(left_ms))
         except LinkError as exc:
-            _send_cancel(call)
+            call.give_up()
             raise UncertainError(f'{call.peer}: {exc}') from exc
         except asyncio.CancelledError:
-            _send_cancel(call)
+            call.give_up()
             raise
         finally:
             call.close()
@@ -257,11 +257,3 @@
 
 def _cancel(task: 'asyncio.Task[None]') -> None:
     task.cancel()
-
-
-def _send_cancel(call: LinkStream) -> None:
-    try:
-        call.send(messages.Cancel())
-    except LinkError:
-        # The link is gone, and with it the work that was asked for.
-        return
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -15,7 +15,6 @@
 
 from savoryhold.core.errors import LinkError
 from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
-from savoryhold.core.transit import TransitDelay
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.ingress import IngressTask
 from savoryhold.mesh.interface import TargetReport
@@ -25,12 +24,9 @@
 from savoryhold.mesh.peers import PeerTask
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.telemetry import Telemetry
-from savoryhold.mesh.tests.virtual import (
-    LoopClock,
-    VirtualLoop,
-    VirtualTimeCase,
-)
-from savoryhold.mesh.tests.wires import Life, Path
+from savoryhold.mesh.tests.quick_links import QuickLinks
+from savoryhold.mesh.tests.virtual import LoopClock, VirtualTimeCase
+from savoryhold.mesh.tests.wires import Life, Path, Wires
 from savoryhold.peer import LinkStream, PeerPool, messages
 from savoryhold.ranges import Report, TargetLife
 from savoryhold.traffic import (
@@ -201,7 +197,7 @@
     def start(self) -> None:
         """Begin a new life of the process, which knows nothing."""
         fleet = self.fleet
-        self.life = Life(self.address.partition(':')[0])
+        self.life = Life(self.address.partition(':')[0], fleet.wires)
         settings = _settings(self, self.target.service)
         log = get_log(node=self.name)
         self.members = MemberTable(self.name, settings.region)
@@ -250,67 +246,12 @@
 
     def _links(self) -> PeerPool:
         if not self.fleet.wired:
-            return cast(PeerPool, _Links(self.fleet))
+            return cast(PeerPool, QuickLinks(self.fleet))
         pool = PeerPool(self.name, SECRET, self.on_peer)
-        loop = cast(VirtualLoop, asyncio.get_running_loop())
-        loop.wires.listen(self.life, PEER_PORT, pool.accept)
+        self.fleet.wires.listen(self.life, PEER_PORT, pool.accept)
         return pool
 
 
-class _Links:
-    """In place of the pool of links to other nodes."""
-
-    def __init__(self, fleet: 'Fleet') -> None:
-        self._fleet = fleet
-
-    async def open(self, address: str) -> '_Call':
-        """Begin a call to a node."""
-        return _Call(self._fleet.by_name[NodeId(address)])
-
-
-class _Call:
-    """Both ends of one call."""
-
-    peer = 'peer'
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-        self._task: asyncio.Task[None] | None = None
-        self._reply: asyncio.Future[messages.Message] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self.link = SimpleNamespace(transit=TransitDelay())
-
-    def begin(self, renew: Callable[[], messages.Message]) -> None:
-        """Carry the first message."""
-        self.send(renew())
-
-    def send(self, message: messages.Message) -> None:
-        """Carry a message of either end."""
-        if isinstance(message, messages.Relay):
-            self._task = asyncio.ensure_future(self._serve(message))
-        elif isinstance(message, messages.Cancel):
-            if self._task is not None:
-                self._task.cancel()
-        elif not self._reply.done():
-            self._reply.set_result(message)
-
-    async def _serve(self, message: messages.Message) -> None:
-        await asyncio.sleep(self._node.fleet.relay_ms / MS_PER_SECOND)
-        await self._node.peers.handle(cast(Any, self), message)
-
-    async def receive(self, timeout_ms: float) -> messages.Message:
-        """Return the reply."""
-        try:
-            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
-                return await asyncio.shield(self._reply)
-        except TimeoutError:
-            raise LinkError('no reply in time', sent=True) from None
-
-    def close(self) -> None:
-        """Forget the call."""
-
-
 class Fleet:
     """Nodes of two services, and what their targets saw.
 
@@ -326,6 +267,7 @@
 
     def __init__(self, nodes: int, seed: int, *, wired: bool = False) -> None:
         self.wired = wired
+        self.wires = Wires()
         self.rng = random.Random(seed)
         self.clock = LoopClock()
         self.arrivals: list[Arrival] = []
@@ -365,9 +307,8 @@
 
     def path(self, one: int, other: int) -> Path:
         """Return what lies between two nodes of a wired fleet."""
-        loop = cast(VirtualLoop, asyncio.get_running_loop())
         hosts = (self.nodes[one].life.host, self.nodes[other].life.host)
-        return loop.wires.path(*hosts)
+        return self.wires.path(*hosts)
 
     def number(self) -> int:
         """Return a number that was not used before."""
--- /dev/null
+++ b/src/savoryhold/mesh/tests/quick_links.py
@@ -0,0 +1,82 @@
+"""Links that never break, which cost next to nothing."""
+
+import asyncio
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
+
+from savoryhold.core.errors import LinkError
+from savoryhold.core.ids import NodeId
+from savoryhold.core.transit import TransitDelay
+from savoryhold.peer import messages
+
+if TYPE_CHECKING:
+    from savoryhold.mesh.tests.fleet import Fleet, Node
+
+__all__ = ['QuickLinks']
+
+MS_PER_SECOND = 1000
+
+
+class QuickLinks:
+    """In place of the pool of links to other nodes.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        Whose nodes are reached.
+    """
+
+    def __init__(self, fleet: 'Fleet') -> None:
+        self._fleet = fleet
+
+    async def open(self, address: str) -> '_Call':
+        """Begin a call to a node."""
+        return _Call(self._fleet.by_name[NodeId(address)])
+
+
+class _Call:
+    """Both ends of one call."""
+
+    peer = 'peer'
+
+    def __init__(self, node: 'Node') -> None:
+        self._node = node
+        self._task: asyncio.Task[None] | None = None
+        self._reply: asyncio.Future[messages.Message] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.link = SimpleNamespace(transit=TransitDelay())
+
+    def begin(self, renew: Callable[[], messages.Message]) -> None:
+        """Carry the first message."""
+        self.send(renew())
+
+    def give_up(self) -> None:
+        """Have the other end stop."""
+        self.send(messages.Cancel())
+
+    def send(self, message: messages.Message) -> None:
+        """Carry a message of either end."""
+        if isinstance(message, messages.Relay):
+            self._task = asyncio.ensure_future(self._serve(message))
+        elif isinstance(message, messages.Cancel):
+            if self._task is not None:
+                self._task.cancel()
+        elif not self._reply.done():
+            self._reply.set_result(message)
+
+    async def _serve(self, message: messages.Message) -> None:
+        await asyncio.sleep(self._node.fleet.relay_ms / MS_PER_SECOND)
+        await self._node.peers.handle(cast(Any, self), message)
+
+    async def receive(self, timeout_ms: float) -> messages.Message:
+        """Return the reply."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_SECOND):
+                return await asyncio.shield(self._reply)
+        except TimeoutError:
+            raise LinkError('no reply in time', sent=True) from None
+
+    def close(self) -> None:
+        """Forget the call."""
--- a/src/savoryhold/mesh/tests/virtual.py
+++ b/src/savoryhold/mesh/tests/virtual.py
@@ -5,9 +5,9 @@
 import unittest
 from typing import Any
 
-from savoryhold.mesh.tests.wires import LIFE, Wires
+from savoryhold.mesh.tests.wires import LIFE
 
-__all__ = ['LoopClock', 'VirtualLoop', 'VirtualTimeCase']
+__all__ = ['LoopClock', 'VirtualTimeCase']
 
 MS_PER_SECOND = 1000
 
@@ -27,12 +27,11 @@
         return ready
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
+class _VirtualLoop(asyncio.SelectorEventLoop):
     """Jumps to the next timer, and knows whose tasks run."""
 
     def __init__(self) -> None:
         self._jumping = _JumpingSelector()
-        self.wires = Wires()
         super().__init__(self._jumping)
 
     def time(self) -> float:
@@ -53,14 +52,14 @@
         if life is None:
             return await super().create_connection(*args, **kwargs)
         factory, host, port = args
-        return await self.wires.connect(life, factory, host, port)
+        return await life.wires.connect(life, factory, host, port)
 
 
 class VirtualTimeCase(unittest.IsolatedAsyncioTestCase):
     """Runs each test on a loop in virtual time."""
 
     def _setupAsyncioRunner(self) -> None:  # noqa: N802
-        self._asyncioRunner = asyncio.Runner(loop_factory=VirtualLoop)
+        self._asyncioRunner = asyncio.Runner(loop_factory=_VirtualLoop)
 
 
 class LoopClock:
--- a/src/savoryhold/mesh/tests/wires.py
+++ b/src/savoryhold/mesh/tests/wires.py
@@ -26,12 +26,15 @@
     ----------
     host : str
         Address of the node, without a port.
+    wires : Wires
+        What connects it to others.
     """
 
-    def __init__(self, host: str) -> None:
+    def __init__(self, host: str, wires: 'Wires') -> None:
         self.host = host
+        self.wires = wires
         self.is_over = False
-        self.ends: weakref.WeakSet[_End] = weakref.WeakSet()
+        self.ends: list[_End] = []
         self.tasks: weakref.WeakSet[asyncio.Task[Any]] = weakref.WeakSet()
         self._context = contextvars.copy_context()
         self._context.run(LIFE.set, self)
@@ -53,7 +56,7 @@
     def kill(self) -> None:
         """End all that it does; the kernel closes its connections."""
         self.is_over = True
-        for end in list(self.ends):
+        for end in self.ends:
             end.abandon()
         for task in list(self.tasks):
             task.cancel()
@@ -86,7 +89,7 @@
         self._life = life
         self._is_open = True
         self._way: deque[tuple[float, bytes | None]] = deque()
-        life.ends.add(self)
+        life.ends.append(self)
 
     def start(self, factory: Factory) -> None:
         """Begin to serve the connection."""
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -104,6 +104,7 @@
             Arrival.BEGIN: self._refuse,
             Arrival.FOLLOW_UP: self._cancel,
             Arrival.AGAIN: self._cancel,
+            Arrival.OVER: self._say_over,
         }
 
     @property
@@ -338,11 +339,13 @@
 
     def _cancel(self, key: CallKey, message: messages.Message) -> None:
         self._known(key).cancel()
+        self._say_over(key, message)
 
     def _refuse(self, key: CallKey, message: messages.Message) -> None:
         # What it cancels is held up on an older link, or was lost there.
         refused = ServedCall(self, key.number, self.order)
         self._endpoint.served.refuse(key, refused, _now())
+        self._say_over(key, message)
 
     async def _serve(
         self, served: LinkStream, message: messages.Message
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -15,7 +15,6 @@
 PROBE_LIMIT_MS = 300
 DIAL_LIMIT_MS = 500
 CHECK_EVERY_MS = 100
-REPLACE_PAUSE_MS = 2000  # on a narrow path each replacement sends things again
 # A beginner that lives and is reached has dialled anew and answered a probe.
 MOVE_LIMIT_MS = DIAL_LIMIT_MS + PROBE_LIMIT_MS
 MOVE_RETRY_MS = 50
@@ -46,7 +45,6 @@
         self._links: dict[str, Link] = {}
         self._dialling: dict[str, asyncio.Task[Link]] = {}
         self._probing: set[str] = set()
-        self._replaced_at: dict[str, float] = {}
         self._moves: set[asyncio.Task[None]] = set()
         self._asked = asyncio.Event()
         self._is_closed = False
@@ -124,8 +122,7 @@
             silent_ms = (now - link.last_received) * MS_PER_SECOND
             if not link.waiting or address in self._probing:
                 continue
-            paused = now < self._replaced_at.get(address, 0)
-            if silent_ms >= SILENCE_MS and not paused:
+            if silent_ms >= SILENCE_MS:
                 self._probing.add(address)
                 asyncio.create_task(self._probe(address, link))
 
@@ -198,7 +195,6 @@
             fresh.abort(ConnectionError('not needed'))
             return
         self.replaced += 1
-        self._replaced_at[address] = now + REPLACE_PAUSE_MS / MS_PER_SECOND
         self._adopt(address, fresh)
         self._retire(link)
 
--- a/src/savoryhold/peer/stream.py
+++ b/src/savoryhold/peer/stream.py
@@ -63,6 +63,7 @@
         self._ours = ours
         self._renew: Renew | None = None
         self._received = False
+        self._given_up = False
         self._inbox: deque[messages.Message | None] = deque()
         self._waiter: asyncio.Future[None] | None = None
 
@@ -116,6 +117,22 @@
         """
         self._write(message)
 
+    def give_up(self) -> None:
+        """Have the peer end the call, whatever becomes of this link.
+
+        Notes
+        -----
+        The call stays on its link until the peer has confirmed, so that a
+        silent link is noticed and the word goes out again on the next one.
+        """
+        self._given_up = self.lasting
+        self._renew = messages.Cancel
+        try:
+            self.send(messages.Cancel())
+        except LinkError:
+            # A call that does not move ends with its link.
+            return
+
     async def receive(self, timeout_ms: float) -> messages.Message:
         """Return the next message of this call.
 
@@ -138,6 +155,10 @@
     def deliver(self, message: messages.Message | None) -> None:
         """Put a received message, or None for the end, in the inbox."""
         self._received = True
+        if self._given_up:
+            self._given_up = False
+            self.close()
+            return
         self._inbox.append(message)
         self._wake()
 
@@ -147,7 +168,9 @@
             self.task.cancel()
 
     def close(self) -> None:
-        """Forget the call at this end."""
+        """Forget the call; one given up, once the peer has confirmed."""
+        if self._given_up:
+            return
         self._renew = None
         self.lasting = False
         self.link.forget(self.number, ours=self._ours)
