HTTP server: two dead attributes go, and a request is sized once

`_untaken` and `_untaken_bytes` were left from an earlier way of keeping requests that wait; the bytes of a waiting request were added up as it came and again as it was taken. Change: the attributes go; an exchange keeps its size. No behaviour changes.

--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -44,11 +44,12 @@
 class Exchange:
     """One request and the answer that it waits for."""
 
-    __slots__ = ('_answer', 'conn', 'last', 'on_gone', 'req')
+    __slots__ = ('_answer', 'conn', 'last', 'on_gone', 'req', 'size')
 
     def __init__(self, conn: 'ServerConnection', req: HttpRequest) -> None:
         self.conn = conn
         self.req = req
+        self.size = _size(req)
         self.on_gone: Callable[[], None] | None = None
         self.last = False
         self._answer: bytes | None = None
@@ -127,8 +128,6 @@
         self._waiting: deque[Exchange] = deque()
         self._waiting_bytes = 0
         self._taking = False
-        self._untaken: deque[Exchange] = deque()
-        self._untaken_bytes = 0
 
     # asyncio.Protocol -------------------------------------------------
 
@@ -224,7 +223,7 @@
         self._head_bytes = 0
         self._fields = {}
         self._waiting.append(exchange)
-        self._waiting_bytes += _size(req)
+        self._waiting_bytes += exchange.size
         if self._waiting_bytes > MAX_WAITING_BYTES and self._transport:
             self._paused = True
             self._transport.pause_reading()
@@ -247,7 +246,7 @@
             if len(self.open) - len(self._waiting) >= MAX_PIPELINED:
                 return
             exchange = self._waiting.popleft()
-            self._waiting_bytes -= _size(exchange.req)
+            self._waiting_bytes -= exchange.size
             self.server.handler(exchange)
         if self._paused and self._transport is not None:
             self._paused = False
