A connection that ends takes no requests behind the last answer

Seen: on a process that got SIGTERM, a caller that pipelines has a request passed on to a target and its connection closed without the answer (LOST); or its connection stays at work until the process gives up, and all that it had sent is cut, later ones sent more than 3 s after the signal. Cause: the last answer was chosen as it was given, if no request was behind it at that moment. Where it waited for earlier answers, requests that came meanwhile were passed on and cut by the close. Where a caller always had one more request under way, no answer was the last. Change: when the server is to end, the newest request that has been read on each connection is its last. What comes behind it is not read, and callers send it again elsewhere, as the users' pages say. Evidence: before, test_request_behind_the_last_answer_is_not_passed_on failed with "AssertionError: 3 != 2" (a request behind the last answer was passed on), and test_caller_that_goes_on_sending_does_not_hold_up_the_end with "AssertionError: 3 != 1" (two requests were taken after the end was asked for). test_request_that_was_begun_is_read_and_answered timed out before (the request behind it was taken, too); it guards that a request that is partly read is still served.

--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -89,8 +89,7 @@
             return
         reason = REASONS.get(status, b'Status')
         length = b'content-length: %d\r\n' % len(body) if sized else b''
-        closes = self.conn.closes_after(self)
-        close = b'connection: close\r\n' if closes else b''
+        close = b'connection: close\r\n' if self.last else b''
         self._answer = b'HTTP/1.1 %d %s\r\n%s%s%s\r\n%s' % (
             status,
             reason,
@@ -224,6 +223,8 @@
         self._fields = {}
         self._waiting.append(exchange)
         self._waiting_bytes += exchange.size
+        if self.server.closing:
+            self.finish()
         if self._waiting_bytes > MAX_WAITING_BYTES and self._transport:
             self._paused = True
             self._transport.pause_reading()
@@ -263,14 +264,12 @@
 
     # Answers -------------------------------------------------------------
 
-    def closes_after(self, exchange: Exchange) -> bool:
-        """Return whether the connection ends with an exchange's answer."""
-        if exchange.last:
-            return True
-        newest = bool(self.open) and self.open[-1] is exchange
-        if self.server.closing and newest:
-            exchange.last = True
-        return exchange.last
+    def finish(self) -> None:
+        """Let the connection end with the newest request that was read."""
+        if self.open:
+            # What comes behind it would be passed on, and cut.
+            self.open[-1].last = True
+            self._closing = True
 
     def flush(self) -> None:
         """Write the answers that are due, in the order of requests."""
@@ -386,6 +385,8 @@
         """
         self.closing = True
         self.stop()
+        for conn in self.connections:
+            conn.finish()
         while self.connections:
             now = self.now()
             for conn in list(self.connections):
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -11,6 +11,7 @@
 from savoryhold.wire.server import ServerConnection
 
 LIMIT_S = 5
+SEEN_S = 0.05  # bytes on loopback have come by then
 GET = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
 
 
@@ -50,6 +51,14 @@
                 self.arrived.clear()
                 await self.arrived.wait()
 
+    async def until_begun(self) -> None:
+        """Wait until the start of a request has been read."""
+        async with asyncio.timeout(LIMIT_S):
+            while not any(
+                conn._begun_at is not None for conn in self.server.connections
+            ):
+                await asyncio.sleep(0)
+
     async def rest(self) -> bytes:
         """Return all that the server still sends."""
         async with asyncio.timeout(LIMIT_S):
@@ -187,3 +196,55 @@
         self.assertEqual(await self.rest(), b'')
         with self.assertRaises(OSError):
             await asyncio.open_connection('127.0.0.1', self.port)
+
+    # A request that came behind the last answer was passed on, and cut.
+    async def test_request_behind_the_last_answer_is_not_passed_on(
+        self,
+    ) -> None:
+        """What the close would cut reaches nobody."""
+        self.writer.write(GET * 2)
+        await self.wait_for(2)
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0)
+        self.exchanges[1].reply(200, b'', b'two')
+        self.writer.write(GET)
+        await asyncio.sleep(SEEN_S)
+        self.exchanges[0].reply(200, b'', b'one')
+        found = await self.rest()
+        self.assertTrue(found.endswith(b'two'))
+        self.assertEqual(len(self.exchanges), 2)
+        await asyncio.wait_for(drained, LIMIT_S)
+
+    # A caller that always had a request under way kept the process from
+    # ending, until all that it had sent was cut.
+    async def test_caller_that_goes_on_sending_does_not_hold_up_the_end(
+        self,
+    ) -> None:
+        """A connection at work ends with the requests that were read."""
+        self.writer.write(GET)
+        await self.wait_for(1)
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0)
+        self.writer.write(GET * 2)
+        await asyncio.sleep(SEEN_S)
+        self.assertEqual(len(self.exchanges), 1)
+        self.exchanges[0].reply(200, b'', b'done')
+        found = await self.rest()
+        self.assertIn(b'connection: close', found)
+        self.assertTrue(found.endswith(b'done'))
+        await asyncio.wait_for(drained, LIMIT_S)
+
+    async def test_request_that_was_begun_is_read_and_answered(self) -> None:
+        """The rest of a request may come after the end was asked for."""
+        self.writer.write(GET[:9])
+        await self.until_begun()
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0)
+        self.writer.write(GET[9:] + GET)
+        await self.wait_for(1)
+        self.exchanges[0].reply(200, b'', b'done')
+        found = await self.rest()
+        self.assertIn(b'connection: close', found)
+        self.assertTrue(found.endswith(b'done'))
+        self.assertEqual(len(self.exchanges), 1)
+        await asyncio.wait_for(drained, LIMIT_S)
