Line ends behind a request begin none

Seen: a connection on which line ends came behind a request (RFC 9112, 2.2, lets a server pass over them) was never closed as idle, and a process with one could not end before it gave up. Cause: a request counted as begun with the first bytes read, whatever they were. Change: it begins where the parser says so. A second request whose start came with the end of the first is now timed from there, too. Evidence: test_line_ends_behind_a_request_begin_none failed before with TimeoutError at asyncio.wait_for(self.server.drain(), LIMIT_S).

--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -139,8 +139,6 @@
         """Parse bytes; what is not HTTP/1.1 is answered 400."""
         if self._closing:
             return
-        if self._begun_at is None:
-            self._begun_at = self.server.now()
         if self._in_head or not self._fields:
             self._head_bytes += len(received)
         try:
@@ -173,6 +171,7 @@
         self._body = []
         self._body_bytes = 0
         self._in_head = True
+        self._begun_at = self.server.now()
 
     def on_url(self, url: bytes) -> None:
         """Take a part of the request target."""
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -248,3 +248,16 @@
         self.assertTrue(found.endswith(b'done'))
         self.assertEqual(len(self.exchanges), 1)
         await asyncio.wait_for(drained, LIMIT_S)
+
+    # Blank bytes behind a request counted as the start of another: the
+    # connection was neither idle nor at work, and the process could not end.
+    async def test_line_ends_behind_a_request_begin_none(self) -> None:
+        """A connection on which only line ends came is idle."""
+        self.writer.write(GET + b'\r\n')
+        await self.wait_for(1)
+        self.exchanges[0].reply(200, b'', b'one')
+        await self.reader.readuntil(b'one')
+        self.writer.write(b'\r\n')
+        await asyncio.sleep(SEEN_S)
+        await asyncio.wait_for(self.server.drain(), LIMIT_S)
+        self.assertEqual(await self.rest(), b'')
