Answers outlive what crosses the close of a connection

Seen: a caller whose next request crosses the close of its connection gets a reset instead of the answer that had been written for the request before (LOST around a SIGTERM, where each connection at work is closed by the server); a caller that is refused in the middle of its body gets a reset instead of 413. Cause: the socket was closed at once. The kernel resets a connection that is closed with bytes unread or gets any later, and drops what is in its buffers at both ends (RFC 9112, 9.6). Change: the server shuts its sending side and passes over what still comes, until the caller closes or 200 ms after everything has gone to the kernel. An idle connection whose last answer is older is closed at once, as before; one that has just been used is not read meanwhile, so that a request that crosses the close stays unread and any caller may send it again. Where the caller itself asked for the close, nothing can come, and the socket is closed as before. Evidence: test_answer_is_whole_whatever_comes_behind, test_answers_outlive_an_idle_close and test_refusal_is_whole_whatever_comes_behind failed before, 3 of 3 times each, with "ConnectionResetError: [Errno 104] Connection reset by peer". The tests pass on asyncio's loop and on uvloop.

--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -22,6 +22,7 @@
 MAX_WAITING_BYTES = 1_048_576  # that wait; beyond, a connection is not read
 SWEEP_MS = 500
 DRAIN_POLL_MS = 10
+CLOSE_WAIT_MS = 200  # for a caller to read its answers and close
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -123,6 +124,8 @@
         self._begun_at: int | None = None
         self._closing = False
         self._paused = False
+        self._caller_ends = False
+        self._closer: asyncio.TimerHandle | None = None
         self._in_head = False
         self._waiting: deque[Exchange] = deque()
         self._waiting_bytes = 0
@@ -159,6 +162,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget the connection."""
         self.server.connections.discard(self)
+        if self._closer is not None:
+            self._closer.cancel()
         self._end()
 
     # httptools callbacks ----------------------------------------------
@@ -215,7 +220,8 @@
             self._fields,
         )
         exchange = Exchange(self, req)
-        exchange.last = not self._parser.should_keep_alive()
+        self._caller_ends = not self._parser.should_keep_alive()
+        exchange.last = self._caller_ends
         self.open.append(exchange)
         self._begun_at = None
         self._head_bytes = 0
@@ -273,7 +279,7 @@
     def flush(self) -> None:
         """Write the answers that are due, in the order of requests."""
         transport = self._transport
-        if transport is None or transport.is_closing():
+        if transport is None or transport.is_closing() or self._closer:
             return
         while self.open and self.open[0].answer is not None:
             exchange = self.open.popleft()
@@ -296,7 +302,7 @@
             return
         idle = not self.open and now - self.idle_since > limits.idle_ms
         if idle or (self.server.closing and not self.open):
-            self._close()
+            self._close_idle(now)
 
     def abort(self) -> None:
         """Break the connection off."""
@@ -304,10 +310,53 @@
             self._transport.abort()
 
     def _close(self) -> None:
+        """Close this end, and wait for the caller to close the other.
+
+        Notes
+        -----
+        A socket that is closed with bytes unread, or that gets any later, is
+        reset, and the caller may lose an answer that it has not read yet
+        (RFC 9112, 9.6).
+        """
         self._closing = True
         self._waiting.clear()
-        if self._transport is not None:
-            self._transport.close()
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._closer:
+            return
+        if self._caller_ends:
+            transport.close()
+            return
+        if self._paused:
+            self._paused = False
+            transport.resume_reading()
+        transport.write_eof()
+        self._close_later()
+
+    def _close_idle(self, now: int) -> None:
+        """Close a connection on which nothing waits for an answer."""
+        self._closing = True
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        unsent = transport.get_write_buffer_size()
+        if now - self.idle_since > CLOSE_WAIT_MS and not unsent:
+            transport.close()
+            return
+        # The last answers may not have been read; a request that crosses
+        # the close stays unread, so that any caller may send it again.
+        transport.pause_reading()
+        transport.write_eof()
+        self._close_later()
+
+    def _close_later(self) -> None:
+        transport = self._transport
+        if transport is None:
+            return
+        then = self._close_later
+        if not transport.get_write_buffer_size():
+            then = transport.close
+        loop = asyncio.get_running_loop()
+        self._closer = loop.call_later(CLOSE_WAIT_MS / MS_PER_SECOND, then)
 
     def _fail(self, status: int) -> None:
         """Answer an error of the connection and close behind it."""
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -12,7 +12,10 @@
 
 LIMIT_S = 5
 SEEN_S = 0.05  # bytes on loopback have come by then
+ROOM_BYTES = 16_384
+LARGE = bytes(200_000)
 GET = b'GET /a HTTP/1.1\r\nhost: h\r\n\r\n'
+LONG_HEAD = b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 2000\r\n\r\n'
 
 
 class ServerCase(unittest.IsolatedAsyncioTestCase):
@@ -261,3 +264,88 @@
         await asyncio.sleep(SEEN_S)
         await asyncio.wait_for(self.server.drain(), LIMIT_S)
         self.assertEqual(await self.rest(), b'')
+
+
+class TestClose(ServerCase):
+    """How a connection closes behind an answer."""
+
+    async def asyncSetUp(self) -> None:
+        """Connect with little room for what the caller has not read."""
+        await super().asyncSetUp()
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, ROOM_BYTES)
+        self.sock.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.sock, ('127.0.0.1', self.port))
+
+    async def asyncTearDown(self) -> None:
+        """Close everything."""
+        self.sock.close()
+        await super().asyncTearDown()
+
+    async def read_all(self) -> bytes:
+        """Return all bytes up to the close."""
+        loop = asyncio.get_running_loop()
+        found = b''
+        async with asyncio.timeout(LIMIT_S):
+            while received := await loop.sock_recv(self.sock, ROOM_BYTES):
+                found += received
+        return found
+
+    # An answer was cut by the reset that bytes behind its request brought.
+    async def test_answer_is_whole_whatever_comes_behind(self) -> None:
+        """Requests that crossed the close do not reset the connection."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self.sock, GET)
+        await self.wait_for(1)
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0)
+        self.exchanges[0].reply(200, b'', LARGE)
+        await loop.sock_sendall(self.sock, GET * 3)
+        found = await self.read_all()
+        self.assertTrue(found.endswith(b'\r\n\r\n' + LARGE), len(found))
+        self.sock.close()
+        await asyncio.wait_for(drained, LIMIT_S)
+        self.assertEqual(len(self.exchanges), 1)
+
+    # The same befell callers whose request was refused while they sent it.
+    async def test_refusal_is_whole_whatever_comes_behind(self) -> None:
+        """An answer to the start of a body outlives the rest of it."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self.sock, LONG_HEAD)
+        await self.until_closing()
+        await loop.sock_sendall(self.sock, bytes(2000))
+        found = await self.read_all()
+        self.assertTrue(found.startswith(b'HTTP/1.1 413'), found)
+
+    # A caller that pipelines lost answers when its connection closed as idle.
+    async def test_answers_outlive_an_idle_close(self) -> None:
+        """A request that crosses the close of an idle connection."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self.sock, GET)
+        await self.wait_for(1)
+        self.exchanges[0].reply(200, b'', LARGE)
+        drained = asyncio.ensure_future(self.server.drain())
+        await asyncio.sleep(0)
+        await loop.sock_sendall(self.sock, GET)
+        found = await self.read_all()
+        self.assertTrue(found.endswith(b'\r\n\r\n' + LARGE), len(found))
+        self.sock.close()
+        await asyncio.wait_for(drained, LIMIT_S)
+        self.assertEqual(len(self.exchanges), 1)
+
+    # A caller that neither reads nor closes must not keep a process.
+    async def test_caller_that_does_not_close_is_closed(self) -> None:
+        """The wait for the caller's close has an end."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(self.sock, GET)
+        await self.wait_for(1)
+        self.exchanges[0].reply(200, b'', b'one')
+        await asyncio.wait_for(self.server.drain(), LIMIT_S)
+        self.assertEqual(self.server.connections, set())
+
+    async def until_closing(self) -> None:
+        """Wait until the server has closed its end of a connection."""
+        async with asyncio.timeout(LIMIT_S):
+            while not any(conn._closing for conn in self.server.connections):
+                await asyncio.sleep(0)
