A leaving node lingers by the clock

Seen: a process with little processor time that gets SIGTERM goes on taking callers until it gives up, then ends at once: all requests that were read are cut (LOST), and none is refused in time. Cause: polls of 20 ms were counted for time. Each takes as long as the node needs to wake, so that at four times that the 3 s of the linger are 12 s, beyond the grace of 6 s; `drain` was never begun. Apart from that, callers on their way were waited for 150 ms beyond the linger, so that requests sent later than 3 s after the signal were passed on. Change: the linger ends by the clock, and the time for callers on their way is a part of it.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -422,11 +422,13 @@
         )
 
     async def _callers_leave(self) -> None:
-        waited = 0
-        limit = linger_ms(self.settings.grace_ms)
-        while self._unready_answers < LEAVE_ANSWERS and waited < limit:
-            await asyncio.sleep(LEAVE_POLL_MS / MS_PER_SECOND)
-            waited += LEAVE_POLL_MS
+        # By the clock: a node that is short of time wakes late.
+        limit = linger_ms(self.settings.grace_ms) - LAST_CALLERS_MS
+        until = self.clock.now() + limit
+        left = limit
+        while self._unready_answers < LEAVE_ANSWERS and left > 0:
+            await asyncio.sleep(min(left, LEAVE_POLL_MS) / MS_PER_SECOND)
+            left = until - self.clock.now()
         await asyncio.sleep(LAST_CALLERS_MS / MS_PER_SECOND)
 
     async def _idle(self) -> None:
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -40,7 +40,14 @@
 )
 from savoryhold.wire import ClientAnswer, Exchange, HeaderNames, HttpRequest
 
-__all__ = ['Caller', 'Fleet', 'Target', 'VirtualTimeCase']
+__all__ = [
+    'Caller',
+    'Fleet',
+    'LoopClock',
+    'Target',
+    'VirtualTimeCase',
+    'mesh_settings',
+]
 
 MS_PER_SECOND = 1000
 NAMES = HeaderNames(proof=b'', call_mark='.')
@@ -198,7 +205,9 @@
         """Begin a new life of the process, which knows nothing."""
         fleet = self.fleet
         self.life = Life(self.address.partition(':')[0], fleet.wires)
-        settings = _settings(self, self.target.service)
+        settings = mesh_settings(
+            self.name, self.target.service, advertised=self.address
+        )
         log = get_log(node=self.name)
         self.members = MemberTable(self.name, settings.region)
         self.owner = OwnerTask(self.name, NAMES, fleet.clock, log, 1000, 1000)
@@ -432,22 +441,28 @@
     )
 
 
-def _settings(node: Node, service: ServiceName) -> MeshSettings:
+def mesh_settings(
+    name: str,
+    service: str,
+    grace_ms: int = 2000,
+    advertised: str = '127.0.0.1:1',
+) -> MeshSettings:
+    """Return the settings of a node that listens nowhere."""
     return MeshSettings(
-        node=node.name,
+        node=NodeId(name),
         zone=Zone('z'),
         region=Region('r'),
-        service=service,
+        service=ServiceName(service),
         callers='127.0.0.1:1',
         reports='127.0.0.1:1',
         ready='127.0.0.1:1',
         peers='127.0.0.1:1',
         metrics='',
-        advertised=node.address,
+        advertised=advertised,
         store='127.0.0.1:1',
         report_ms=1000,
         drain_ms=1000,
-        grace_ms=2000,
+        grace_ms=grace_ms,
         hold_max_ms=10_000,
         retry_ratio=RATIO,
         retry_slack=SLACK,
--- a/src/savoryhold/mesh/tests/virtual.py
+++ b/src/savoryhold/mesh/tests/virtual.py
@@ -38,6 +38,10 @@
         """Return the virtual time in seconds."""
         return self._jumping.time_s
 
+    def advance(self, seconds: float) -> None:
+        """Let time pass as if the processor was taken."""
+        self._jumping.time_s += seconds
+
     def create_task(self, coro: Any, **kwargs: Any) -> 'asyncio.Task[Any]':
         """Begin a task of the process that runs, if any."""
         task: asyncio.Task[Any] = super().create_task(coro, **kwargs)
