A node ends behind what its peers have asked of it

Seen: when a node with an idle target gets SIGTERM, no other node hears that it leaves. They go on sending it requests, which are cut: an idempotent one needs a retry of the budget, any other ends as 504 for its caller, and a run at the target is broken off. Cause: with no caller's connection left and nothing in the queue, the process ended in the same step in which it had begun to tell the others, before anything was sent. A relayed request that waited for its key was in no queue and not waited for. Answers were written to a link, but nobody looked whether they had left the process; what its buffers held ended with it, and a socket closed with statuses unread is reset. Change: the node tells that it leaves on the links by which requests come, too, and asks behind it. The answer of a peer shows that it has read the news, and that all it had sent before has arrived, as a link keeps its order. The node then waits for all relayed requests, and asks once more behind their answers. Evidence: test_others_know_of_a_node_that_has_ended (real nodes on loopback) failed before, 3 of 3 times, with "AssertionError: False is not true" (member.status.leaving). In virtual time, with a stub for the new `_accept`: test_peers_have_heard_of_the_leave_before_the_end "False is not true", test_request_that_crosses_the_news_is_answered "True is not false" (ended before the request came), test_answer_has_reached_the_peer_before_the_end "0 != 1". test_node_that_ends_answers_what_others_have_sent and test_silent_peer_does_not_keep_the_node passed before; they guard the change itself.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -15,6 +15,7 @@
 from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.config import ConfigTask
+from savoryhold.mesh.inbound import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
 from savoryhold.mesh.interface import Adapter, StoreConflictError
 from savoryhold.mesh.members import MemberTable
@@ -137,6 +138,7 @@
         self._unready_answers = 0
         self._calls_cut = 0
         self._is_over = False
+        self._inbound = InboundLinks()
         self._leave_asked = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._connect()
@@ -214,7 +216,7 @@
         loop = asyncio.get_running_loop()
         host, _, port = cfg.peers.rpartition(':')
         self._peer_server = await loop.create_server(
-            self.pool.accept, host, int(port), backlog=BACKLOG
+            self._accept, host, int(port), backlog=BACKLOG
         )
         await self.reports.start(cfg.reports, BACKLOG)
         await self.callers.start(cfg.callers, BACKLOG)
@@ -268,7 +270,19 @@
     async def _on_peer(
         self, call: LinkStream, message: messages.Message
     ) -> None:
-        await self.peers.handle(call, message)
+        if not isinstance(message, messages.Relay):
+            await self.peers.handle(call, message)
+            return
+        self._inbound.begin()
+        try:
+            await self.peers.handle(call, message)
+        finally:
+            self._inbound.end(call)
+
+    def _accept(self) -> Link:
+        link = self.pool.accept()
+        self._inbound.add(link)
+        return link
 
     def _on_link_closed(self, link: Link) -> None:
         if self._is_over or not link.peer:
@@ -432,9 +446,12 @@
         await asyncio.sleep(LAST_CALLERS_MS / MS_PER_SECOND)
 
     async def _idle(self) -> None:
-        await self.callers.drain()
-        while self.owner.running():
+        await asyncio.gather(
+            self.callers.drain(), self._inbound.tell(self.peers.status())
+        )
+        while self.owner.running() or self._inbound.under_way:
             await asyncio.sleep(LEAVE_POLL_MS / MS_PER_SECOND)
+        await self._inbound.confirm()
 
 
 def linger_ms(grace_ms: int) -> int:
--- a/src/savoryhold/mesh/tests/test_leaving.py
+++ b/src/savoryhold/mesh/tests/test_leaving.py
@@ -10,22 +10,70 @@
 from typing import Any, cast
 from unittest import mock
 
+from savoryhold.core.errors import LinkError
+from savoryhold.core.transit import TransitDelay
+from savoryhold.mesh.codec import relay_message
 from savoryhold.mesh.node import MeshNode, linger_ms
+from savoryhold.mesh.requests import NO_KEY, RelayedAnswer, RelayedRequest
 from savoryhold.mesh.telemetry import set_up_mesh_logs
 from savoryhold.mesh.tests.fleet import NAMES, LoopClock, VirtualTimeCase
 from savoryhold.mesh.tests.fleet import mesh_settings as settings_of
+from savoryhold.peer import messages
 
 GRACE_MS = 6000
 BUSY_S = 0.06  # of other work whenever the node wakes
 WAKE_S = 0.02
+WAY_S = 0.1  # from the peer to the node, and back
+RUN_S = 0.4
 MS_PER_SECOND = 1000
 
 
+class PeerLink:
+    """The node's end of a link that a peer has opened."""
+
+    peer = 'peer'
+    closed = False
+
+    def __init__(self) -> None:
+        self.transit = TransitDelay()
+        self.heard: list[messages.Message] = []
+        self.silent = False
+
+    def open(self) -> Any:
+        """Begin a call of the node."""
+        return SimpleNamespace(send=self.send, close=lambda: None)
+
+    def send(self, message: messages.Message) -> None:
+        """Carry what the node sends to the peer."""
+        asyncio.get_running_loop().call_later(WAY_S, self.heard.append, message)
+
+    async def call(
+        self, message: messages.Message, timeout_ms: float
+    ) -> messages.Message:
+        """Carry a question, and the answer back."""
+        self.send(message)
+        if self.silent:
+            await asyncio.sleep(timeout_ms / MS_PER_SECOND)
+            raise LinkError('no reply in time', sent=True)
+        await asyncio.sleep(WAY_S * 2)
+        return messages.Ack(ok=True)
+
+    def knows_of_leave(self) -> bool:
+        """Return whether the peer has heard that the node leaves."""
+        return any(getattr(found, 'leaving', False) for found in self.heard)
+
+    def answers(self) -> int:
+        """Return how many answers of relayed requests have come."""
+        return sum(
+            isinstance(found, messages.RelayAnswer) for found in self.heard
+        )
+
+
 class LeavingCase(VirtualTimeCase):
-    """A node that listens nowhere."""
+    """A node that runs one relayed request, and a peer."""
 
     async def asyncSetUp(self) -> None:
-        """Make the node."""
+        """Make the node; it listens nowhere."""
         adapter = SimpleNamespace(names=NAMES, store=None)
         self.settings = settings_of('n0', 'desk', grace_ms=GRACE_MS)
         with mock.patch('savoryhold.mesh.node.BootClock', LoopClock):
@@ -37,11 +85,45 @@
             )
         self.drained_at = -1
         self.node.callers.drain = self.drain  # type: ignore[method-assign]
+        self.node.owner.submit = self.submit  # type: ignore[method-assign]
+        self.link = PeerLink()
+        with mock.patch.object(
+            self.node.pool, 'accept', return_value=self.link
+        ):
+            self.node._accept()
 
     async def drain(self) -> None:
         """Note when the callers' connections are closed."""
         self.drained_at = self.node.clock.now()
 
+    async def submit(self, req: RelayedRequest) -> RelayedAnswer:
+        """Run a request that waits for its key and so in no queue."""
+        await asyncio.sleep(RUN_S)
+        return RelayedAnswer(200, b'', b'')
+
+    def relay(self) -> 'asyncio.Task[None]':
+        """Let the peer's request come in."""
+        now = self.node.clock.now()
+        req = RelayedRequest(
+            request=cast(Any, 'r1'),
+            service=cast(Any, 'desk'),
+            key=NO_KEY,
+            route='desk',
+            method=b'GET',
+            path=b'/desk/',
+            head=b'',
+            body=b'',
+            deadline=now + 2000,
+            aim_at=now + 1000,
+            priority=1,
+            repeatable=True,
+            fingerprint=cast(Any, 'f'),
+        )
+        call = SimpleNamespace(link=self.link, send=self.link.send)
+        return asyncio.ensure_future(
+            self.node._on_peer(cast(Any, call), relay_message(req, now))
+        )
+
 
 class TestCallers(LeavingCase):
     """How long a node that nobody asks goes on taking callers."""
@@ -72,3 +154,42 @@
         while True:
             await asyncio.sleep(WAKE_S)
             loop.advance(BUSY_S)
+
+
+class TestPeers(LeavingCase):
+    """What a node that ends still does for its peers."""
+
+    # The process ended before anybody had heard that it leaves.
+    async def test_peers_have_heard_of_the_leave_before_the_end(self) -> None:
+        """A node ends once its peers send it no more requests."""
+        await self.node._leave()
+        self.assertTrue(self.link.knows_of_leave())
+
+    # A request that crossed the news of the leave was cut.
+    async def test_request_that_crosses_the_news_is_answered(self) -> None:
+        """What a peer sent before it heard of the leave is run."""
+        ended = asyncio.ensure_future(self.node._leave())
+        while not self.node.peers.leaving:
+            await asyncio.sleep(WAKE_S / 10)
+        await asyncio.sleep(WAY_S)
+        self.assertFalse(ended.done())
+        self.relay()
+        await ended
+        self.assertEqual(self.link.answers(), 1)
+
+    # A request that waited for its key was not counted as at work; nobody
+    # looked whether the answer had left the process.
+    async def test_answer_has_reached_the_peer_before_the_end(self) -> None:
+        """A node ends behind the answers of all that it was relayed."""
+        self.node._unready_answers = 2
+        self.relay()
+        await self.node._leave()
+        self.assertEqual(self.link.answers(), 1)
+
+    # One dead peer must not cost the others the rest of the grace.
+    async def test_silent_peer_does_not_keep_the_node(self) -> None:
+        """The wait for a peer that does not answer has an end."""
+        self.link.silent = True
+        self.node._unready_answers = 2
+        await self.node._leave()
+        self.assertLess(self.node.clock.now(), GRACE_MS // 2)
--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -259,6 +259,27 @@
         self.assertEqual(status, 200)
         self.assertIn(b'savoryhold_mesh_config_version 3', body)
 
+    # A node ended before any other had heard that it leaves.
+    async def test_others_know_of_a_node_that_has_ended(self) -> None:
+        """A node that has nothing to do tells the others before it ends."""
+        leaving, other = self.hosts[2], self.hosts[0]
+        leaving.node._unready_answers = 2
+        leaving.node._leave_asked.set()
+        await asyncio.wait_for(self.tasks[4], LIMIT_S)
+        member = other.node.members.members[NodeId('three')]
+        self.assertTrue(member.status.leaving)
+
+    async def test_node_that_ends_answers_what_others_have_sent(self) -> None:
+        """A request of another node is run to its end, on real links."""
+        leaving, other = self.hosts[2], self.hosts[0]
+        leaving.target.work_ms = 300
+        asked = asyncio.ensure_future(self.ask(other, '/media/x', 1))
+        await self.until(leaving.node.owner.running)
+        leaving.node._unready_answers = 2
+        leaving.node._leave_asked.set()
+        await asyncio.wait_for(self.tasks[4], LIMIT_S)
+        self.assertEqual(await asked, (200, b't-three'))
+
 
 def call_of(target: str, body: bytes) -> HttpRequest:
     """Return a target's call."""
--- a/src/savoryhold/peer/__init__.py
+++ b/src/savoryhold/peer/__init__.py
@@ -3,8 +3,10 @@
 from savoryhold.peer.frames import Frame, FrameReader, pack_frame
 from savoryhold.peer.link import Endpoint, Link, LinkStream
 from savoryhold.peer.pool import PeerPool
+from savoryhold.peer.stream import Carrier
 
 __all__ = [
+    'Carrier',
     'Endpoint',
     'Frame',
     'FrameReader',
