What is at work may go on for five sixths of any grace

Seen: with a grace of 4 s, runs are cut 3.3 s after SIGTERM, before the last sixth of the grace in which the users' rules allow it (LOST); with 1.5 s, after 0.8 s. Cause: a fixed margin of 700 ms, whatever the grace. Change: the margin is at most a ninth of the grace, and the time for the last answer's way at most a twenty-fourth more. Evidence: test_runs_are_not_given_up_before_the_last_sixth; the code before gave up at 4000 - 700 = 3300 ms, the test wants 3333.3 or more (the functions that it asks are new, so that it could not run there).

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -31,7 +31,13 @@
 from savoryhold.peer import Link, LinkStream, PeerPool, messages
 from savoryhold.wire import Exchange, HttpServer
 
-__all__ = ['NODE_KIND', 'MeshNode', 'linger_ms']
+__all__ = [
+    'NODE_KIND',
+    'MeshNode',
+    'last_answer_ms',
+    'leave_ms',
+    'linger_ms',
+]
 
 NODE_KIND = 'savoryhold-nodes'
 SECRET = b'savoryhold-mesh'
@@ -40,7 +46,12 @@
 FLUSH_MS = 250
 REGISTER_RETRY_MS = 400
 LEAVE_POLL_MS = 20
-LEAVE_MARGIN_MS = 700
+# Of the grace; with the answer's slack less than the sixth of it in which
+# what is still at work may be broken off.
+END_MS = 700
+END_SHARE = 1 / 9
+ANSWER_MS = 200
+ANSWER_SHARE = 1 / 24
 LEAVE_ANSWERS = 2  # the platform then sends callers elsewhere
 LINGER_MS = 3000  # the platform may not ask at all
 LINGER_SHARE = 0.5  # of the grace; the rest is for what was read
@@ -421,7 +432,7 @@
         """
         self.log.info('leaving', unanswered=self.callers.unanswered)
         self.draining = True
-        limit = self.settings.grace_ms - LEAVE_MARGIN_MS
+        limit = leave_ms(self.settings.grace_ms)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit / MS_PER_SECOND):
                 await self._callers_leave()
@@ -459,6 +470,17 @@
     return min(LINGER_MS, round(grace_ms * LINGER_SHARE))
 
 
+def leave_ms(grace_ms: int) -> int:
+    """Return when a leaving node gives up what is still at work."""
+    return grace_ms - round(min(END_MS, grace_ms * END_SHARE))
+
+
+def last_answer_ms(grace_ms: int) -> int:
+    """Return when a leaving node must have the last answer."""
+    slack = round(min(ANSWER_MS, grace_ms * ANSWER_SHARE))
+    return leave_ms(grace_ms) - slack
+
+
 def _place(exc: BaseException | None) -> str:
     """Return where an exception was raised: file and line, innermost last."""
     if exc is None:
--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -14,7 +14,12 @@
 from savoryhold.core.errors import ConfigurationError
 from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
 from savoryhold.mesh import MeshSettings, TargetLeave, TargetReport
-from savoryhold.mesh.node import MeshNode, linger_ms
+from savoryhold.mesh.node import (
+    MeshNode,
+    last_answer_ms,
+    leave_ms,
+    linger_ms,
+)
 from savoryhold.mesh.telemetry import set_up_mesh_logs
 from savoryhold.ranges import GrantReply
 from savoryhold.wire import ClientPool, HttpRequest
@@ -296,6 +301,17 @@
                 self.assertLessEqual(linger_ms(grace_ms), grace_ms / 2)
         self.assertEqual(linger_ms(6000), 3000)
 
+    # With a grace of 4 s, runs were cut before the part of it in which a
+    # process may end them.
+    def test_runs_are_not_given_up_before_the_last_sixth(self) -> None:
+        """What is at work may go on for five sixths of the grace."""
+        for grace_ms in (1500, 4000, 6000, 30_000):
+            with self.subTest(grace_ms=grace_ms):
+                end = grace_ms * 5 / 6
+                self.assertGreaterEqual(last_answer_ms(grace_ms), end)
+                self.assertLess(last_answer_ms(grace_ms), leave_ms(grace_ms))
+                self.assertLess(leave_ms(grace_ms), grace_ms)
+
 
 class TestStart(unittest.TestCase):
     """Signals that come before a node listens for them."""
