Requests that a leaving node reads end with it

Seen: a request that is read by a process after its SIGTERM, with more time than the process has left, gets no answer if it still waits in a queue when the process gives up: its connection is cut. Cause: deadlines did not know of the end of the process. Change: a request that is read while the node leaves gets the end of the node as its deadline, less 200 ms for the answer, here and where it is relayed. A queue that cannot run it in time refuses it (503, a promise, and it is sent elsewhere); a run ends at its target by this deadline, in the last sixth of the grace. Evidence: test_all_that_is_read_has_an_answer_before_the_end failed before with "AssertionError: Lists differ: [False, False] != [True, True]" (neither the run nor the waiting request had an answer when the process ended).

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -100,6 +100,10 @@
         task.add_done_callback(self._tasks.discard)
         exchange.on_gone = partial(_cancel, task)
 
+    def end_by(self, at: int) -> None:
+        """Give requests that are read from now on no time beyond a time."""
+        self._reader.ends_at = at
+
     async def _serve(self, exchange: Exchange) -> None:
         http = exchange.req
         try:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -432,6 +432,8 @@
         """
         self.log.info('leaving', unanswered=self.callers.unanswered)
         self.draining = True
+        last_answer = last_answer_ms(self.settings.grace_ms)
+        self.ingress.end_by(self.clock.now() + last_answer)
         limit = leave_ms(self.settings.grace_ms)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit / MS_PER_SECOND):
--- a/src/savoryhold/mesh/reading.py
+++ b/src/savoryhold/mesh/reading.py
@@ -37,6 +37,7 @@
     def __init__(self, parts: Parts, names: HeaderNames) -> None:
         self._parts = parts
         self._names = names
+        self.ends_at: int | None = None  # of the process
         self._dropped = UNFRAMED | {
             names.deadline.lower(),
             names.target.lower(),
@@ -60,6 +61,8 @@
         keyed = known is not None and known.keyed
         left = min(self._deadline_ms(http), route.timeout_ms)
         deadline = http.read_at + left
+        if self.ends_at is not None:
+            deadline = min(deadline, self.ends_at)
         if deadline <= self._parts.clock.now():
             raise TargetDownError('the deadline has passed', LATE_RETRY_MS)
         key = self._key(http) if keyed else NO_KEY
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -41,12 +41,14 @@
 from savoryhold.wire import ClientAnswer, Exchange, HeaderNames, HttpRequest
 
 __all__ = [
+    'CONFIG',
     'Caller',
     'Fleet',
     'LoopClock',
     'Target',
     'VirtualTimeCase',
     'mesh_settings',
+    'target_report',
 ]
 
 MS_PER_SECOND = 1000
@@ -211,7 +213,7 @@
         log = get_log(node=self.name)
         self.members = MemberTable(self.name, settings.region)
         self.owner = OwnerTask(self.name, NAMES, fleet.clock, log, 1000, 1000)
-        self.owner.on_report(_report(self.name, self.target.service))
+        self.owner.on_report(target_report(self.name, self.target.service))
         self.owner.pool = cast(Any, self.target)
         parts = Parts(
             settings,
@@ -418,9 +420,12 @@
     return ClientAnswer(status, list(fields.items()), fields, b'')
 
 
-def _report(name: NodeId, service: ServiceName) -> TargetReport:
+def target_report(
+    name: NodeId, service: ServiceName, slots: int = SLOTS
+) -> TargetReport:
+    """Return a report of the target beside a node."""
     keys = Report(TargetLife(f't-{name}', 1), (), ())
-    return TargetReport(keys, service, '127.0.0.1:1', SLOTS, False, 1)
+    return TargetReport(keys, service, '127.0.0.1:1', slots, False, 1)
 
 
 def _status(node: Node) -> NodeStatus:
--- a/src/savoryhold/mesh/tests/test_leaving.py
+++ b/src/savoryhold/mesh/tests/test_leaving.py
@@ -16,11 +16,22 @@
 from savoryhold.mesh.node import MeshNode, linger_ms
 from savoryhold.mesh.requests import NO_KEY, RelayedAnswer, RelayedRequest
 from savoryhold.mesh.telemetry import set_up_mesh_logs
-from savoryhold.mesh.tests.fleet import NAMES, LoopClock, VirtualTimeCase
+from savoryhold.mesh.tests.fleet import (
+    CONFIG,
+    DESK,
+    NAMES,
+    Caller,
+    LoopClock,
+    VirtualTimeCase,
+    target_report,
+)
 from savoryhold.mesh.tests.fleet import mesh_settings as settings_of
 from savoryhold.peer import messages
+from savoryhold.traffic import RouteTable
+from savoryhold.wire import ClientAnswer, Exchange, HttpRequest
 
 GRACE_MS = 6000
+SHORT_GRACE_MS = 1500  # no longer than requests may take
 BUSY_S = 0.06  # of other work whenever the node wakes
 WAKE_S = 0.02
 WAY_S = 0.1  # from the peer to the node, and back
@@ -193,3 +204,63 @@
         self.node._unready_answers = 2
         await self.node._leave()
         self.assertLess(self.node.clock.now(), GRACE_MS // 2)
+
+
+class TestWhatIsRead(LeavingCase):
+    """Requests that callers send while the node leaves."""
+
+    async def asyncSetUp(self) -> None:
+        """Let the target beside the node run one request at a time."""
+        await super().asyncSetUp()
+        node = self.node
+        del node.owner.submit
+        node.configs.routes = RouteTable(CONFIG)
+        node.owner.on_report(target_report(node.settings.node, DESK, slots=1))
+        node.owner.pool = cast(Any, SimpleNamespace(ask=self.run_long))
+        self.callers: list[Caller] = []
+
+    async def drain(self) -> None:
+        """Wait until all callers have their answer."""
+        await asyncio.wait([caller.status for caller in self.callers])
+
+    async def run_long(
+        self, request: bytes, timeout_ms: float, belongs: Any, on_sent: Any
+    ) -> ClientAnswer:
+        """Let the target work until the time that it was given is over."""
+        on_sent()
+        await asyncio.sleep(timeout_ms / MS_PER_SECOND)
+        raise TimeoutError
+
+    def ask(self, name: str) -> None:
+        """Let a caller send a request."""
+        fields = {
+            b'host': b'h',
+            NAMES.request_id.lower(): name.encode(),
+            NAMES.deadline.lower(): b'%d' % GRACE_MS,
+        }
+        now = self.node.clock.now()
+        headers = list(fields.items())
+        caller = Caller(
+            HttpRequest(b'GET', b'/desk/', headers, b'', now, fields)
+        )
+        self.callers.append(caller)
+        self.node.ingress.handle(cast(Exchange, caller))
+
+    # Requests that had more time than the process were cut at its end.
+    async def test_all_that_is_read_has_an_answer_before_the_end(
+        self,
+    ) -> None:
+        """One that runs and one that waits are answered in time."""
+        ticks = asyncio.ensure_future(self.node.owner.tick())
+        self.settings = settings_of('n0', 'desk', grace_ms=SHORT_GRACE_MS)
+        self.node.settings = self.settings
+        ended = asyncio.ensure_future(self.node._leave())
+        await asyncio.sleep(linger_ms(SHORT_GRACE_MS) / MS_PER_SECOND / 2)
+        self.ask('runs')
+        await asyncio.sleep(WAKE_S)
+        self.ask('waits')
+        await ended
+        ticks.cancel()
+        found = [caller.status.done() for caller in self.callers]
+        self.assertEqual(found, [True, True])
+        self.assertEqual(self.callers[1].status.result(), 503)
