Requests of a target's former life have their answers

Callers would see: a booking that its target had begun answered 502, and lookups broken off and repeated, all at once at one target. Cause: each report that names another life than the known one closed all connections to the target, also those with requests under way. A report of an older life that was held up is believed once the present one has been silent for 1.5 s, and the next report of the present life did the same again. No connection needs this judgement: the kernel closes those of a process that has ended. Change: the pool of the former life takes no new requests, closes its idle connections at once and the others after their answers. A request that was still being dialled is not sent there, and goes elsewhere as not run. Failed before: test_booking_goes_on_when_another_life_reports with "CrashedError: connection closed: None", test_nothing_new_is_sent_to_a_former_life with TimeoutError (the request was sent to the former life and held).

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -502,7 +502,8 @@
         )
         self._strike_broken()
         if self.pool is not None:
-            self.pool.close()
+            # What the former life runs may still end; a report may be wrong.
+            self.pool.retire()
         self.pool = ClientPool(report.address, self.clock.now)
         self.left_at = None
         self._success = 1.0
--- /dev/null
+++ b/src/savoryhold/mesh/tests/test_target_lives.py
@@ -0,0 +1,110 @@
+"""Reports of one life of a target while another runs requests.
+
+Pattern: a report that was held up on its way names a life that has ended,
+while the present life has been silent for a moment.
+"""
+
+import asyncio
+import unittest
+
+from savoryhold.core.clock import BootClock
+from savoryhold.core.ids import NodeId, RequestId, ServiceName
+from savoryhold.core.poison import Fingerprint
+from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.interface import TargetReport
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.requests import (
+    NO_KEY,
+    RelayedRequest,
+    TargetDownError,
+)
+from savoryhold.ranges import Report, TargetLife
+from savoryhold.wire import Exchange, HeaderNames, HttpServer
+
+NAMES = HeaderNames(proof=b'', call_mark='.')
+NODE = NodeId('n0')
+FILES = ServiceName('files')
+DEADLINE_MS = 30_000
+LIMIT_S = 10
+OLD, PRESENT = 1, 2
+
+
+class TestTargetLives(unittest.IsolatedAsyncioTestCase):
+    """An owner beside a target whose answers the test gives."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port, and report the present life."""
+        self.clock = BootClock()
+        self.taken: asyncio.Queue[Exchange] = asyncio.Queue()
+        self.server = HttpServer(self.taken.put_nowait, self.clock.now)
+        await self.server.start('127.0.0.1:0', 16)
+        listener = self.server._server
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+        self.owner = OwnerTask(
+            NODE, NAMES, self.clock, get_log(node=NODE), 1000, 1000
+        )
+        self.report(PRESENT)
+
+    async def asyncTearDown(self) -> None:
+        """Close both ends."""
+        assert self.owner.pool is not None
+        self.owner.pool.close()
+        self.server.stop()
+
+    # A held-up report closed all connections: a booking at work ended as 502.
+    async def test_booking_goes_on_when_another_life_reports(self) -> None:
+        """The answer of a run reaches its caller whoever reports."""
+        async with asyncio.timeout(LIMIT_S):
+            run = asyncio.ensure_future(self.owner.submit(self.booking()))
+            exchange = await self.taken.get()
+            for born in (OLD, PRESENT):
+                self.report(born)
+            self.reply(exchange)
+            answer = await run
+        self.assertEqual((answer.status, answer.body), (200, b'whole'))
+
+    async def test_nothing_new_is_sent_to_a_former_life(self) -> None:
+        """A request that was dialled for it goes elsewhere, as not run."""
+        async with asyncio.timeout(LIMIT_S):
+            run = asyncio.ensure_future(self.owner.submit(self.booking()))
+            while self.owner.pool is None or not self.owner.pool.opened:
+                await asyncio.sleep(0)
+            self.report(OLD)
+            with self.assertRaises(TargetDownError):
+                await run
+        self.assertTrue(self.taken.empty())
+
+    def report(self, born: int) -> None:
+        """Have a life of the target report."""
+        keys = Report(TargetLife('t', born), (), ())
+        self.owner.on_report(
+            TargetReport(
+                keys, FILES, f'127.0.0.1:{self.port}', 4, False, sequence=1
+            )
+        )
+
+    def reply(self, exchange: Exchange) -> None:
+        """Answer as the target does."""
+        name = NAMES.request_id
+        request = exchange.req.header(name.lower())
+        exchange.reply(200, b'%s: %s\r\n' % (name, request), b'whole')
+
+    def booking(self) -> RelayedRequest:
+        """Return a request that must not run twice."""
+        deadline = self.clock.now() + DEADLINE_MS
+        return RelayedRequest(
+            RequestId('b1'),
+            FILES,
+            NO_KEY,
+            'book',
+            b'POST',
+            b'/book/',
+            b'%s: b1\r\n' % NAMES.request_id,
+            b'',
+            deadline,
+            deadline,
+            2,
+            repeatable=False,
+            fingerprint=Fingerprint(1),
+        )
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -242,6 +242,7 @@
         self._now = now
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
+        self._retired = False
 
     async def ask(
         self,
@@ -272,6 +273,9 @@
             If the time is over; the connection is closed.
         """
         conn = await self._take(timeout_ms)
+        if self._retired:
+            conn.close()
+            raise LinkError(f'{self.address}: given up', sent=False)
         self._busy.add(conn)
         on_sent()
         conn.send(request, belongs)
@@ -294,10 +298,17 @@
         if conn in self._idle:
             self._idle.remove(conn)
 
+    def retire(self) -> None:
+        """Send nothing more; close each connection after its answer."""
+        self._retired = True
+        for conn in self._idle:
+            conn.close()
+        self._idle.clear()
+
     def close(self) -> None:
-        """Close all connections."""
-        everyone = [*self._idle, *self._busy]
-        for conn in everyone:
+        """Close all connections, also those with a request under way."""
+        self.retire()
+        for conn in self._busy:
             conn.reusable = False
             conn.close()
 
@@ -341,7 +352,7 @@
         conn.belongs = None
         if conn.closed:
             return
-        if not conn.reusable or not conn.flushed:
+        if self._retired or not conn.reusable or not conn.flushed:
             conn.close()
             return
         conn.idle_since = self._now()
