A long body may wait in the target's kernel

Callers would see: 502 for a booking, or a repeat of a lookup, whose body is longer than the target's receive window and whose target did not read for about a second (busy, paused, or still ending what it had answered early). Cause: TCP_USER_TIMEOUT of 900 ms, meant for bytes that no kernel acknowledges, also runs while the other end's window is closed (Linux: zero-window probes), so that the silence of a sound target counted as the loss of its path. Change: a connection that has carried a request above 48 KiB, less than a kernel takes unread, has no such limit; the request's own time bounds it. Short requests keep it. Failed before: test_long_body_may_wait_to_be_read with "ConnectionResetError: [Errno 104]" at the target; the client had "connection closed: TimeoutError(110, 'Connection timed out')".

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -21,6 +21,7 @@
 IDLE_MS = 8000  # below the shortest usual timeout of a server
 IDLE_SHARE = 0.8  # of the timeout that a server states
 UNACKED_MS = 900  # bytes that no kernel acknowledges for this long are lost
+UNREAD_BYTES = 49_152  # a kernel takes as much for a process that does not read
 KEEPALIVE_S = 1  # between probes of a connection on which an answer is awaited
 KEEPALIVE_PROBES = 2
 MAX_ANSWER_BYTES = 32_000_000
@@ -169,8 +170,11 @@
         self.belongs = belongs
         self.received = False
         self._passed_over = 0
-        if self._transport is not None:
-            self._transport.write(request)
+        if self._transport is None:
+            return
+        if len(request) > UNREAD_BYTES:
+            self._allow_slow_reading()
+        self._transport.write(request)
 
     def forget_bytes(self) -> None:
         """Count no bytes of an answer that has ended."""
@@ -188,6 +192,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _allow_slow_reading(self) -> None:
+        # The kernel's limit also runs while the other end reads nothing, for
+        # instance a target that is busy, and may be answering meanwhile.
+        assert self._transport is not None
+        sock = self._transport.get_extra_info('socket')
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
     def _check_size(self, received: int) -> None:
         """Break off an answer, or what stands for one, that does not end."""
         self._size += received
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -10,11 +10,14 @@
 from savoryhold.wire.client import (
     MAX_HEAD_BYTES,
     MAX_POOL_BYTES,
+    MS_PER_SECOND,
     UNACKED_MS,
 )
 
 LIMIT_MS = 60_000
 PIECE_BYTES = 65_536
+LONG_BYTES = 1_000_000
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
 ASKED = 4
 BUFFERS_BYTES = 16_000_000  # that the kernel holds for a connection
 
@@ -51,6 +54,36 @@
         exchange.reply(200, b'', b'whole')
 
 
+class TestSlowReaders(unittest.IsolatedAsyncioTestCase):
+    """Targets that let a request wait in their kernel."""
+
+    # A long body that its target did not read for 0.9 s was broken off: 502.
+    async def test_long_body_may_wait_to_be_read(self) -> None:
+        """A busy target answers when it has come to the request."""
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(('127.0.0.1', 0))
+        listener.setblocking(False)
+        self.addCleanup(listener.close)
+        port = listener.getsockname()[1]
+        pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        head = b'POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n' % LONG_BYTES
+        run = asyncio.ensure_future(
+            pool.ask(head + bytes(LONG_BYTES), LIMIT_MS)
+        )
+        sock, _ = await loop.sock_accept(listener)
+        self.addCleanup(sock.close)
+        await asyncio.sleep(2 * UNACKED_MS / MS_PER_SECOND)
+        left = len(head) + LONG_BYTES
+        while left:
+            piece = await loop.sock_recv(sock, PIECE_BYTES)
+            self.assertTrue(piece)
+            left -= len(piece)
+        await loop.sock_sendall(sock, ANSWER)
+        answer = await run
+        self.assertEqual(answer.body, b'whole')
+        pool.close()
+
+
 class TestEndlessAnswers(unittest.IsolatedAsyncioTestCase):
     """Targets that send until the caller closes."""
 
