No request is written behind an unread close of its connection

Callers would see: 502 for a booking that never ran, and a repeat of the budget for a lookup, after the node's loop was held up while its target closed idle connections. Cause: a connection from the pool was taken for good unless its close had been read. A request written behind a close that waits in the kernel is reset, and after that nobody can say that it did not run. The same with bytes behind an answer, which were then read as the start of the next one. Change: before an idle connection is used again the kernel is asked, without waiting, whether anything is there to read; if so, it is closed. What crosses the request on its way remains, and remains 502: it may have run. Failed before: test_unread_close_sends_the_request_elsewhere with "LinkError: connection closed: None", test_unread_bytes_send_the_request_elsewhere with "LinkError: not an answer in the protocol: Expected HTTP/, RTSP/ or ICE/".

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -13,6 +13,7 @@
 import httptools
 
 from savoryhold.core.errors import LinkError
+from savoryhold.unread import has_unread
 
 __all__ = ['ClientAnswer', 'ClientPool', 'Identity']
 
@@ -181,6 +182,13 @@
         self.pool.bytes_held -= self._size
         self._size = 0
 
+    @property
+    def quiet(self) -> bool:
+        """Return whether nothing has come since the last answer."""
+        if self.closed or self._transport is None:
+            return False
+        return not has_unread(self._transport)
+
     @property
     def flushed(self) -> bool:
         """Return whether all that was sent has left this process."""
@@ -335,8 +343,9 @@
         self.trim()
         while self._idle:
             conn = self._idle.pop()
-            if not conn.closed:
+            if conn.quiet:
                 return conn
+            conn.close()
         return await self._open(min(timeout_ms, CONNECT_MS))
 
     async def _open(self, timeout_ms: float) -> _Connection:
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -1,6 +1,7 @@
 """Connections to targets and to the store."""
 
 import asyncio
+import select
 import socket
 import unittest
 
@@ -16,6 +17,7 @@
 
 LIMIT_MS = 60_000
 PIECE_BYTES = 65_536
+REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 LONG_BYTES = 1_000_000
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
 ASKED = 4
@@ -54,6 +56,57 @@
         exchange.reply(200, b'', b'whole')
 
 
+class TestForgottenConnections(unittest.IsolatedAsyncioTestCase):
+    """Idle connections whose end a process that was held up has not read."""
+
+    async def asyncSetUp(self) -> None:
+        """Bring a connection into the pool."""
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+        port = self.listener.getsockname()[1]
+        self.pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        self.addCleanup(self.pool.close)
+        self.sock = await self.ask()
+        transport = self.pool._idle[0]._transport
+        assert transport is not None
+        self.idle = transport.get_extra_info('socket').fileno()
+
+    # A booking was written behind a close that was not read yet: 502.
+    async def test_unread_close_sends_the_request_elsewhere(self) -> None:
+        """A close that has arrived is seen before the next request goes."""
+        self.sock.close()
+        select.select([self.idle], [], [])
+        await self.ask()
+        self.assertEqual(self.pool.opened, 2)
+
+    # Bytes behind an answer, not read yet, broke off the next request: 502.
+    async def test_unread_bytes_send_the_request_elsewhere(self) -> None:
+        """What nobody asked for is not taken for an answer."""
+        self.sock.send(b'nobody asked for this')
+        select.select([self.idle], [], [])
+        await self.ask()
+        self.assertEqual(self.pool.opened, 2)
+
+    async def ask(self) -> socket.socket:
+        """Have a request answered on a new connection; return its end."""
+        # The request is written before the loop reads the idle connection.
+        answer, sock = await asyncio.gather(
+            self.pool.ask(REQUEST, LIMIT_MS), self.serve()
+        )
+        self.assertEqual(answer.body, b'whole')
+        return sock
+
+    async def serve(self) -> socket.socket:
+        """Answer the first request of a connection."""
+        loop = asyncio.get_running_loop()
+        sock, _ = await loop.sock_accept(self.listener)
+        self.addCleanup(sock.close)
+        await loop.sock_recv(sock, PIECE_BYTES)
+        await loop.sock_sendall(sock, ANSWER)
+        return sock
+
+
 class TestSlowReaders(unittest.IsolatedAsyncioTestCase):
     """Targets that let a request wait in their kernel."""
 
