The daemon, too, writes no request behind an unread close

Callers would see: "may have run" (504) for an order that never ran, after the daemon was held up while its target closed kept connections. Cause: the same as in the pool of the mesh: `aiohttp` takes a kept connection unless it has read its close; a request written behind a close that waits in the kernel is reset. Evidence: shown on loopback by the test. Change: a connection that was used before is asked, without waiting, whether anything is there to read; if so, it is closed and another is taken. New ones are not asked, so that a target that resets each connection is not dialled without end. Failed before: test_unread_close_sends_the_request_elsewhere with "UncertainError: target broke off: ClientOSError(None, 'Can not write request body ...')".

--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextvars
 import dataclasses
+import weakref
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -16,6 +17,7 @@
 )
 from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
 from savoryhold.http import send_once
+from savoryhold.unread import has_unread
 
 __all__ = ['TargetClient', 'TargetGoneError']
 
@@ -57,6 +59,10 @@
 class _CheckingConnector(aiohttp.TCPConnector):
     """Asks whether bytes may go out once the connection stands."""
 
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit=limit)
+        self._used: weakref.WeakSet[Any] = weakref.WeakSet()
+
     async def connect(
         self, req: Any, traces: Any, timeout: aiohttp.ClientTimeout
     ) -> Any:
@@ -68,6 +74,10 @@
             If nothing may be sent any more; the connection is kept.
         """
         conn = await super().connect(req, traces, timeout)
+        while self._has_ended(conn):
+            conn.close()
+            conn = await super().connect(req, traces, timeout)
+        self._used.add(conn.protocol)
         sending = _SENDING.get(None)
         if sending is None:
             return conn
@@ -77,6 +87,13 @@
         sending.connected = True
         return conn
 
+    def _has_ended(self, conn: Any) -> bool:
+        """Return whether a kept connection has more than was asked for."""
+        transport = conn.transport
+        if transport is None or conn.protocol not in self._used:
+            return False
+        return has_unread(transport)
+
 
 class TargetGoneError(NotOwnerError):
     """The target refused the connection: nothing was sent."""
@@ -96,7 +113,7 @@
     def __init__(self, connections: int) -> None:
         self._session = send_once(
             aiohttp.ClientSession(
-                connector=_CheckingConnector(limit=connections),
+                connector=_CheckingConnector(connections),
                 auto_decompress=False,
             )
         )
--- a/src/savoryhold/target/tests/test_client.py
+++ b/src/savoryhold/target/tests/test_client.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import dataclasses
+import select
+import socket
 import unittest
+from typing import Any
 
 from savoryhold.core.configuration import ServiceClass
 from savoryhold.core.errors import (
@@ -145,5 +148,49 @@
         writer.close()
 
 
+class TestForgottenConnections(unittest.IsolatedAsyncioTestCase):
+    """A kept connection whose end a daemon that was held up has not read."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.listener.setblocking(False)
+        self.addCleanup(self.listener.close)
+        self.address = '127.0.0.1:%d' % self.listener.getsockname()[1]
+        self.client = TargetClient(4)
+        self.addAsyncCleanup(self.client.close)
+
+    # An order was written behind a close that was not read yet: 504.
+    async def test_unread_close_sends_the_request_elsewhere(self) -> None:
+        """A close that has arrived is seen before the next request goes."""
+        sock = await self.call()
+        sock.close()
+        connector: Any = self.client._session.connector
+        kept, _ = next(iter(connector._conns.values()))[0]
+        idle = kept.transport.get_extra_info('socket')
+        select.select([idle.fileno()], [], [])
+        await self.call()
+
+    async def call(self) -> socket.socket:
+        """Have a request answered on a new connection; return its end."""
+        # The request is written before the loop reads the idle connection.
+        answer, sock = await asyncio.gather(
+            self.client.call(self.address, REQUEST, {}, _yes), self.serve()
+        )
+        self.assertEqual((answer.status, answer.body), (200, b'ok'))
+        return sock
+
+    async def serve(self) -> socket.socket:
+        """Answer the first request of a connection."""
+        loop = asyncio.get_running_loop()
+        sock, _ = await loop.sock_accept(self.listener)
+        self.addCleanup(sock.close)
+        heard = b''
+        while not heard.endswith(b'body'):
+            heard += await loop.sock_recv(sock, len(PIECE))
+        await loop.sock_sendall(sock, OK + b'Content-Length: 2\r\n\r\nok')
+        return sock
+
+
 def _yes() -> bool:
     return True
