A connection with the start of another answer is not kept

Callers would see: a request that ran is never answered (504), or its answer is passed over as another's, if the target had sent the beginning of more behind an answer. Cause: whole answers and garbage behind an answer were noticed, a beginning was not: the connection went back to the pool in the midst of it, and the next answer on it was read as its rest. Evidence: shown on loopback by the test, for one byte and for a whole head. Change: a connection is kept only between answers. Failed before: test_begun_bytes_send_the_request_elsewhere with TimeoutError (the next request went on the same connection).

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -182,6 +182,12 @@
         self.pool.bytes_held -= self._size
         self._size = 0
 
+    @property
+    def clean(self) -> bool:
+        """Return whether another request may be sent."""
+        # What has begun behind an answer would swallow the next one.
+        return self.reusable and not self._in_answer and self._flushed()
+
     @property
     def quiet(self) -> bool:
         """Return whether nothing has come since the last answer."""
@@ -189,17 +195,16 @@
             return False
         return not has_unread(self._transport)
 
-    @property
-    def flushed(self) -> bool:
-        """Return whether all that was sent has left this process."""
-        transport = self._transport
-        return transport is None or not transport.get_write_buffer_size()
-
     def close(self) -> None:
         """Close the connection."""
         if self._transport is not None:
             self._transport.abort()
 
+    def _flushed(self) -> bool:
+        """Return whether all that was sent has left this process."""
+        transport = self._transport
+        return transport is None or not transport.get_write_buffer_size()
+
     def _allow_slow_reading(self) -> None:
         # The kernel's limit also runs while the other end reads nothing, for
         # instance a target that is busy, and may be answering meanwhile.
@@ -372,7 +377,7 @@
         conn.belongs = None
         if conn.closed:
             return
-        if self._retired or not conn.reusable or not conn.flushed:
+        if self._retired or not conn.clean:
             conn.close()
             return
         conn.idle_since = self._now()
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -16,6 +16,7 @@
 )
 
 LIMIT_MS = 60_000
+LIMIT_S = 10
 PIECE_BYTES = 65_536
 REQUEST = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 LONG_BYTES = 1_000_000
@@ -88,22 +89,32 @@
         await self.ask()
         self.assertEqual(self.pool.opened, 2)
 
-    async def ask(self) -> socket.socket:
+    # Half an answer behind a whole one swallowed the next request's: 504.
+    async def test_begun_bytes_send_the_request_elsewhere(self) -> None:
+        """A connection with the start of another answer is not kept."""
+        for after in (b'H', b'HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n'):
+            self.pool = ClientPool(self.pool.address, BootClock().now)
+            self.addCleanup(self.pool.close)
+            await self.ask(after)
+            await self.ask()
+
+    async def ask(self, after: bytes = b'') -> socket.socket:
         """Have a request answered on a new connection; return its end."""
         # The request is written before the loop reads the idle connection.
-        answer, sock = await asyncio.gather(
-            self.pool.ask(REQUEST, LIMIT_MS), self.serve()
-        )
+        async with asyncio.timeout(LIMIT_S):
+            answer, sock = await asyncio.gather(
+                self.pool.ask(REQUEST, LIMIT_MS), self.serve(after)
+            )
         self.assertEqual(answer.body, b'whole')
         return sock
 
-    async def serve(self) -> socket.socket:
+    async def serve(self, after: bytes) -> socket.socket:
         """Answer the first request of a connection."""
         loop = asyncio.get_running_loop()
         sock, _ = await loop.sock_accept(self.listener)
         self.addCleanup(sock.close)
         await loop.sock_recv(sock, PIECE_BYTES)
-        await loop.sock_sendall(sock, ANSWER)
+        await loop.sock_sendall(sock, ANSWER + after)
         return sock
 
 
