The largest answer is broken off when all are too large together

Callers would see: 502 for a booking with a short answer, because large downloads of the same target filled the bound on all answers under way. Cause: the answer that received the byte above the bound was the one that ended, whatever its share. Evidence: read in `_check_size`, shown on loopback with a lower bound by the test. Change: the pool ends the answer that holds most. The bounds are unchanged. Failed before: test_short_answer_outlives_a_long_one with "LinkError: all answers together are too large" for the short one.

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -8,6 +8,7 @@
 import dataclasses
 import socket
 from collections.abc import Callable
+from operator import attrgetter
 from typing import cast
 
 import httptools
@@ -73,12 +74,12 @@
         self.idle_ms = IDLE_MS
         self.closed = False
         self.received = False
+        self.size = 0
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._fields: dict[bytes, bytes] = {}
         self._body: list[bytes] = []
-        self._size = 0
         self._head_bytes = 0
         self._passed_over = 0
         self._in_answer = False
@@ -101,9 +102,9 @@
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as exc:
-            self._break(f'not an answer in the protocol: {exc}')
+            self.break_off(f'not an answer in the protocol: {exc}')
         except httptools.HttpParserUpgrade:
-            self._break('answer switches protocols')
+            self.break_off('answer switches protocols')
         self._check_size(len(received))
 
     def eof_received(self) -> bool:
@@ -120,7 +121,7 @@
         """Fail the request under way."""
         self.closed = True
         self.pool.dropped(self)
-        self._break(f'connection closed: {exc!r}')
+        self.break_off(f'connection closed: {exc!r}')
 
     def on_message_begin(self) -> None:
         """Begin an answer."""
@@ -179,8 +180,8 @@
 
     def forget_bytes(self) -> None:
         """Count no bytes of an answer that has ended."""
-        self.pool.bytes_held -= self._size
-        self._size = 0
+        self.pool.bytes_held -= self.size
+        self.size = 0
 
     @property
     def clean(self) -> bool:
@@ -195,6 +196,14 @@
             return False
         return not has_unread(self._transport)
 
+    def break_off(self, reason: str) -> None:
+        """Fail the request under way and close the connection."""
+        self.reusable = False
+        if self.fut is not None and not self.fut.done():
+            self.fut.set_exception(LinkError(reason, sent=True))
+        if not self.closed:
+            self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self._transport is not None:
@@ -214,18 +223,18 @@
 
     def _check_size(self, received: int) -> None:
         """Break off an answer, or what stands for one, that does not end."""
-        self._size += received
+        self.size += received
         self.pool.bytes_held += received
         if self._in_head:
             self._head_bytes += received
         if self._head_bytes > MAX_HEAD_BYTES:
-            self._break('the head of the answer is too large')
+            self.break_off('the head of the answer is too large')
         elif self._passed_over > MAX_PASSED_OVER:
-            self._break('other answers come without end')
-        elif self._size > MAX_ANSWER_BYTES:
-            self._break('answer is too large')
-        elif self.pool.bytes_held > MAX_POOL_BYTES:
-            self._break('all answers together are too large')
+            self.break_off('other answers come without end')
+        elif self.size > MAX_ANSWER_BYTES:
+            self.break_off('answer is too large')
+        else:
+            self.pool.check_size()
 
     def _note_keep_alive(self) -> None:
         if not self._parser.should_keep_alive():
@@ -238,13 +247,6 @@
                 IDLE_MS, int(int(digits) * MS_PER_SECOND * IDLE_SHARE)
             )
 
-    def _break(self, reason: str) -> None:
-        self.reusable = False
-        if self.fut is not None and not self.fut.done():
-            self.fut.set_exception(LinkError(reason, sent=True))
-        if not self.closed:
-            self.close()
-
 
 class ClientPool:
     """Connections to one address.
@@ -322,6 +324,12 @@
         if conn in self._idle:
             self._idle.remove(conn)
 
+    def check_size(self) -> None:
+        """Break off the largest answer if all are too large together."""
+        if self.bytes_held > MAX_POOL_BYTES:
+            largest = max(self._busy, key=attrgetter('size'))
+            largest.break_off('all answers together are too large')
+
     def retire(self) -> None:
         """Send nothing more; close each connection after its answer."""
         self._retired = True
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -1,9 +1,11 @@
 """Connections to targets and to the store."""
 
 import asyncio
+import contextlib
 import select
 import socket
 import unittest
+from unittest import mock
 
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import LinkError
@@ -169,6 +171,30 @@
         sent = await self.ask_endless(head, b'x', ASKED)
         self.assertLess(sent, MAX_POOL_BYTES + ASKED * BUFFERS_BYTES)
 
+    # A short answer that came last was broken off for the long ones: 502.
+    @mock.patch('savoryhold.wire.client.MAX_POOL_BYTES', LONG_BYTES)
+    async def test_short_answer_outlives_a_long_one(self) -> None:
+        """The answer that holds most is broken off for all others."""
+        held, brought = LONG_BYTES - 1000, LONG_BYTES // 2
+        target = SizedTarget(
+            sized_head(LONG_BYTES) + bytes(held),
+            sized_head(brought) + bytes(brought),
+        )
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        async with asyncio.timeout(LIMIT_S):
+            long = asyncio.ensure_future(pool.ask(REQUEST, LIMIT_MS))
+            while pool.bytes_held < held:
+                await asyncio.sleep(0)
+            answer = await pool.ask(REQUEST, LIMIT_MS)
+            self.assertEqual(len(answer.body), brought)
+            with self.assertRaises(LinkError):
+                await long
+            pool.close()
+            await target.all_closed.wait()
+        server.close()
+
     async def ask_endless(
         self, first: bytes, then: bytes, count: int = 1
     ) -> int:
@@ -191,6 +217,28 @@
         return target.sent
 
 
+class SizedTarget:
+    """Sends given bytes, other ones on each connection, and waits."""
+
+    def __init__(self, *parts: bytes) -> None:
+        self.all_closed = asyncio.Event()
+        self._parts = list(parts)
+        self._open = len(parts)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer one request."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self._parts.pop(0))
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        self._open -= 1
+        if not self._open:
+            self.all_closed.set()
+
+
 class EndlessTarget:
     """Sends a piece of bytes again and again until the caller closes."""
 
@@ -214,3 +262,8 @@
                 piece = self._then
         except ConnectionError:
             self.ended += 1
+
+
+def sized_head(size: int) -> bytes:
+    """Return the head of an answer with a body of a size."""
+    return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n' % size
