An order that a lost owner may have run is not refused as not run

Callers would see: 503 "not-run" for an order that its owner had been sent before it was claimed, if no new owner answers before the deadline; they may send it anew. Cause: the claim was told as "not the owner", which is a promise that nothing ran. It only means that another node may know. Evidence: shown in virtual time by the test. Change: a try that was sent is noted before the next owner is looked for, and holds for the outcome unless an owner answers. Failed before: test_order_of_a_claimed_owner_may_have_run with "AssertionError: <Verdict.NOT_RUN: 'not-run'> is not <Verdict.MAY_HAVE_RUN: 'may-have-run'>".

--- a/src/savoryhold/core/retry.py
+++ b/src/savoryhold/core/retry.py
@@ -78,6 +78,10 @@
         if exc.verdict is Verdict.MAY_HAVE_RUN:
             self._uncertain = exc
 
+    def may_have_run(self, exc: RequestError) -> None:
+        """Note that a try that goes on may have run the request."""
+        self._uncertain = exc
+
     def outcome(self) -> RequestError:
         """Return the error that holds for all tries together."""
         return self._uncertain or self.last
--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -72,7 +72,7 @@
         tries = Tries()
         while True:
             try:
-                answer = await self._try(req)
+                answer = await self._try(req, tries)
             except RequestError as exc:
                 tries.failed(exc)
                 await self._before_retry(req, tries)
@@ -105,7 +105,7 @@
         finally:
             self.parked -= 1
 
-    async def _try(self, req: RoutedRequest) -> RoutedAnswer:
+    async def _try(self, req: RoutedRequest, tries: Tries) -> RoutedAnswer:
         if self._clock.now() >= req.deadline:
             raise DeadlineError('deadline passed before an owner was found')
         owner = self._choose(req)
@@ -114,7 +114,7 @@
         started = self._clock.now()
         self.latencies.begin(owner)
         try:
-            return await self._ask(owner, req)
+            return await self._ask(owner, req, tries)
         except RequestError:
             self.latencies.punish(owner)
             raise
@@ -140,14 +140,16 @@
             raise NotOwnerError(f'no target serves {req.service!r}')
         return choice
 
-    async def _ask(self, owner: NodeId, req: RoutedRequest) -> RoutedAnswer:
+    async def _ask(
+        self, owner: NodeId, req: RoutedRequest, tries: Tries
+    ) -> RoutedAnswer:
         sent = False
         while True:
             try:
                 return await self._ask_once(owner, req)
             except LinkError as exc:
                 sent = sent or exc.sent
-                self._check_ask_again(owner, req, exc, sent=sent)
+                self._check_ask_again(owner, req, exc, tries, sent=sent)
             await asyncio.sleep(MIN_TRY_MS / MS_PER_SECOND)
 
     def _check_ask_again(
@@ -155,6 +157,7 @@
         owner: NodeId,
         req: RoutedRequest,
         exc: LinkError,
+        tries: Tries,
         *,
         sent: bool,
     ) -> None:
@@ -167,11 +170,13 @@
         """
         if not sent:
             raise NotOwnerError(f'owner {owner}: {exc}') from exc
+        uncertain = UncertainError(f'owner {owner}: {exc}')
+        tries.may_have_run(uncertain)
         if req.shard is not None and not self._is_live(owner):
             raise NotOwnerError(f'owner {owner} was claimed') from exc
         late = self._clock.now() >= req.deadline
         if late or req.shard is None or not exc.sent:
-            raise UncertainError(f'owner {owner}: {exc}') from exc
+            raise uncertain from exc
 
     def _is_live(self, owner: NodeId) -> bool:
         return self._node.machine.directory.is_live(owner)
--- a/src/savoryhold/daemon/tests/test_lost_links.py
+++ b/src/savoryhold/daemon/tests/test_lost_links.py
@@ -16,10 +16,12 @@
     Region,
     RequestId,
     ServiceName,
+    ShardId,
     ShardKey,
 )
 from savoryhold.core.poison import Fingerprint
 from savoryhold.core.services import ConfigTable
+from savoryhold.core.verdict import Verdict
 from savoryhold.daemon.convert import (
     from_forward,
     to_answer,
@@ -39,6 +41,7 @@
 FAR = NodeId('far.1')
 OTHER = NodeId('other.1')
 FILES = ServiceName('files')
+SHARD = ShardKey(FILES, ShardId(3))
 REGION = Region('sofia')
 WORK_MS = 1000
 DEADLINE_MS = 5000
@@ -239,6 +242,18 @@
         self.assertEqual((await run).body, b'whole')
         self.assertEqual(world.target.runs, 2)
 
+    # An order of a claimed owner was refused as "not run" at its deadline.
+    async def test_order_of_a_claimed_owner_may_have_run(self) -> None:
+        """Only an owner that knows the id may say that it did not run."""
+        world = World()
+        run = world.ask(SHARD)
+        await asyncio.sleep(EARLY_S)
+        world.is_live = False
+        world.cut()
+        with self.assertRaises(RequestError) as caught:
+            await run
+        self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+
 
 async def _keep(key: ShardKey, request: RequestId, limit_ms: float) -> None:
     """Keep nothing."""
