An owner answers for what it runs, whatever has changed since

Callers would see: 503 "not-run" for an order that runs, if it is asked for again by its id (after a lost link, or by the caller) while the target drains, the shard moves or the daemon leaves. Cause: whether the owner takes new work was asked before its ledger was. The order that it had taken was refused as new work. Evidence: shown in virtual time by the test, with a target that starts to drain. Change: an id that runs here or whose answer is kept here is answered first. Where the outcome is not known here, a new owner of the shard may know it, so that this comes after the old questions, as before. Failed before: test_known_order_is_answered_by_a_draining_owner with "NotOwnerError: no ready target for 'files' here".

--- a/src/savoryhold/core/ledger.py
+++ b/src/savoryhold/core/ledger.py
@@ -92,6 +92,13 @@
         """Return the bytes that all entries count for."""
         return self._size
 
+    def find(
+        self, key: ShardKey, request: RequestId, now: int
+    ) -> LedgerEntry | None:
+        """Return what is known of an id, None if nothing is."""
+        self.expire(now)
+        return self._entries.get((key, request))
+
     def begin(self, key: ShardKey, request: RequestId, now: int) -> LedgerEntry:
         """Return what is known of an id, and note it as running if new.
 
--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -134,9 +134,11 @@
         RequestError
             With the verdict that is known.
         """
-        self._check_acceptance(req)
         if req.idempotent:
+            self._check_acceptance(req)
             return await self._start(req)
+        if not self._is_known(req):
+            self._check_acceptance(req)
         return await self._run_once(req)
 
     def restart_target(self) -> None:
@@ -187,8 +189,22 @@
         if self.poison.is_quarantined(req.fingerprint, now):
             raise OverloadError('the request crashed targets; quarantined')
 
+    def _is_known(self, req: RoutedRequest) -> bool:
+        """Return whether only this node can tell what became of an id.
+
+        Notes
+        -----
+        What runs or has run here is answered whatever has changed since.
+        An outcome that is not known here may be known to a new owner.
+        """
+        now = self._clock.now()
+        entry = self.ledger.find(_ledger_key(req), req.request, now)
+        if entry is None:
+            return False
+        return req.shard is None or entry.state is not LedgerState.UNKNOWN
+
     async def _run_once(self, req: RoutedRequest) -> RoutedAnswer:
-        key = req.shard or ShardKey(req.service, ShardId(-1))
+        key = _ledger_key(req)
         entry = self.ledger.begin(key, req.request, self._clock.now())
         if entry.state is LedgerState.NEW:
             return await self._run_new(key, req)
@@ -426,6 +442,10 @@
         call.task.cancel()
 
 
+def _ledger_key(req: RoutedRequest) -> ShardKey:
+    return req.shard or ShardKey(req.service, ShardId(-1))
+
+
 def _from_ledger(entry: LedgerEntry) -> RoutedAnswer:
     if entry.answer is not None:
         kept = entry.answer
--- a/src/savoryhold/daemon/tests/test_lost_links.py
+++ b/src/savoryhold/daemon/tests/test_lost_links.py
@@ -242,6 +242,22 @@
         self.assertEqual((await run).body, b'whole')
         self.assertEqual(world.target.runs, 2)
 
+    # A draining target's owner said "not run" of an order that it ran.
+    async def test_known_order_is_answered_by_a_draining_owner(self) -> None:
+        """The ledger is asked before anything else."""
+        for shard in (SHARD,):
+            world = World()
+            run = world.ask(shard)
+            await asyncio.sleep(EARLY_S)
+            announced = world.owner.tracker.announced
+            assert announced is not None
+            world.owner.tracker.announce(
+                announced.model_copy(update={'state': 'draining'})
+            )
+            world.cut()
+            self.assertEqual((await run).body, b'whole')
+            self.assertEqual(world.target.runs, 1)
+
     # An order of a claimed owner was refused as "not run" at its deadline.
     async def test_order_of_a_claimed_owner_may_have_run(self) -> None:
         """Only an owner that knows the id may say that it did not run."""
