An order is asked for again until its deadline when its link is lost

Callers would see: 504 for an order that runs and ends in time, after one reset or replaced link (work without keys), or if the owner could not be dialled at once after it (all orders). Cause: the owner's ledger joins another question to the run that it knows, but it was only asked for shards, and only as long as each dial succeeded: the state of a path decided about work that had been taken on. Evidence: shown in virtual time by the tests; the links are stand-ins. Change: the same owner is asked for the same id, with the usual pauses, until the deadline, its claim, or the end of its record while it can't be reached. Without keys only this process knows the id: another life behind the address is not asked, and a refusal after the loss is told as "may have run", since bytes of the lost link may still be read. Failed before: test_order_without_keys_outlives_its_link with "UncertainError: owner far.1: link closed or no reply", test_order_outlives_a_path_that_is_away with "UncertainError: owner far.1: not reached". test_another_life_of_the_owner_is_not_asked passed before.

--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -143,14 +143,33 @@
     async def _ask(
         self, owner: NodeId, req: RoutedRequest, tries: Tries
     ) -> RoutedAnswer:
-        sent = False
+        address = self._node.address_of(owner)
+        if address is None:
+            raise NotOwnerError(f'owner {owner} has no known address')
+        try:
+            return await self._ask_once(address, owner, req)
+        except LinkError as exc:
+            self._check_ask_again(owner, req, exc, tries, sent=exc.sent)
+        return await self._ask_again(address, owner, req, tries)
+
+    async def _ask_again(
+        self, address: str, owner: NodeId, req: RoutedRequest, tries: Tries
+    ) -> RoutedAnswer:
+        """Ask an owner that may have a request, until it answers."""
+        count = 0
         while True:
+            wait_ms = backoff_ms(count, random.random())
+            await asyncio.sleep(wait_ms / MS_PER_SECOND)
+            count += 1
             try:
-                return await self._ask_once(owner, req)
+                return await self._ask_once(address, owner, req, again=True)
             except LinkError as exc:
-                sent = sent or exc.sent
-                self._check_ask_again(owner, req, exc, tries, sent=sent)
-            await asyncio.sleep(MIN_TRY_MS / MS_PER_SECOND)
+                self._check_ask_again(owner, req, exc, tries, sent=True)
+            except RequestError as exc:
+                if req.shard is not None:
+                    raise
+                # Bytes of the lost link may be read after this refusal.
+                raise tries.outcome() from exc
 
     def _check_ask_again(
         self,
@@ -165,29 +184,39 @@
 
         Notes
         -----
-        A claimed owner sends nothing more, and its ledger's ids are with
-        the new owner, who knows whether the request may have run.
+        The owner's ledger joins another question to the run that it knows.
+        A claimed owner sends nothing more for its shards, and its ledger's
+        ids are with the new owner, who knows whether the request may have
+        run.  Without keys no other node knows it.
         """
         if not sent:
             raise NotOwnerError(f'owner {owner}: {exc}') from exc
         uncertain = UncertainError(f'owner {owner}: {exc}')
         tries.may_have_run(uncertain)
-        if req.shard is not None and not self._is_live(owner):
+        live = self._is_live(owner)
+        if req.shard is not None and not live:
             raise NotOwnerError(f'owner {owner} was claimed') from exc
         late = self._clock.now() >= req.deadline
-        if late or req.shard is None or not exc.sent:
+        gone = not live and not exc.sent
+        if late or gone or (req.shard is None and req.idempotent):
             raise uncertain from exc
 
     def _is_live(self, owner: NodeId) -> bool:
         return self._node.machine.directory.is_live(owner)
 
     async def _ask_once(
-        self, owner: NodeId, req: RoutedRequest
+        self,
+        address: str,
+        owner: NodeId,
+        req: RoutedRequest,
+        *,
+        again: bool = False,
     ) -> RoutedAnswer:
-        address = self._node.address_of(owner)
-        if address is None:
-            raise NotOwnerError(f'owner {owner} has no known address')
         call = await self._node.pool.open(address)
+        if again and req.shard is None and call.peer != owner:
+            # Another life of the process has no memory of the request.
+            call.close()
+            raise UncertainError(f'owner {owner} has ended')
         now = self._clock.now()
         try:
             call.send(to_forward(req, now))
--- a/src/savoryhold/daemon/tests/test_lost_links.py
+++ b/src/savoryhold/daemon/tests/test_lost_links.py
@@ -9,7 +9,7 @@
 from typing import Any, cast
 
 from savoryhold.core.configuration import AcceptedConfig, ServiceClass
-from savoryhold.core.errors import LinkError, RequestError
+from savoryhold.core.errors import LinkError, RequestError, UncertainError
 from savoryhold.core.exchange import RoutedAnswer, RoutedRequest
 from savoryhold.core.ids import (
     NodeId,
@@ -46,6 +46,7 @@
 WORK_MS = 1000
 DEADLINE_MS = 5000
 EARLY_S = 0.3  # the run has begun
+AWAY_S = 1.0  # longer than a dial may take
 
 
 class _LoopClock:
@@ -242,10 +243,34 @@
         self.assertEqual((await run).body, b'whole')
         self.assertEqual(world.target.runs, 2)
 
+    # One lost link ended an order that its owner went on to run: 504.
+    async def test_order_without_keys_outlives_its_link(self) -> None:
+        """The owner's ledger joins the second question to the first run."""
+        world = World()
+        run = world.ask()
+        await asyncio.sleep(EARLY_S)
+        world.cut()
+        self.assertEqual((await run).body, b'whole')
+        self.assertEqual(world.target.runs, 1)
+
+    # An owner that could not be dialled at once lost its orders: 504.
+    async def test_order_outlives_a_path_that_is_away(self) -> None:
+        """The owner is asked again until the deadline."""
+        for shard in (SHARD, None):
+            world = World()
+            run = world.ask(shard)
+            await asyncio.sleep(EARLY_S)
+            world.is_away = True
+            world.cut()
+            await asyncio.sleep(AWAY_S)
+            world.is_away = False
+            self.assertEqual((await run).body, b'whole')
+            self.assertEqual(world.target.runs, 1)
+
     # A draining target's owner said "not run" of an order that it ran.
     async def test_known_order_is_answered_by_a_draining_owner(self) -> None:
         """The ledger is asked before anything else."""
-        for shard in (SHARD,):
+        for shard in (SHARD, None):
             world = World()
             run = world.ask(shard)
             await asyncio.sleep(EARLY_S)
@@ -258,6 +283,17 @@
             self.assertEqual((await run).body, b'whole')
             self.assertEqual(world.target.runs, 1)
 
+    async def test_another_life_of_the_owner_is_not_asked(self) -> None:
+        """A process without the ledger would run the order again."""
+        world = World()
+        run = world.ask()
+        await asyncio.sleep(EARLY_S)
+        world.peer = NodeId('far.2')
+        world.cut()
+        with self.assertRaises(UncertainError):
+            await run
+        self.assertEqual(world.target.runs, 1)
+
     # An order of a claimed owner was refused as "not run" at its deadline.
     async def test_order_of_a_claimed_owner_may_have_run(self) -> None:
         """Only an owner that knows the id may say that it did not run."""
