An answer to HEAD ends with its head

Callers would see: 504 at the deadline for each HEAD request whose target states a length, though the target answered at once. Cause: the parser of answers waits for the body that `content-length` promises; nothing told it that an answer to HEAD has none (RFC 9110, section 9.3.2). Evidence: found while reading the ends of answers; shown on loopback by the test. Change: the final head ends the answer to HEAD. Its connection is closed, since the parser stays in the midst of the message. Failed before: test_head_is_answered_at_once with TimeoutError.

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -82,6 +82,7 @@
         self._body: list[bytes] = []
         self._head_bytes = 0
         self._passed_over = 0
+        self._bodiless = False
         self._in_answer = False
         self._in_head = False
 
@@ -138,8 +139,13 @@
         self._fields[name.lower()] = field
 
     def on_headers_complete(self) -> None:
-        """Go on to the body."""
+        """Go on to the body; an answer to HEAD ends here."""
         self._in_head = False
+        final = self._parser.get_status_code() >= INFORMATIONAL
+        if self._bodiless and final:
+            # The parser would wait for the body that the length promises.
+            self.reusable = False
+            self.on_message_complete()
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
@@ -172,6 +178,7 @@
         self.belongs = belongs
         self.received = False
         self._passed_over = 0
+        self._bodiless = request.startswith(b'HEAD ')
         if self._transport is None:
             return
         if len(request) > UNREAD_BYTES:
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -120,6 +120,27 @@
         return sock
 
 
+class TestHead(unittest.IsolatedAsyncioTestCase):
+    """Answers that state a length and have no body."""
+
+    # An answer to HEAD was waited for until the deadline: 504.
+    async def test_head_is_answered_at_once(self) -> None:
+        """The head is the whole answer, after interim ones."""
+        interim = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+        target = SizedTarget(interim + sized_head(5), ANSWER)
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        async with asyncio.timeout(LIMIT_S):
+            answer = await pool.ask(REQUEST.replace(b'GET', b'HEAD'), LIMIT_MS)
+            self.assertEqual((answer.status, answer.body), (200, b''))
+            answer = await pool.ask(REQUEST, LIMIT_MS)
+            self.assertEqual((answer.status, answer.body), (200, b'whole'))
+            pool.close()
+            await target.all_closed.wait()
+        server.close()
+
+
 class TestSlowReaders(unittest.IsolatedAsyncioTestCase):
     """Targets that let a request wait in their kernel."""
 
