A link's calls are part of what a stream may ask of it

The router probes the link of a call whose owner's record has gone; the type of a stream's link did not offer that.

--- a/src/savoryhold/peer/stream.py
+++ b/src/savoryhold/peer/stream.py
@@ -38,6 +38,11 @@
     ) -> None:
         """Send one frame."""
 
+    async def call(
+        self, message: messages.Message, timeout_ms: float
+    ) -> messages.Message:
+        """Send a message and return the one reply."""
+
     def forget(self, correlation: int, *, ours: bool) -> None:
         """Drop what is kept of a call."""
 
