A link that brings anything since its probe is slow, not silent

Cause: the silence of a link was counted from the last byte, also over the time in which nobody waited for anything, so that the first call on an idle link brought a probe within 100 ms; and the last look compared the silence with 300 ms by the time a new connection had been dialled, which on a busy machine takes longer than that. The probe waits behind the answers on its link; the machines at whose links this gathered had just sent 0.8 to 1.5 MB in a second over 1.6 MB/s.

Change: silence counts from when calls wait, and a link that has brought anything since its probe is kept. A connection that was opened to compare and does not answer is closed; it was left open.

Failed before: test_slow_link_that_brings_something_is_kept "(1, 2) != (0, 0)" (replaced, moved), test_idle_link_is_not_probed_at_once "1 != 0".

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -364,6 +364,7 @@
             'queue_waiting': float(len(self.owner.queue.waiting)),
             'queue_running': float(len(self.owner.queue.running)),
             'members_heard': float(len(self.members.alive(self.clock.now()))),
+            'links_probed': float(self.pool.probed),
             'links_replaced': float(self.pool.replaced),
             'calls_moved': float(self.pool.moved),
             'calls_cut': float(self._calls_cut),
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -215,13 +215,14 @@
         self.owner = OwnerTask(self.name, NAMES, fleet.clock, log, 1000, 1000)
         self.owner.on_report(target_report(self.name, self.target.service))
         self.owner.pool = cast(Any, self.target)
+        self.pool = self._links()
         parts = Parts(
             settings,
             self.members,
             self.owner,
             cast(Any, SimpleNamespace(tables={}, machines={})),
             cast(Any, SimpleNamespace(routes=RouteTable(CONFIG))),
-            self._links(),
+            self.pool,
             fleet.clock,
             log,
         )
@@ -229,7 +230,7 @@
         self.ingress = IngressTask(parts, NAMES, Telemetry(fleet.clock, log))
         self.owner.may_log = bool
         if fleet.wired:
-            self.life.spawn(parts.pool.watch_silence())
+            self.life.spawn(self.pool.watch_silence())
             self.life.spawn(self.owner.tick())
 
     async def on_peer(
--- a/src/savoryhold/mesh/tests/test_links_in_trouble.py
+++ b/src/savoryhold/mesh/tests/test_links_in_trouble.py
@@ -31,6 +31,9 @@
 FAR_MS = 20.0  # a way long enough for something to break off on it
 ON_ITS_WAY_S = 0.005
 ENDLESS_MS = 5000
+SLOW_MS = 60.0
+HELD_SHORTLY_MS = 800  # beyond a probe's limit, not beyond a new connection
+IDLE_S = 5.0
 SOON_S = 1.0
 DOWN_S = 0.5
 SLACK_S = 0.2
@@ -49,6 +52,11 @@
     path.hold(HELD_MS)
 
 
+def hold_shortly(path: Path) -> None:
+    """Hold up what is sent until a new connection is nearly open."""
+    path.hold(HELD_SHORTLY_MS)
+
+
 def cut_for_a_while(path: Path) -> None:
     """Let nothing pass for a while."""
     path.cut()
@@ -187,6 +195,22 @@
         self.path.hold(HELD_MS)
         await self.check_once(self.ask_both())
 
+    # A slow link was replaced though it had brought bytes since its probe.
+    async def test_slow_link_that_brings_something_is_kept(self) -> None:
+        """Its calls stay on it, and nothing is sent twice."""
+        self.path.delay_ms = SLOW_MS
+        await self.check_at_work(LONG_MS, hold_shortly)
+        pool = self.fleet.nodes[FROM].pool
+        self.assertEqual((pool.replaced, pool.moved), (0, 0))
+
+    # The time in which nobody waited was counted as silence of the link.
+    async def test_idle_link_is_not_probed_at_once(self) -> None:
+        """A run shorter than the limit of silence brings no probe."""
+        await asyncio.sleep(IDLE_S)
+        self.target.work_ms = SHORT_MS
+        await self.check_once(self.ask_both())
+        self.assertEqual(self.fleet.nodes[FROM].pool.probed, 0)
+
     # Calls under way were ended although no new connection worked, either.
     async def test_runs_outlast_a_cut(self) -> None:
         """Runs beside a cut that ends soon are answered."""
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -81,6 +81,7 @@
             asyncio.get_running_loop().create_future()
         )
         self.last_received = 0.0
+        self.waiting_since = 0.0
         self.bytes_sent = 0
         self.transit = TransitDelay()
         self.reason = ''
@@ -117,6 +118,11 @@
         """Return how many own calls wait for messages."""
         return len(self._calls)
 
+    @property
+    def silent_since(self) -> float:
+        """Return since when calls have waited and nothing has arrived."""
+        return max(self.last_received, self.waiting_since)
+
     @property
     def serving(self) -> int:
         """Return how many calls of the peer are being served."""
@@ -198,14 +204,14 @@
         LinkError
             If the link is closed.
         """
-        self._calls[call.number] = call
+        self._keep(call)
         call.move(self)
 
     def open(self) -> LinkStream:
         """Return a new call to the peer."""
         number = next(self._endpoint.numbers)
         call = LinkStream(self, number, ours=True)
-        self._calls[number] = call
+        self._keep(call)
         return call
 
     async def call(
@@ -254,6 +260,11 @@
         table = self._calls if ours else self._served
         table.pop(correlation, None)
 
+    def _keep(self, call: LinkStream) -> None:
+        if not self._calls:
+            self.waiting_since = _now()
+        self._calls[call.number] = call
+
     def _on_frame(self, frame: Frame) -> None:
         if not self.ready.done():
             self._check_greeting(frame)
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -35,6 +35,7 @@
     """
 
     def __init__(self, node: str, secret: bytes, handler: PeerHandler) -> None:
+        self.probed = 0
         self.replaced = 0
         self.moved = 0
         self.blocked: set[str] = set()
@@ -119,7 +120,7 @@
     def _probe_silent(self) -> None:
         now = asyncio.get_running_loop().time()
         for address, link in list(self._links.items()):
-            silent_ms = (now - link.last_received) * MS_PER_SECOND
+            silent_ms = (now - link.silent_since) * MS_PER_SECOND
             if not link.waiting or address in self._probing:
                 continue
             if silent_ms >= SILENCE_MS:
@@ -178,20 +179,30 @@
         return link
 
     async def _probe(self, address: str, link: Link) -> None:
-        # A call may take long: only a link that answers no probe is silent.
-        fresh: Link | None = None
+        """Replace a link that answers nothing while a new one does.
+
+        Notes
+        -----
+        A call may take long, and a probe waits behind what is queued on its
+        link: one that has brought anything since is slow, not silent.
+        """
+        self.probed += 1
+        asked_at = asyncio.get_running_loop().time()
+        try:
+            if not await _answers(link):
+                await self._replace(address, link, asked_at)
+        finally:
+            self._probing.discard(address)
+
+    async def _replace(self, address: str, link: Link, asked_at: float) -> None:
         try:
-            if await _answers(link):
-                return
             fresh = await self._dial(address)
-            await fresh.call(messages.Probe(), PROBE_LIMIT_MS)
         except LinkError:
+            # The path is cut for all connections; a new one is no remedy.
             return
-        finally:
-            self._probing.discard(address)
-        now = asyncio.get_running_loop().time()
-        answers = (now - link.last_received) * MS_PER_SECOND < SILENCE_MS
-        if answers or self._links.get(address) is not link or fresh.closed:
+        answers = await _answers(fresh)
+        slow = link.last_received >= asked_at
+        if slow or not answers or self._links.get(address) is not link:
             fresh.abort(ConnectionError('not needed'))
             return
         self.replaced += 1
