A leaving node takes the calls of its target's runs

Seen: when a node is restarted beside a target that goes on running, each run at work there that still has a call to make ends with the target's 500, as the call is refused (or, on a kept connection, closed). Cause: the node closed its callers' side as soon as callers had been sent elsewhere, and waited for the runs at its target only after that. The runs are callers of this same side. Change: from the end of the linger a node refuses callers with 503 (not run; another process is often there by then), except the calls of runs that are at work. It closes the callers' side once all runs have ended. Where the platform has no mark for calls nothing is known to be one, and runs fare as before. Evidence: test_runs_may_make_their_calls_until_they_end failed before with "AssertionError: 150 != -1" (the callers' side was closed 150 ms after the signal, with the run at work).

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -104,6 +104,10 @@
         """Give requests that are read from now on no time beyond a time."""
         self._reader.ends_at = at
 
+    def take_only_calls(self) -> None:
+        """Refuse all requests but the calls of the local target's runs."""
+        self._reader.only_calls = True
+
     async def _serve(self, exchange: Exchange) -> None:
         http = exchange.req
         try:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -460,12 +460,12 @@
         await asyncio.sleep(LAST_CALLERS_MS / MS_PER_SECOND)
 
     async def _idle(self) -> None:
-        await asyncio.gather(
-            self.callers.drain(), self._inbound.tell(self.peers.status())
-        )
+        # Runs call for others here until they end.
+        self.ingress.take_only_calls()
+        await self._inbound.tell(self.peers.status())
         while self.owner.running() or self._inbound.under_way:
             await asyncio.sleep(LEAVE_POLL_MS / MS_PER_SECOND)
-        await self._inbound.confirm()
+        await asyncio.gather(self.callers.drain(), self._inbound.confirm())
 
 
 def linger_ms(grace_ms: int) -> int:
--- a/src/savoryhold/mesh/reading.py
+++ b/src/savoryhold/mesh/reading.py
@@ -21,6 +21,7 @@
 DEFAULT_DEADLINE_MS = 10_000
 NO_CONFIG_RETRY_MS = 200
 LATE_RETRY_MS = 50
+END_RETRY_MS = 450  # another process is often there within this
 
 
 class RequestReader:
@@ -38,6 +39,7 @@
         self._parts = parts
         self._names = names
         self.ends_at: int | None = None  # of the process
+        self.only_calls = False
         self._dropped = UNFRAMED | {
             names.deadline.lower(),
             names.target.lower(),
@@ -50,7 +52,8 @@
         Raises
         ------
         RequestError
-            If no route, no time or no usable header is there.
+            If no route, no time or no usable header is there, or if the node
+            takes only calls of its target's runs.
         """
         routes = self._parts.configs.routes
         if routes is None:
@@ -67,6 +70,8 @@
             raise TargetDownError('the deadline has passed', LATE_RETRY_MS)
         key = self._key(http) if keyed else NO_KEY
         request = self._request_id(http)
+        if self.only_calls and not self._is_call(request):
+            raise TargetDownError('this node ends', END_RETRY_MS)
         req = RelayedRequest(
             request,
             service,
@@ -95,10 +100,17 @@
         self, request: RequestId, service: ServiceName
     ) -> bool:
         """Return whether a repeated run of the local target calls for it."""
-        if not self._names.call_mark:
-            return False
-        run, _, _ = request.rpartition(self._names.call_mark)
-        return self._parts.owner.runs.take_call(RequestId(run), service)
+        run = self._run_of(request)
+        return self._parts.owner.runs.take_call(run, service)
+
+    def _is_call(self, request: RequestId) -> bool:
+        """Return whether a run of the local target calls for it."""
+        return self._parts.owner.runs.is_at_work(self._run_of(request))
+
+    def _run_of(self, request: RequestId) -> RequestId:
+        """Return the run that may call for a request, or an empty id."""
+        mark = self._names.call_mark
+        return RequestId(request.rpartition(mark)[0] if mark else '')
 
     def _route(self, routes: RouteTable, http: HttpRequest) -> Route:
         host = http.header(b'host').decode('latin-1')
--- a/src/savoryhold/mesh/runs.py
+++ b/src/savoryhold/mesh/runs.py
@@ -37,6 +37,10 @@
         """Forget a run."""
         self._running.pop(req.request, None)
 
+    def is_at_work(self, run: RequestId) -> bool:
+        """Return whether a request runs."""
+        return run in self._running
+
     def take_call(self, run: RequestId, service: ServiceName) -> bool:
         """Note a call of a run; return whether the run is a repeat."""
         req = self._running.get(run)
