A late status does not bring a leaving node back

Seen: nobody has seen it. A status that a node sent before it began to leave, and that comes behind the news of its leave, makes it a node that serves for the other; its requests are sent to a process that ends. Cause: the last status to come counted. It is told on two links since a node ends behind its peers, and links do not keep the order of each other. Change: a life of a process that is known to leave goes on leaving. Evidence: test_late_status_does_not_bring_a_leaving_node_back failed before with "AssertionError: False != True".

--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -115,6 +115,8 @@
         member = self.members.get(status.node)
         if member is None:
             self.members[status.node] = Member(status, now)
+        elif _is_earlier(status, member.status):
+            return
         else:
             member.status = status
             member.heard_at = now
@@ -221,3 +223,9 @@
             if not self._is_silent(node, now):
                 return False
         return votes >= len(voters) / 2
+
+
+def _is_earlier(status: NodeStatus, known: NodeStatus) -> bool:
+    """Return whether a life that is known to leave sent a status before."""
+    same_life = status.life == known.life
+    return same_life and known.leaving and not status.leaving
--- a/src/savoryhold/mesh/tests/test_leaving.py
+++ b/src/savoryhold/mesh/tests/test_leaving.py
@@ -6,13 +6,16 @@
 
 import asyncio
 import os
+import unittest
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest import mock
 
 from savoryhold.core.errors import LinkError
+from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.core.transit import TransitDelay
 from savoryhold.mesh.codec import relay_message
+from savoryhold.mesh.members import MemberTable, NodeStatus
 from savoryhold.mesh.node import MeshNode, linger_ms
 from savoryhold.mesh.requests import NO_KEY, RelayedAnswer, RelayedRequest
 from savoryhold.mesh.telemetry import set_up_mesh_logs
@@ -310,3 +313,42 @@
             await asyncio.sleep(RUN_S)
             return ClientAnswer(called.result(), [], {}, b'')
         return ClientAnswer(200, [], {}, b'')
+
+
+class TestStatuses(unittest.TestCase):
+    """What others hold of a node that leaves."""
+
+    # An earlier status that came later, on another link, made a node that was
+    # about to end one that serves.
+    def test_late_status_does_not_bring_a_leaving_node_back(self) -> None:
+        """A life that leaves goes on leaving; the next one serves."""
+        members = MemberTable(NodeId('n1'), Region('r'))
+        for leaving, life, found in (
+            (False, 1, False),
+            (True, 1, True),
+            (False, 1, True),
+            (False, 2, False),
+        ):
+            with self.subTest(leaving=leaving, life=life):
+                members.learn(status(leaving=leaving, life=life), 0)
+                member = members.members[NodeId('n0')]
+                self.assertEqual(member.status.leaving, found)
+
+
+def status(*, leaving: bool, life: int) -> NodeStatus:
+    """Return a status of a node."""
+    return NodeStatus(
+        node=NodeId('n0'),
+        address='n0',
+        service=DESK,
+        zone=Zone('z'),
+        region=Region('r'),
+        slots=1,
+        wait_ms=0,
+        demand=0,
+        keys=0,
+        ready=True,
+        leaving=leaving,
+        life=life,
+        silent=frozenset(),
+    )
