Bounds in seconds may be fractions

Seen: nobody has seen it. Where the platform fills in a fraction as one, a node that gets SIGTERM gives up within the same millisecond and cuts all that it has read, and the window of retries is 10 ms. Cause: the template made ms by appending 000 to the seconds' text. Evidence: test_bounds_may_be_fractions failed before with "AssertionError: 6 != 6000.0" (for 6.0) and "4 != 4500.0".

--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import socket
 import subprocess
 import sys
@@ -13,7 +14,12 @@
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import ConfigurationError
 from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
-from savoryhold.mesh import MeshSettings, TargetLeave, TargetReport
+from savoryhold.mesh import (
+    MeshSettings,
+    TargetLeave,
+    TargetReport,
+    parse_mesh_settings,
+)
 from savoryhold.mesh.node import (
     MeshNode,
     last_answer_ms,
@@ -381,3 +387,25 @@
         self.assertEqual(
             encode_reply(GrantReply((), 3000)), b'{"holds":[],"hold_ms":3000}'
         )
+
+
+class TestTemplate(unittest.TestCase):
+    """The settings file that the platform fills in."""
+
+    # A grace of 4.5 s was read as 4 ms, at whose end all requests were cut.
+    def test_bounds_may_be_fractions(self) -> None:
+        """Seconds of any notation come out as ms."""
+        path = pathlib.Path(__file__).parents[4] / 'deploy' / 'settings.toml'
+        template = path.read_text(encoding='utf-8')
+        for seconds in ('6', '6.0', '4.5'):
+            with self.subTest(seconds=seconds):
+                text = re.sub(
+                    '{{bounds.[a-z_]+_s}}',
+                    seconds,
+                    re.sub('{{.+[|]json}}', '"10.0.0.1:80"', template),
+                )
+                text = re.sub('"{{.*}}"', '"10.0.0.1:80"', text)
+                settings = parse_mesh_settings(re.sub('{{.+}}', '7', text))
+                wanted = float(seconds) * 1000
+                self.assertEqual(settings.grace_ms, wanted)
+                self.assertEqual(settings.retry_window_ms, wanted)
