Relayed requests that cannot end with a leaving node are refused

Seen: a request that another node relayed to a leaving one and that still waits in its queue when the process gives up is cut with the link. The node that had relayed it takes it for one that may have run: a booking ends as 504 for its caller, any other needs a retry of the budget. Cause: as for requests of its own callers, the deadline did not know of the end of the process. Change: at the owner, too, nothing has more time than the process. The queue refuses what cannot run by then, as not run, and the other node asks elsewhere; a run gets this end as its deadline. Evidence: test_relayed_requests_are_refused_before_the_end failed before with "AssertionError: 'busy' not found in []" (no answer at all had come).

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -438,8 +438,9 @@
         self._on_hup()
         self.log.info('leaving', unanswered=self.callers.unanswered)
         self.draining = True
-        last_answer = last_answer_ms(self._grace_ms)
-        self.ingress.end_by(self.clock.now() + last_answer)
+        ends_at = self.clock.now() + last_answer_ms(self._grace_ms)
+        self.ingress.end_by(ends_at)
+        self.owner.runs.ends_at = ends_at
         limit = leave_ms(self._grace_ms)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit / MS_PER_SECOND):
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -214,6 +214,7 @@
             raise PoisonedError('the request crashes its targets')
         if not self._runs.may_run(req):
             raise BusyError('the calls of a repeat have no retries left')
+        req = self._runs.within(req)
         self._count_heat(req, now)
         await self._own_key(req)
         ticket = await self._admit(req)
--- a/src/savoryhold/mesh/runs.py
+++ b/src/savoryhold/mesh/runs.py
@@ -1,5 +1,6 @@
 """The runs at the local target, and the calls that they make."""
 
+import dataclasses
 from collections.abc import Callable
 
 from savoryhold.core.ids import RequestId, ServiceName
@@ -25,10 +26,17 @@
 
     def __init__(self) -> None:
         self.stopped = 0
+        self.ends_at: int | None = None  # of the process
         self.may_call_again: Callable[[ServiceName], bool] = _always
         self._running: dict[RequestId, RelayedRequest] = {}
         self._called: dict[str, set[ServiceName]] = {}
 
+    def within(self, req: RelayedRequest) -> RelayedRequest:
+        """Return a request that ends with the process at the latest."""
+        if self.ends_at is None or req.deadline <= self.ends_at:
+            return req
+        return dataclasses.replace(req, deadline=self.ends_at)
+
     def begin(self, req: RelayedRequest) -> None:
         """Note that a request runs."""
         self._running[req.request] = req
--- a/src/savoryhold/mesh/tests/test_leaving.py
+++ b/src/savoryhold/mesh/tests/test_leaving.py
@@ -53,6 +53,7 @@
         self.transit = TransitDelay()
         self.heard: list[messages.Message] = []
         self.silent = False
+        self.way_s = WAY_S
 
     def open(self) -> Any:
         """Begin a call of the node."""
@@ -60,7 +61,9 @@
 
     def send(self, message: messages.Message) -> None:
         """Carry what the node sends to the peer."""
-        asyncio.get_running_loop().call_later(WAY_S, self.heard.append, message)
+        asyncio.get_running_loop().call_later(
+            self.way_s, self.heard.append, message
+        )
 
     async def call(
         self, message: messages.Message, timeout_ms: float
@@ -70,7 +73,7 @@
         if self.silent:
             await asyncio.sleep(timeout_ms / MS_PER_SECOND)
             raise LinkError('no reply in time', sent=True)
-        await asyncio.sleep(WAY_S * 2)
+        await asyncio.sleep(self.way_s * 2)
         return messages.Ack(ok=True)
 
     def knows_of_leave(self) -> bool:
@@ -126,11 +129,11 @@
         await asyncio.sleep(RUN_S)
         return RelayedAnswer(200, b'', b'')
 
-    def relay(self) -> 'asyncio.Task[None]':
+    def relay(self, name: str = 'r1') -> 'asyncio.Task[None]':
         """Let the peer's request come in."""
         now = self.node.clock.now()
         req = RelayedRequest(
-            request=cast(Any, 'r1'),
+            request=cast(Any, name),
             service=cast(Any, 'desk'),
             key=NO_KEY,
             route='desk',
@@ -260,7 +263,8 @@
     async def drain(self) -> None:
         """Wait until all callers have their answer."""
         await super().drain()
-        await asyncio.wait([caller.status for caller in self.callers])
+        for caller in self.callers:
+            await asyncio.wait([caller.status])
 
     async def run_long(
         self, request: bytes, timeout_ms: float, belongs: Any, on_sent: Any
@@ -303,6 +307,27 @@
         self.assertEqual(found, [True, True])
         self.assertEqual(self.callers[1].status.result(), 503)
 
+    # Requests of other nodes that waited were cut, as if they might have run.
+    async def test_relayed_requests_are_refused_before_the_end(self) -> None:
+        """A peer hears in time that a request that waits will not run."""
+        self.link.way_s = WAKE_S / 2
+        ticks = asyncio.ensure_future(self.node.owner.tick())
+        self.settings = settings_of('n0', 'desk', grace_ms=SHORT_GRACE_MS)
+        ended = asyncio.ensure_future(self.node._leave())
+        await asyncio.sleep(linger_ms(SHORT_GRACE_MS) / MS_PER_SECOND / 2)
+        self.relay('runs')
+        await asyncio.sleep(WAKE_S)
+        self.relay('waits')
+        await ended
+        ticks.cancel()
+        found = [
+            message.code
+            for message in self.link.heard
+            if isinstance(message, messages.RelayAnswer) and message.failed
+        ]
+        self.assertIn('busy', found)
+        self.assertEqual(len(found), 2)
+
     # Runs failed since the calls that they still had to make were refused.
     async def test_runs_may_make_their_calls_until_they_end(self) -> None:
         """Calls of runs are taken while runs go on; callers go elsewhere."""
