A request keeps the limits under which it began

A caller whose body or head is on its way as a version with lower limits comes into force gets 413, 431 or 408, although it kept to the limits that it could know; 413 and 431 are not retried. Cause: limits were asked for with each part of a request. Change: they are asked for as a request begins, except for idle connections. Evidence: test_limits_hold_as_they_were_at_the_start failed before with TimeoutError in wait_for(1) (the request was refused).

--- a/src/savoryhold/wire/server.py
+++ b/src/savoryhold/wire/server.py
@@ -115,6 +115,7 @@
         self.idle_since = server.now()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._limits = server.limits()
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._fields: dict[bytes, bytes] = {}
@@ -150,7 +151,7 @@
             self._fail(HTTPStatus.BAD_REQUEST)
         except httptools.HttpParserError:
             self._fail(HTTPStatus.BAD_REQUEST)
-        limit = self.server.limits().header_bytes
+        limit = self._limits.header_bytes
         if self._in_head and self._head_bytes > limit:
             self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
@@ -169,7 +170,8 @@
     # httptools callbacks ----------------------------------------------
 
     def on_message_begin(self) -> None:
-        """Begin a request."""
+        """Begin a request; it is bound by the limits in force now."""
+        self._limits = self.server.limits()
         self._url = b''
         self._headers = []
         self._fields = {}
@@ -190,7 +192,7 @@
     def on_headers_complete(self) -> None:
         """Check what the headers announce."""
         self._in_head = False
-        limits = self.server.limits()
+        limits = self._limits
         size = sum(len(name) + len(text) + 4 for name, text in self._headers)
         length = self._fields.get(b'content-length', b'0')
         if size + len(self._url) > limits.header_bytes:
@@ -201,7 +203,7 @@
     def on_body(self, body: bytes) -> None:
         """Take a part of the body."""
         self._body_bytes += len(body)
-        if self._body_bytes > self.server.limits().body_bytes:
+        if self._body_bytes > self._limits.body_bytes:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         self._body.append(body)
@@ -293,14 +295,15 @@
 
     def sweep(self, now: int) -> None:
         """Close the connection if its caller is too slow or idle."""
-        limits = self.server.limits()
         if self._begun_at is not None:
-            if now - self._begun_at > limits.header_ms and self._in_head:
+            late = now - self._begun_at > self._limits.header_ms
+            if late and self._in_head:
                 self._fail(HTTPStatus.REQUEST_TIMEOUT)
             return
         if self._closing:
             return
-        idle = not self.open and now - self.idle_since > limits.idle_ms
+        idle_ms = self.server.limits().idle_ms
+        idle = not self.open and now - self.idle_since > idle_ms
         if idle or (self.server.closing and not self.open):
             self._close_idle(now)
 
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -168,6 +168,21 @@
         )
         await self.check(head, b'400')
 
+    # A body within the limits was refused as another version came meanwhile.
+    async def test_limits_hold_as_they_were_at_the_start(self) -> None:
+        """A new version does not refuse what was begun under the last."""
+        head = b'POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 800\r\n\r\n'
+        self.writer.write(head)
+        await self.until_begun()
+        self.limits = CallerLimits(header_bytes=10, body_bytes=500)
+        self.writer.write(bytes(800))
+        await self.wait_for(1)
+        self.exchanges[0].reply(200, b'', b'one')
+        await self.reader.readuntil(b'one')
+        self.writer.write(head)
+        found = await self.rest()
+        self.assertTrue(found.startswith(b'HTTP/1.1 431'), found)
+
 
 class TestDrain(ServerCase):
     """A server that is about to end."""
