A daemon that has not heard of a service yet is waited for

Callers would see: 404 for requests on a service that was just added or changed, when the daemon beside the target hears of the configuration after the one that took them. Cause: the owner judged a request by its own version of the configuration and told the other daemon "unknown service", which ends a request for good. Evidence: shown in virtual time by the test. Change: only the daemon that takes a request from its caller may call the service unknown. For an owner it is not the time yet: as with a shard that it does not hold, the request is tried again until its deadline. Failed before: test_owner_with_an_older_configuration_is_waited_for with "AssertionError: True is not false" and "UnknownServiceError: service 'files' is not configured".

--- a/src/savoryhold/daemon/owner.py
+++ b/src/savoryhold/daemon/owner.py
@@ -324,7 +324,10 @@
 
     async def _admit_and_call(self, call: RunningCall) -> RoutedAnswer:
         req = call.req
-        compiled = self._configs.get(req.service)
+        compiled = self._configs.find(req.service)
+        if compiled is None:
+            # The daemon that took the request has another version in force.
+            raise NotOwnerError(f'{req.service!r} is not configured here')
         route = compiled.treatment(req.method, req.path.partition('?')[0])
         kind = self._classifier.resolve(route.label, req.service_class)
         now = self._clock.now()
--- a/src/savoryhold/daemon/tests/test_lost_links.py
+++ b/src/savoryhold/daemon/tests/test_lost_links.py
@@ -147,9 +147,8 @@
                 {'service': FILES, 'address': '127.0.0.1:1', 'slots': 4}
             )
         )
-        configs = ConfigTable()
-        config = unkeyed_service(FILES).config
-        configs.accept(AcceptedConfig(revision=1, service=config, audit=()))
+        self.configs = ConfigTable()
+        self.configure()
         limits = LimitSettings(leave_ms=1000)  # type: ignore[call-arg]
         machine = SimpleNamespace(
             may_admit=lambda shard, now: True,
@@ -158,7 +157,12 @@
             node=FAR,
         )
         self.owner = OwnerTask(
-            cast(Any, machine), configs, tracker, self.clock, limits, _keep
+            cast(Any, machine),
+            self.configs,
+            tracker,
+            self.clock,
+            limits,
+            _keep,
         )
         self.owner._client = cast(Any, self.target)
         directory = SimpleNamespace(
@@ -182,6 +186,12 @@
         )
         self.router = RouterTask(cast(Any, node), cast(Any, None), self.clock)
 
+    def configure(self) -> None:
+        """Put the service in force at the owner."""
+        config = unkeyed_service(FILES).config
+        accepted = AcceptedConfig(revision=1, service=config, audit=())
+        self.configs.accept(accepted)
+
     def address_of(self, node: NodeId) -> str | None:
         """Return a node's address while it has a record."""
         return node if self.is_live or node == OTHER else None
@@ -294,6 +304,19 @@
             await run
         self.assertEqual(world.target.runs, 1)
 
+    # An owner that heard later of a new service answered 404.
+    async def test_owner_with_an_older_configuration_is_waited_for(
+        self,
+    ) -> None:
+        """What one daemon has taken no other calls unknown."""
+        world = World()
+        world.configs.remove(FILES)
+        run = world.ask()
+        await asyncio.sleep(EARLY_S)
+        self.assertFalse(run.done())
+        world.configure()
+        self.assertEqual((await run).body, b'whole')
+
     # An order of a claimed owner was refused as "not run" at its deadline.
     async def test_order_of_a_claimed_owner_may_have_run(self) -> None:
         """Only an owner that knows the id may say that it did not run."""
