Silence within an answer does not end it before the deadline

Callers would see: a download that breaks off in its body, with most of a long timeout left, because its target sent nothing for 10 s. Cause: the daemon that relays an answer gave each chunk 10 s, whatever the request's deadline. The link is watched by its own probes; silence of the target says nothing. Change: the next chunk is waited for until the deadline, and for 10 s beyond it as before. Failed before: test_silence_within_an_answer_does_not_end_it with "UncertainError: the answer broke off: link closed or no reply".

--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -33,7 +33,7 @@
 LOOK_MS = 100
 PROBE_LIMIT_MS = 1000  # of a link to a node whose record has gone
 MS_PER_SECOND = 1000
-CHUNK_LIMIT_MS = 10_000
+CHUNK_LIMIT_MS = 10_000  # between chunks, once the deadline has passed
 CREDIT_CHUNKS = 8
 MIN_TRY_MS = 1
 
@@ -229,7 +229,7 @@
         except LinkError:
             call.close()
             raise
-        return self._read_answer(call, first)
+        return self._read_answer(call, first, req.deadline)
 
     async def _first_answer(
         self, call: LinkStream, owner: NodeId, req: RoutedRequest, until: int
@@ -264,7 +264,7 @@
         return False
 
     def _read_answer(
-        self, call: LinkStream, first: messages.Message
+        self, call: LinkStream, first: messages.Message, deadline: int
     ) -> RoutedAnswer:
         exc = error_of(first)
         if exc is not None:
@@ -273,11 +273,33 @@
         body = _body_of(first)
         rest: AsyncIterator[bytes] | None = None
         if first.more:
-            rest = HeldStream(_read_chunks(call), call.close)
+            rest = HeldStream(self._read_chunks(call, deadline), call.close)
         else:
             call.close()
         return RoutedAnswer(first.status, answer_headers(first), body, rest)
 
+    async def _read_chunks(
+        self, call: LinkStream, deadline: int
+    ) -> AsyncIterator[bytes]:
+        more = True
+        seen = 0
+        try:
+            while more:
+                left_ms = deadline - self._clock.now()
+                chunk = await call.receive(max(left_ms, CHUNK_LIMIT_MS))
+                if chunk.failed:
+                    raise UncertainError('the answer broke off at its target')
+                seen += 1
+                more = chunk.more
+                if seen % (CREDIT_CHUNKS // 2) == 0:
+                    call.send(messages.Credit(chunks=CREDIT_CHUNKS // 2))
+                yield _body_of(chunk)
+        except LinkError as exc:
+            raise UncertainError(f'the answer broke off: {exc}') from exc
+        finally:
+            if more:
+                _cancel(call)
+
 
 def _cancel(call: LinkStream) -> None:
     try:
@@ -292,23 +314,3 @@
         return unpack(message.body or b'', packed=bool(message.packed))
     except MalformedMessageError as exc:
         raise UncertainError(f'the answer is damaged: {exc}') from exc
-
-
-async def _read_chunks(call: LinkStream) -> AsyncIterator[bytes]:
-    more = True
-    seen = 0
-    try:
-        while more:
-            chunk = await call.receive(CHUNK_LIMIT_MS)
-            if chunk.failed:
-                raise UncertainError('the answer broke off at its target')
-            seen += 1
-            more = chunk.more
-            if seen % (CREDIT_CHUNKS // 2) == 0:
-                call.send(messages.Credit(chunks=CREDIT_CHUNKS // 2))
-            yield _body_of(chunk)
-    except LinkError as exc:
-        raise UncertainError(f'the answer broke off: {exc}') from exc
-    finally:
-        if more:
-            _cancel(call)
