An answer that has arrived outlives its link

Callers would see: a download that breaks off although its owner had sent all of it, because the owner ended, or the link was lost, before a slow caller had taken it. Cause: the relaying daemon tells the owner of its progress with every fourth chunk, and took the failure of this message for the end of the answer. Evidence: shown in virtual time by the test. Change: progress that can't be told is dropped, as a cancellation is. Whether the rest is missing shows at the next wait. Failed before: test_answer_that_has_arrived_outlives_its_link with "UncertainError: the answer broke off: link closed".

--- a/src/savoryhold/daemon/router.py
+++ b/src/savoryhold/daemon/router.py
@@ -292,7 +292,7 @@
                 seen += 1
                 more = chunk.more
                 if seen % (CREDIT_CHUNKS // 2) == 0:
-                    call.send(messages.Credit(chunks=CREDIT_CHUNKS // 2))
+                    _send_credit(call)
                 yield _body_of(chunk)
         except LinkError as exc:
             raise UncertainError(f'the answer broke off: {exc}') from exc
@@ -309,6 +309,14 @@
         return
 
 
+def _send_credit(call: LinkStream) -> None:
+    try:
+        call.send(messages.Credit(chunks=CREDIT_CHUNKS // 2))
+    except LinkError:
+        # What has arrived may be the rest; the next wait tells.
+        return
+
+
 def _body_of(message: messages.Message) -> bytes:
     try:
         return unpack(message.body or b'', packed=bool(message.packed))
--- a/src/savoryhold/daemon/tests/test_lost_links.py
+++ b/src/savoryhold/daemon/tests/test_lost_links.py
@@ -58,6 +58,7 @@
     def __init__(self) -> None:
         self.runs = 0
         self.pause_ms = 0
+        self.parts = 1
 
     async def call(self, *args: Any) -> RoutedAnswer:
         """Run a request."""
@@ -70,7 +71,8 @@
 
     async def _pause(self) -> AsyncIterator[bytes]:
         await asyncio.sleep(self.pause_ms / MS_PER_SECOND)
-        yield b' rest'
+        for _ in range(self.parts):
+            yield b' rest'
 
     async def cancel(self, address: str, request: str) -> None:
         """Take note of nothing."""
@@ -87,9 +89,11 @@
 
     async def receive(self, timeout_ms: float) -> messages.Message:
         """Return the next message."""
+        limit_ms = 0 if self.link.closed else timeout_ms
         getting = asyncio.ensure_future(self.inbox.get())
-        await asyncio.wait({getting}, timeout=timeout_ms / MS_PER_SECOND)
-        if getting.done() and not self.link.closed:
+        await asyncio.sleep(0)
+        await asyncio.wait({getting}, timeout=limit_ms / MS_PER_SECOND)
+        if getting.done():
             return getting.result()
         getting.cancel()
         raise LinkError('link closed or no reply', sent=True)
@@ -115,6 +119,8 @@
             serving = self._world.peers.handle(cast(Any, self._far), message)
             self._serving = asyncio.ensure_future(serving)
             self._world.calls.append(self)
+        elif self.link.closed:
+            raise LinkError('link closed', sent=False)
         elif isinstance(message, messages.Credit):
             self._far.inbox.put_nowait(message)
 
@@ -347,6 +353,19 @@
         parts = [part async for part in answer.rest]
         self.assertEqual(b''.join(parts), b' rest')
 
+    # A whole answer was broken off, as its owner had left after sending it.
+    async def test_answer_that_has_arrived_outlives_its_link(self) -> None:
+        """A slow caller gets all that was sent before the link closed."""
+        world = World()
+        world.target.pause_ms = 1
+        world.target.parts = 6
+        answer = await world.ask(idempotent=True)
+        assert answer.rest is not None
+        await asyncio.sleep(EARLY_S)
+        world.cut()
+        parts = [part async for part in answer.rest]
+        self.assertEqual(b''.join(parts), b' rest' * world.target.parts)
+
     # An order of a claimed owner was refused as "not run" at its deadline.
     async def test_order_of_a_claimed_owner_may_have_run(self) -> None:
         """Only an owner that knows the id may say that it did not run."""
