A request that waited for a slot follows its key

Callers would see: 503 with 0.4 s to wait for a request that was admitted for a key, waited for a slot, and whose key went to another node or another grant meanwhile. Cause: the owner answered "busy", which ends a keyed request at the daemon that took it, though another owner was known or about to be. Evidence: read in `_check_start`; shown by the test with a table that changes. Change: it is told as moved, like a request that comes after the change: nothing ran, and the key's owner is looked for anew until the request's aim. Failed before: test_waiting_request_follows_its_key with "BusyError: the key is not held any more".

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -382,10 +382,12 @@
         if not self.may_send():
             raise TargetDownError('the target has gone', DOWN_RETRY_MS)
         machine = self.machine_of(req.service)
-        if req.key == NO_KEY or machine is None:
+        if req.key == NO_KEY or machine is None or machine.table is None:
             return
         if not machine.may_send(req.key, now):
-            raise BusyError('the key is not held any more', DOWN_RETRY_MS)
+            # Looked for anew: its next owner, or this one, may be in time.
+            owner = machine.table.row_at(req.key).owner
+            raise MovedError('the key is not held any more', owner)
 
     async def _send(
         self, req: RelayedRequest, now: int, on_sent: Callable[[], None]
--- a/src/savoryhold/mesh/tests/test_target_lives.py
+++ b/src/savoryhold/mesh/tests/test_target_lives.py
@@ -18,6 +18,7 @@
 from savoryhold.mesh.reports import FOLLOWED_MS, LIVE_MS, ReportHandler
 from savoryhold.mesh.requests import (
     NO_KEY,
+    MovedError,
     RelayedRequest,
     TargetDownError,
 )
@@ -41,6 +42,22 @@
         return self.time_ms
 
 
+class _Keys:
+    """All keys, which the local target holds while this node owns them."""
+
+    def __init__(self, owner: NodeId) -> None:
+        self.owner = owner
+        self.table = self
+
+    def row_at(self, key: int) -> '_Keys':
+        """Return the row of a key."""
+        return self
+
+    def may_send(self, key: int, now: int) -> bool:
+        """Return whether the target holds a key."""
+        return self.owner == NODE
+
+
 class TestLateReports(unittest.IsolatedAsyncioTestCase):
     """Which life of its target a node believes in."""
 
@@ -144,6 +161,27 @@
                 await run
         self.assertTrue(self.taken.empty())
 
+    # A request that waited for a slot while its key moved ended as 503.
+    async def test_waiting_request_follows_its_key(self) -> None:
+        """It is told to look for the key's owner, not to come later."""
+        keys = _Keys(NODE)
+        self.owner.machine_of = lambda service: cast(Any, keys)
+        self.owner.queue.slots = 1
+        async with asyncio.timeout(LIMIT_S):
+            runs = [
+                asyncio.ensure_future(self.owner.submit(self.booking(key)))
+                for key in (1, 2)
+            ]
+            exchange = await self.taken.get()
+            while not self.owner.queue.waiting:
+                await asyncio.sleep(0)
+            keys.owner = NodeId('n1')
+            self.reply(exchange)
+            await runs[0]
+            with self.assertRaises(MovedError) as caught:
+                await runs[1]
+        self.assertEqual(caught.exception.owner, keys.owner)
+
     def report(self, born: int) -> None:
         """Have a life of the target report."""
         self.owner.on_report(report_of(born, f'127.0.0.1:{self.port}'))
@@ -154,13 +192,13 @@
         request = exchange.req.header(name.lower())
         exchange.reply(200, b'%s: %s\r\n' % (name, request), b'whole')
 
-    def booking(self) -> RelayedRequest:
+    def booking(self, key: int = NO_KEY) -> RelayedRequest:
         """Return a request that must not run twice."""
         deadline = self.clock.now() + DEADLINE_MS
         return RelayedRequest(
             RequestId('b1'),
             FILES,
-            NO_KEY,
+            key,
             'book',
             b'POST',
             b'/book/',
