A configuration that no peer brings is read from the store

Cause: nodes that do not watch the store take a newer version from whichever peer's status shows it first, one try at a time of up to a second; nothing was done when that peer was not reached, but to wait for another status. Why the tries of that node failed is not traced: no line said that they did.

Change: a try that fails is logged and followed by one read of the store, for which that peer does not matter. A read costs one call where a peer is in trouble, none otherwise.

Failed before: test_version_is_read_where_no_peer_brings_it "0 != 1".

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -138,14 +138,15 @@
             self._pulling = asyncio.ensure_future(self.pull(address))
 
     async def pull(self, address: str) -> None:
-        """Fetch another node's configuration."""
+        """Fetch another node's configuration, or else the stored one."""
         ask = messages.MeshPull(service_name='')
         try:
             reply = await self._pool.call(address, ask, PULL_LIMIT_MS)
-        except LinkError:
-            # Another status from there will ask for it again.
-            return
-        self.take_news(reply, address)
+        except LinkError as exc:
+            self._log.info('config_not_pulled', peer=address, error=str(exc))
+            await self._read_instead()
+        else:
+            self.take_news(reply, address)
 
     def take_news(self, news: messages.Message, source: str) -> bool:
         """Put another node's configuration in force if it is newer."""
@@ -158,6 +159,16 @@
             return False
         return self.accept(spec, source)
 
+    async def _read_instead(self) -> None:
+        """Read what is stored, since the path to a peer is in trouble."""
+        try:
+            found = await self._adapter.read_config()
+        except PlatformError as exc:
+            self._log.info('config_not_read', error=str(exc))
+            return
+        if found is not None:
+            self._accept_first(found, 'store')
+
     async def _follow(self, at: int | None) -> int | None:
         """Read, watch or rest; return the revision to go on from."""
         if at is None:
--- a/src/savoryhold/mesh/tests/test_config_storm.py
+++ b/src/savoryhold/mesh/tests/test_config_storm.py
@@ -102,6 +102,27 @@
         self.assertEqual(store.calls['read'], 1)
 
 
+class TestPull(unittest.IsolatedAsyncioTestCase):
+    """How a node that does not watch gets a version that others have."""
+
+    # A node went on asking peers that it did not reach, for 4.7 s.
+    async def test_version_is_read_where_no_peer_brings_it(self) -> None:
+        """The store is asked once as the peer cannot be reached."""
+        store = StormyStore()
+        task = task_of(store)
+        await task.pull('127.0.0.1:1')
+        self.assertEqual(task.version, 1)
+        self.assertEqual(store.calls['read'], 1)
+
+    async def test_a_store_that_is_away_as_well_is_borne(self) -> None:
+        """The next status of a peer asks again."""
+        store = StormyStore()
+        store.away = True
+        task = task_of(store)
+        await task.pull('127.0.0.1:1')
+        self.assertEqual(task.version, 0)
+
+
 class TestWatchers(unittest.TestCase):
     """Which nodes watch for all of a region."""
 
