Nothing is fetched from a node that leaves

What callers saw: answers that a leaving node owed came late or were cut at its end.

Cause: a status with a newer version is an offer, and the news of a leave is a status. Change: what a leaving node offers is not taken; the others offer the same.

Failed before: test_nothing_is_fetched_from_a_leaving_node "True is not false" (pull_soon called).

--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -229,6 +229,9 @@
     def _(self, message: messages.Message) -> None:
         status = status_of(message)
         self._members.learn(status, self._clock.now())
+        if status.leaving:
+            # Its link is for the answers that it still owes.
+            return
         address = status.address
         if (message.config_version or 0) > self._configs.version:
             self._configs.pull_soon(address)
--- a/src/savoryhold/mesh/tests/test_leaving.py
+++ b/src/savoryhold/mesh/tests/test_leaving.py
@@ -25,6 +25,7 @@
     DESK,
     NAMES,
     Caller,
+    Fleet,
     LoopClock,
     VirtualTimeCase,
     target_report,
@@ -399,3 +400,34 @@
         life=life,
         silent=frozenset(),
     )
+
+
+class TestNewsOfALeave(VirtualTimeCase):
+    """What other nodes do as they hear that one leaves."""
+
+    # All nodes fetched whole tables from a node as it left, over the link
+    # that the answers of its last requests had to take.
+    async def test_nothing_is_fetched_from_a_leaving_node(self) -> None:
+        """Newer versions are asked of nodes that stay."""
+        fleet = Fleet(3, seed=1)
+        node, leaver = fleet.nodes[:2]
+        configs, tables = mock.Mock(version=1), mock.Mock(tables={})
+        node.peers._configs, node.peers._tables = configs, tables
+        leaver.peers.leaving = True
+        news = leaver.peers.status
+        with mock.patch.multiple(
+            leaver.peers,
+            _configs=mock.Mock(version=2, connected=True),
+            _tables=mock.Mock(
+                tables={'desk': mock.Mock(service='desk', version=5)},
+                life=1,
+                keys=int,
+            ),
+        ):
+            node.peers._take(news())
+            self.assertFalse(configs.pull_soon.called)
+            self.assertFalse(tables.pull_soon.called)
+            leaver.peers.leaving = False
+            node.peers._take(news())
+        self.assertTrue(configs.pull_soon.called)
+        self.assertTrue(tables.pull_soon.called)
