The leave of a target's former life does not end the present one

Callers would see: 503 from all requests for a target that is sound: its node sends it nothing more for the rest of its life. Cause: a target may start again under its name. A leave carries the start of its life, as all that a target says does, but only the name was compared, so that a leave that was held up counted against the successor; nothing takes a leave back. Evidence: read in `_on_leave`; shown by the test. Change: a leave that names an earlier start than the life that reports is acknowledged and has no effect. One without a start counts as before. Failed before: test_former_life_does_not_leave_for_the_present_one (born=1) with "AssertionError: False is not True".

--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -108,9 +108,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetLeave:
-    """A target's word that it leaves."""
+    """A target's word that it leaves; `born` names its life, if known."""
 
     target: str
+    born: int | None = None
 
 
 class Adapter(Protocol):
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -146,9 +146,11 @@
         )
 
     def _on_leave(self, exchange: Exchange, call: TargetLeave) -> None:
-        report = self._owner.report
-        if report is not None and report.keys.life.target == call.target:
-            self._owner.begin_leave('left')
+        life = self._owner.life()
+        if life is not None and life.target == call.target:
+            # The word of a former life does not end the present one.
+            if call.born is None or call.born >= life.born:
+                self._owner.begin_leave('left')
         exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
 
     def _note_followed(self, report: TargetReport) -> None:
--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -355,9 +355,17 @@
         self.assertEqual(found.keys.released[0].token, 't')
 
     def test_leave(self) -> None:
-        """A leave names its target."""
+        """A leave names its target, and mostly its life."""
         path = '/v1/rpc?call=instances.leave&of=i-1'
-        self.assertEqual(decode_call(call_of(path, b'')), TargetLeave('i-1'))
+        for body, born in (
+            (b'', None),
+            (b'{"born":7}', 7),
+            (b'{"born":"x"}', None),
+            (b'[7]', None),
+        ):
+            with self.subTest(body=body):
+                found = decode_call(call_of(path, body))
+                self.assertEqual(found, TargetLeave('i-1', born))
 
     def test_unreadable_reports_name_no_target(self) -> None:
         """Missing fields, other types and rubbish are no report."""
--- a/src/savoryhold/mesh/tests/test_target_lives.py
+++ b/src/savoryhold/mesh/tests/test_target_lives.py
@@ -13,7 +13,7 @@
 from savoryhold.core.ids import NodeId, RequestId, ServiceName
 from savoryhold.core.poison import Fingerprint
 from savoryhold.daemon.logs import get_log
-from savoryhold.mesh.interface import TargetReport
+from savoryhold.mesh.interface import TargetLeave, TargetReport
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.reports import FOLLOWED_MS, LIVE_MS, ReportHandler
 from savoryhold.mesh.requests import (
@@ -66,7 +66,7 @@
         self.clock = _SetClock()
         log = get_log(node=NODE)
         self.owner = OwnerTask(NODE, NAMES, self.clock, log, 1000, 1000)
-        self.calls: list[TargetReport] = []
+        self.calls: list[TargetReport | TargetLeave] = []
         self.handler = ReportHandler(
             cast(
                 Any,
@@ -102,6 +102,16 @@
         self.report(OLD)
         self.assertEqual(self.born(), OLD)
 
+    # The held-up leave of a former life kept its successor without requests.
+    async def test_former_life_does_not_leave_for_the_present_one(self) -> None:
+        """Only the present life, or one without a date, ends it."""
+        for born, leaves in ((OLD, False), (PRESENT, True), (None, True)):
+            with self.subTest(born=born):
+                self.owner.left_at = None
+                self.report(PRESENT)
+                self.handle(TargetLeave('t', born))
+                self.assertIs(self.owner.is_ready(), not leaves)
+
     def born(self) -> int:
         """Return when the life that the owner knows was born."""
         life = self.owner.life()
@@ -110,7 +120,11 @@
 
     def report(self, born: int) -> None:
         """Have a report of a life arrive."""
-        self.calls.append(report_of(born, '127.0.0.1:1'))
+        self.handle(report_of(born, '127.0.0.1:1'))
+
+    def handle(self, call: TargetReport | TargetLeave) -> None:
+        """Have a call arrive."""
+        self.calls.append(call)
         exchange = SimpleNamespace(req=None, reply=lambda *args: None)
         self.handler.handle(cast(Any, exchange))
 
