A target that can't be dialled in time is not declared gone

Callers would see: all requests at a daemon refused until its target announces itself again, its shards moved, and after the second time "the request crashed targets; quarantined" for whatever was running, all because one dial took more than 300 ms. Cause: each failure before the first byte was told as a refused connection, also a time-out at a full backlog or a want of file descriptors. The owner takes a refusal for the end of the process and strikes all that runs there; two strikes are a quarantine. Evidence: shown on loopback with a full backlog by the test. Change: only a refused connection says that the target is gone. Anything else before the first byte is "not run, try again", as it was. Failed before: test_full_backlog_is_no_sign_of_an_end with "AssertionError: TargetGoneError("target ...: ConnectionTimeoutError(...)") is an instance of <class 'savoryhold.target.client.TargetGoneError'>".

--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -141,9 +141,9 @@
         Raises
         ------
         TargetGoneError
-            If no connection was made.
+            If the connection was refused.
         NotOwnerError
-            If `may_send` said no.
+            If `may_send` said no, or no connection was made in time.
         OverloadError
             If the target says that it did not run the request.
         UncertainError
@@ -169,7 +169,11 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             if sending.connected:
                 raise UncertainError(f'target broke off: {exc!r}') from exc
-            raise TargetGoneError(f'target {address}: {exc!r}') from exc
+            text = f'target {address}: {exc!r}'
+            if _is_refusal(exc):
+                raise TargetGoneError(text) from exc
+            # A busy host says nothing of the process behind the address.
+            raise NotOwnerError(text) from exc
         finally:
             _SENDING.reset(token)
         return await _read_start(answer)
@@ -202,6 +206,12 @@
         await self._session.close()
 
 
+def _is_refusal(exc: Exception) -> bool:
+    return isinstance(exc, aiohttp.ClientConnectorError) and isinstance(
+        exc.os_error, ConnectionRefusedError
+    )
+
+
 def _probe_timeout() -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / MS_PER_SECOND)
 
--- a/src/savoryhold/target/tests/test_client.py
+++ b/src/savoryhold/target/tests/test_client.py
@@ -22,6 +22,7 @@
 
 OK = b'HTTP/1.1 200 OK\r\n'
 PIECE = b'x' * 100_000
+BACKLOG_FILL = 4
 REQUEST = RoutedRequest(
     RequestId('r1'),
     ServiceName('booking'),
@@ -79,6 +80,21 @@
         with self.assertRaises(TargetGoneError):
             await self.call()
 
+    # A target whose backlog was full was taken for a process that had ended.
+    async def test_full_backlog_is_no_sign_of_an_end(self) -> None:
+        """Nothing was sent, and the target is not declared gone."""
+        listener = socket.create_server(('127.0.0.1', 0), backlog=0)
+        self.addCleanup(listener.close)
+        self.address = '127.0.0.1:%d' % listener.getsockname()[1]
+        for _ in range(BACKLOG_FILL):
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        with self.assertRaises(NotOwnerError) as caught:
+            await self.call()
+        self.assertNotIsInstance(caught.exception, TargetGoneError)
+
     async def test_lost_lease_sends_nothing(self) -> None:
         """The lease is asked when the connection stands."""
         with self.assertRaises(NotOwnerError):
