A request that its target survived gets no strike

Callers would see: "poisoned" (503) for a request that crashed nothing, wherever it is sent, after its connection was reset twice at targets that were replaced later. Cause: requests that broke off were kept until the target's life ended, and the last ones then counted as its crash, however long ago that was. Evidence: read in `_strike_broken`; shown by the test with a clock that is set. Change: a report of the same life says that the target went on, so that what broke off before it is forgotten. Failed before: test_request_that_its_target_survived_gets_no_strike with "AssertionError: 1 != False".

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -143,6 +143,8 @@
         known = self.report
         if known is None or known.keys.life != report.keys.life:
             self._on_new_life(report)
+        else:
+            self._forget_survived(now)
         self.report = report
         self.reported_at = now
         self.dead = False
@@ -414,6 +416,11 @@
         self._broken.append((req, self.clock.now()))
         return CrashedError(str(exc))
 
+    def _forget_survived(self, now: int) -> None:
+        """Count no request that broke off while the target went on."""
+        while self._broken and now - self._broken[0][1] > CRASH_SPREAD_MS:
+            self._broken.popleft()
+
     def _strike_broken(self) -> None:
         """Count the target's end against the requests that it broke off."""
         life = self.life()
--- a/src/savoryhold/mesh/tests/test_target_lives.py
+++ b/src/savoryhold/mesh/tests/test_target_lives.py
@@ -10,15 +10,17 @@
 from typing import Any, cast
 
 from savoryhold.core.clock import BootClock
+from savoryhold.core.errors import LinkError
 from savoryhold.core.ids import NodeId, RequestId, ServiceName
-from savoryhold.core.poison import Fingerprint
+from savoryhold.core.poison import Fingerprint, Strike
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.interface import TargetLeave, TargetReport
-from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.owner import CRASH_SPREAD_MS, OwnerTask
 from savoryhold.mesh.reports import FOLLOWED_MS, LIVE_MS, ReportHandler
 from savoryhold.mesh.requests import (
     NO_KEY,
     MovedError,
+    RelayedAnswer,
     RelayedRequest,
     TargetDownError,
 )
@@ -102,6 +104,26 @@
         self.report(OLD)
         self.assertEqual(self.born(), OLD)
 
+    # A reset connection counted as a crash when the target was replaced later.
+    async def test_request_that_its_target_survived_gets_no_strike(
+        self,
+    ) -> None:
+        """Only what broke off with the target's end is suspect."""
+        for survived in (True, False):
+            strikes: list[Strike] = []
+            self.owner.on_strike = strikes.append
+            self.report(OLD)
+            self.owner._link_error(
+                booking(self.clock.now()), LinkError('reset', sent=True)
+            )
+            self.clock.time_ms += CRASH_SPREAD_MS + 1
+            if survived:
+                self.report(OLD)
+            self.clock.time_ms += FOLLOWED_MS
+            self.report(PRESENT)
+            self.assertEqual(len(strikes), not survived)
+            self.clock.time_ms += FOLLOWED_MS
+
     # The held-up leave of a former life kept its successor without requests.
     async def test_former_life_does_not_leave_for_the_present_one(self) -> None:
         """Only the present life, or one without a date, ends it."""
@@ -156,7 +178,7 @@
     async def test_booking_goes_on_when_another_life_reports(self) -> None:
         """The answer of a run reaches its caller whoever reports."""
         async with asyncio.timeout(LIMIT_S):
-            run = asyncio.ensure_future(self.owner.submit(self.booking()))
+            run = self.submit()
             exchange = await self.taken.get()
             for born in (OLD, PRESENT):
                 self.report(born)
@@ -167,7 +189,7 @@
     async def test_nothing_new_is_sent_to_a_former_life(self) -> None:
         """A request that was dialled for it goes elsewhere, as not run."""
         async with asyncio.timeout(LIMIT_S):
-            run = asyncio.ensure_future(self.owner.submit(self.booking()))
+            run = self.submit()
             while self.owner.pool is None or not self.owner.pool.opened:
                 await asyncio.sleep(0)
             self.report(OLD)
@@ -182,10 +204,7 @@
         self.owner.machine_of = lambda service: cast(Any, keys)
         self.owner.queue.slots = 1
         async with asyncio.timeout(LIMIT_S):
-            runs = [
-                asyncio.ensure_future(self.owner.submit(self.booking(key)))
-                for key in (1, 2)
-            ]
+            runs = [self.submit(key) for key in (1, 2)]
             exchange = await self.taken.get()
             while not self.owner.queue.waiting:
                 await asyncio.sleep(0)
@@ -196,6 +215,11 @@
                 await runs[1]
         self.assertEqual(caught.exception.owner, keys.owner)
 
+    def submit(self, key: int = NO_KEY) -> 'asyncio.Task[RelayedAnswer]':
+        """Have the owner run a booking."""
+        req = booking(self.clock.now(), key)
+        return asyncio.ensure_future(self.owner.submit(req))
+
     def report(self, born: int) -> None:
         """Have a life of the target report."""
         self.owner.on_report(report_of(born, f'127.0.0.1:{self.port}'))
@@ -206,24 +230,25 @@
         request = exchange.req.header(name.lower())
         exchange.reply(200, b'%s: %s\r\n' % (name, request), b'whole')
 
-    def booking(self, key: int = NO_KEY) -> RelayedRequest:
-        """Return a request that must not run twice."""
-        deadline = self.clock.now() + DEADLINE_MS
-        return RelayedRequest(
-            RequestId('b1'),
-            FILES,
-            key,
-            'book',
-            b'POST',
-            b'/book/',
-            b'%s: b1\r\n' % NAMES.request_id,
-            b'',
-            deadline,
-            deadline,
-            2,
-            repeatable=False,
-            fingerprint=Fingerprint(1),
-        )
+
+def booking(now: int, key: int = NO_KEY) -> RelayedRequest:
+    """Return a request that must not run twice."""
+    deadline = now + DEADLINE_MS
+    return RelayedRequest(
+        RequestId('b1'),
+        FILES,
+        key,
+        'book',
+        b'POST',
+        b'/book/',
+        b'%s: b1\r\n' % NAMES.request_id,
+        b'',
+        deadline,
+        deadline,
+        2,
+        repeatable=False,
+        fingerprint=Fingerprint(1),
+    )
 
 
 def report_of(born: int, address: str) -> TargetReport:
