A connection that has opened is used or closed, whoever still waits

Callers would see: nothing at once. A node whose connections take 300 to 500 ms to open (busy links) never gets its status through to a peer to which no connection is open, and leaves one connection more open at both ends with each try; so does a call that moves after 0.8 s, or a dial that ends beside a connection opened to compare. Cause: a new connection was adopted by whoever waited for it. The sending of a status gives up after 300 ms, a dial after 500 ms; with nobody left, the connection was kept by its transport only, neither used nor watched nor closed. Where another connection had been adopted meanwhile, the waiter took that one and left its own open. Failed before: test_late_connection_serves_the_next_call with "AssertionError: Tuples differ: (0, 3) != (2, 1)" (calls opened, connections open), and test_second_connection_is_closed with "AssertionError: 2 != 1".

--- a/src/savoryhold/mesh/tests/test_links_in_trouble.py
+++ b/src/savoryhold/mesh/tests/test_links_in_trouble.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -18,6 +19,7 @@
     VirtualTimeCase,
 )
 from savoryhold.mesh.tests.wires import Path
+from savoryhold.peer import LinkStream
 
 OK = 200
 REFUSED = 503
@@ -37,6 +39,10 @@
 SOON_S = 1.0
 DOWN_S = 0.5
 SLACK_S = 0.2
+SLOW_DIAL_MS = 70.0  # a way on which it takes 350 ms until a link is ready
+CALLER_WAITS_S = 0.3
+TIMES = 3
+DIALS_AGAIN_S = 0.75  # after a silence that began with a call
 FROM = 0
 TO = 2  # the one node beside a target that runs what is asked
 BOTH = ('/files/', '/book/')
@@ -417,6 +423,47 @@
         self.assertEqual(self.runs(), {})
 
 
+class TestLinksDialled(LinkCase):
+    """Connections that open late, or beside others."""
+
+    # A connection was left open and unused if all had ceased to wait for it.
+    async def test_late_connection_serves_the_next_call(self) -> None:
+        """A second call finds the connection that the first waited for."""
+        self.path.reset()
+        self.path.delay_ms = SLOW_DIAL_MS
+        opened = 0
+        for _ in range(TIMES):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CALLER_WAITS_S):
+                    await self.open_call()
+                opened += 1
+            await asyncio.sleep(SLACK_S)
+        self.assertEqual((opened, self.path.open_connections), (2, 1))
+
+    # Of two connections that opened at once one was left open and unused.
+    async def test_second_connection_is_closed(self) -> None:
+        """One dialled for a comparison, one for calls: one stays."""
+        self.path.delay_ms = SLOW_DIAL_MS
+        self.target.work_ms = LONG_MS
+        callers = self.ask_both()
+        await asyncio.sleep(AT_WORK_S)
+        self.path.silence()
+        await asyncio.sleep(DIALS_AGAIN_S)
+        node = self.fleet.nodes[FROM]
+        for cut in ({self.fleet.nodes[TO].address}, set[str]()):
+            node.life.run(node.pool.cut, cut)
+        await self.check_once(callers)
+        self.assertEqual(self.path.open_connections, 1)
+
+    async def open_call(self) -> LinkStream:
+        """Open a call from one node to another as a process does."""
+        node = self.fleet.nodes[FROM]
+        call = node.pool.open(self.fleet.nodes[TO].address)
+        loop = asyncio.get_running_loop()
+        task: asyncio.Task[LinkStream] = node.life.run(loop.create_task, call)
+        return await task
+
+
 def heard(callers: list[Caller]) -> list[int | None]:
     """Return what each caller was answered, None for nothing."""
     return [
--- a/src/savoryhold/mesh/tests/wires.py
+++ b/src/savoryhold/mesh/tests/wires.py
@@ -111,6 +111,11 @@
         """Close the connection."""
         self.abort()
 
+    @property
+    def is_left(self) -> bool:
+        """Return whether the far end is closed."""
+        return self.far is None or self.far.is_closing()
+
     def is_closing(self) -> bool:
         """Return whether this end is closed."""
         return not self._is_open
@@ -184,6 +189,12 @@
         """Return whether nothing passes."""
         return not self._passable.is_set()
 
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open at both ends."""
+        closed = sum(end.is_closing() or end.is_left for end in self._ends)
+        return (len(self._ends) - closed) // 2
+
     def join(self, near: _End, far: _End) -> None:
         """Make a connection of two ends."""
         near.far, far.far = far, near
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -144,11 +144,11 @@
             task = asyncio.create_task(self._dial(address))
             self._dialling[address] = task
             task.add_done_callback(partial(self._dialled, address))
-        link = await asyncio.shield(task)
-        known = self._links.get(address)
-        if known is not None and not known.closed:
-            return known
-        self._adopt(address, link)
+        await asyncio.shield(task)
+        # `_dialled` has seen to it that one connection is in use.
+        link = self._links.get(address)
+        if link is None or link.closed:
+            raise LinkError(f'link to {address} is closed', sent=False)
         return link
 
     def _adopt(self, address: str, link: Link) -> None:
@@ -156,10 +156,16 @@
         self._links[address] = link
 
     def _dialled(self, address: str, task: 'asyncio.Task[Link]') -> None:
+        """Use the new connection, whether or not anybody waits for it yet."""
         self._dialling.pop(address, None)
-        if not task.cancelled():
-            # Whoever waited for the link may have given up before.
-            task.exception()
+        if task.cancelled() or task.exception() is not None:
+            return
+        link = task.result()
+        known = self._links.get(address)
+        if self._is_closed or (known is not None and not known.closed):
+            link.abort(ConnectionError('not needed'))
+        elif not link.closed:
+            self._adopt(address, link)
 
     async def _dial(self, address: str) -> Link:
         if address in self.blocked:
