A call given up behind its answer waits for no word of the peer

Callers would see: nothing. A node kept a connection for good, and looked 100 times a second whether it could close it, after a caller had left in the moment in which its answer came, or after the peer had dropped the call, and the link was then replaced. Cause: a call that is given up stays on its link until the peer has confirmed; one that has received anything does not move. On a replaced link the word cannot come any more (the other end passes over late words there), so that the call waited for ever. Evidence: read in `give_up`, `movable` and `_close_idle`; the test shows the first step (the call that stays); the rest was not played. Change: such a call is over at the peer, which needs no word; it is forgotten at once. Failed before: test_call_given_up_behind_its_answer_is_forgotten with "AssertionError: 1 != 0".

--- a/src/savoryhold/peer/stream.py
+++ b/src/savoryhold/peer/stream.py
@@ -129,7 +129,10 @@
         -----
         The call stays on its link until the peer has confirmed, so that a
         silent link is noticed and the word goes out again on the next one.
+        One that has its answer, or its end, is over at the peer, too.
         """
+        if self._received:
+            return
         self._given_up = self.lasting
         self._renew = messages.Cancel
         try:
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 import zlib
+from typing import cast
 
 import hypothesis
 from hypothesis import strategies as st
@@ -12,7 +13,13 @@
 from savoryhold.peer.link import Endpoint, Link, LinkStream
 from savoryhold.peer.packing import MAX_PIECE_BYTES, pack, unpack
 
-__all__ = ['TestFrames', 'TestLinks', 'TestPacking', 'TestSilence']
+__all__ = [
+    'TestFrames',
+    'TestGivenUp',
+    'TestLinks',
+    'TestPacking',
+    'TestSilence',
+]
 
 SECRET = b'a secret for tests'
 LIMIT_MS = 10_000
@@ -216,6 +223,24 @@
         self.assertFalse(refused.exception.sent)
 
 
+class TestGivenUp(LinkCase):
+    """Calls that their beginner does not want any more."""
+
+    # A call given up as its answer came waited for a word beyond a dead link,
+    # and a replaced link was polled and kept open for it without end.
+    async def test_call_given_up_behind_its_answer_is_forgotten(self) -> None:
+        """Nothing waits on the link for a call that has its answer."""
+        client = PeerPool('client', SECRET, answer)
+        call = await client.open(self.address)
+        link = cast(Link, call.link)
+        call.begin(messages.Probe)
+        await client.call(self.address, messages.Probe(), LIMIT_MS)
+        call.give_up()
+        call.close()
+        self.assertEqual(link.waiting, 0)
+        client.close()
+
+
 class TestCancelledAtOnce(unittest.IsolatedAsyncioTestCase):
     """Calls whose cancellation comes together with their beginning."""
 
