Late signals do not change how a process ends

Nothing was lost; the platform sees a process that has failed. Cause: SIGHUP came as the interpreter ended. It puts back the default actions of signals before it takes its modules down, and that of SIGHUP ends the process.

--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -343,6 +343,43 @@
         self.assertEqual(found.returncode, 0, found.stderr)
 
 
+class TestEnd(unittest.TestCase):
+    """Signals that come after a node has ended its work."""
+
+    # SIGHUP in the last moments ended the process with its own status.
+    def test_late_signals_do_not_change_the_status(self) -> None:
+        """Signals are held back once the interpreter takes them no more."""
+        program = (
+            'import asyncio, os, signal, sys, types\n'
+            'sys.path.insert(0, "platform")\n'
+            'import run\n'
+            'class Node:\n'
+            '    def __init__(self, *parts): pass\n'
+            '    async def run(self):\n'
+            '        loop = asyncio.get_running_loop()\n'
+            '        for signum in (signal.SIGHUP, signal.SIGTERM):\n'
+            '            loop.add_signal_handler(signum, print)\n'
+            '        return 0\n'
+            'run.MeshNode = Node\n'
+            'run.PlatformAdapter = run.set_up_mesh_logs = lambda *given: None\n'
+            'run._load = lambda: types.SimpleNamespace(store="")\n'
+            'class Late:\n'
+            '    def __del__(self, kill=os.kill, pid=os.getpid()):\n'
+            '        kill(pid, 1)\n'
+            'late = Late()\n'
+            'status = run.main()\n'
+            'sys.exit(status)\n'
+        )
+        found = subprocess.run(
+            [sys.executable, '-c', program],
+            cwd=pathlib.Path(__file__).parents[4],
+            env={},
+            check=False,
+            capture_output=True,
+        )
+        self.assertEqual(found.returncode, 0, found.stderr)
+
+
 class TestDecode(unittest.TestCase):
     """The platform's messages."""
 
