A call that is given up within its answer moves to be ended

What callers would see: nothing; a node would keep the stream, the connection and a task that polls each 10 ms for ever, and the other end would go on with a run that nobody waits for. Only answers in several messages are struck, which mesh does not send today. Cause: a call that has heard a part of its answer does not move, also when it is given up, so that the word stays on a replaced connection that is silent. Change: a call that is given up may move, before its connection is replaced and behind that: what is sent again is the word that it is given up. Failed before: test_part_of_an_answer_and_silence, both cases "1 != 0".

--- /dev/null
+++ b/src/savoryhold/mesh/tests/test_moving_calls.py
@@ -0,0 +1,84 @@
+"""Calls that outlive their connections, one trouble at a time."""
+
+import asyncio
+
+from savoryhold.core.errors import LinkError
+from savoryhold.mesh.tests.calls_world import Process, World
+from savoryhold.mesh.tests.virtual import VirtualTimeCase
+from savoryhold.peer import messages
+from savoryhold.peer.link import LinkStream
+
+ADDRESS = 'b:1'
+WORK_S = 4.0
+PART_MS = 500
+MS_PER_SECOND = 1000
+BEFORE_MS = 500  # before a silent connection is replaced
+BEHIND_MS = 1500  # and behind that
+SOON_S = 1.2
+
+
+class TestMovingCalls(VirtualTimeCase):
+    """Two processes, and what is kept once their calls have ended."""
+
+    async def asyncSetUp(self) -> None:
+        """Start two processes."""
+        self.world = World(0)
+        self.serving = 0
+        self.here = Process(self.world, 'a')
+        self.there = Process(self.world, 'b')
+        self.there.pool.endpoint.handler = self.serve
+        self.path = self.world.wires.path('a', 'b')
+
+    async def asyncTearDown(self) -> None:
+        """End both."""
+        for process in (self.here, self.there):
+            process.kill()
+        await asyncio.sleep(0)
+
+    async def serve(self, call: LinkStream, message: messages.Message) -> None:
+        """Answer a probe, or a call in two messages."""
+        if isinstance(message, messages.Probe):
+            call.send(messages.Ack(ok=True))
+            return
+        self.serving += 1
+        try:
+            await self.work(call)
+        finally:
+            self.serving -= 1
+
+    async def work(self, call: LinkStream) -> None:
+        """Send one part of an answer, and the other later."""
+        call.send(messages.Chunk(body=b'1', more=True))
+        await asyncio.sleep(WORK_S)
+        call.send(messages.Chunk(body=b'2'))
+
+    async def ask(self) -> LinkStream:
+        """Begin a call and hear the first part of its answer."""
+        call = await self.here.pool.open(ADDRESS)
+        call.begin(messages.Relay)
+        await call.receive(PART_MS)
+        return call
+
+    # The call was kept for ever, and its run went on.
+    async def test_part_of_an_answer_and_silence(self) -> None:
+        """A call that is given up within its answer ends at both ends."""
+        for left_ms in (BEFORE_MS, BEHIND_MS):
+            with self.subTest(left_ms=left_ms):
+                self.here.life.run(asyncio.create_task, self.leave(left_ms))
+                await asyncio.sleep(left_ms / MS_PER_SECOND + SOON_S)
+                self.assertEqual(self.serving, 0)
+                self.assertEqual(len(self.open_ends()), 1)
+
+    def open_ends(self) -> list[object]:
+        """Return the open connections of the beginner."""
+        return [end for end in self.here.life.ends if not end.is_closing()]
+
+    async def leave(self, left_ms: float) -> None:
+        """Hear some of an answer, no more, and give up."""
+        call = await self.ask()
+        self.path.silence()
+        try:
+            await call.receive(left_ms)
+        except LinkError:
+            call.give_up()
+        call.close()
--- a/src/savoryhold/mesh/tests/virtual.py
+++ b/src/savoryhold/mesh/tests/virtual.py
@@ -3,14 +3,17 @@
 import asyncio
 import selectors
 import unittest
-from typing import Any
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from savoryhold.mesh.tests.wires import LIFE
 
-__all__ = ['LoopClock', 'VirtualTimeCase']
+__all__ = ['LoopClock', 'VirtualTimeCase', 'run_virtual']
 
 MS_PER_SECOND = 1000
 
+Outcome = TypeVar('Outcome')
+
 
 class _JumpingSelector(selectors.SelectSelector):
     """Moves the loop's clock instead of waiting."""
@@ -72,3 +75,9 @@
     def now(self) -> int:
         """Return the loop's time in ms."""
         return round(asyncio.get_running_loop().time() * MS_PER_SECOND)
+
+
+def run_virtual(work: Coroutine[Any, Any, Outcome]) -> Outcome:
+    """Do something on a loop of its own in virtual time."""
+    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
+        return runner.run(work)
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -219,14 +219,25 @@
 
     def _retire(self, link: Link) -> None:
         """Move the calls of a replaced link; those that cannot go on there."""
-        movable = link.movable()
-        if movable:
-            self._move_soon(link, movable)
+        self._move_movable(link)
         if link.waiting:
-            asyncio.create_task(_close_idle(link))
+            asyncio.create_task(self._close_idle(link))
         else:
             link.abort(ConnectionError('replaced; a new connection answers'))
 
+    def _move_movable(self, link: Link) -> None:
+        movable = link.movable()
+        if movable:
+            self._move_soon(link, movable)
+
+    async def _close_idle(self, link: Link) -> None:
+        """Close a replaced link behind the calls that could not move."""
+        while link.waiting and not link.closed:
+            await asyncio.sleep(IDLE_POLL_MS / MS_PER_SECOND)
+            # Calls within their answer may move once they are given up.
+            self._move_movable(link)
+        link.abort(ConnectionError('replaced; a new connection answers'))
+
     def _move_soon(self, old: Link, calls: list[LinkStream]) -> None:
         if self._is_closed:
             _end(calls)
@@ -297,13 +308,6 @@
     return True
 
 
-async def _close_idle(link: Link) -> None:
-    """Close a replaced link behind the calls that could not move."""
-    while link.waiting and not link.closed:
-        await asyncio.sleep(IDLE_POLL_MS / MS_PER_SECOND)
-    link.abort(ConnectionError('replaced; a new connection answers'))
-
-
 def _number(call: LinkStream) -> int:
     return call.number
 
--- a/src/savoryhold/peer/stream.py
+++ b/src/savoryhold/peer/stream.py
@@ -80,7 +80,7 @@
     @property
     def movable(self) -> bool:
         """Return whether the call can go on over another link."""
-        return self.lasting and not self._received
+        return self._given_up or (self.lasting and not self._received)
 
     def begin(self, renew: Renew) -> None:
         """Send the first message of a call that may move to another link.
