--- a/src/savoryhold/mesh/tests/test_moving_calls.py
+++ b/src/savoryhold/mesh/tests/test_moving_calls.py
@@ -15,6 +15,7 @@
 BEFORE_MS = 500  # before a silent connection is replaced
 BEHIND_MS = 1500  # and behind that
 SOON_S = 1.2
+FAR_MS = 40.0
 
 
 class TestMovingCalls(VirtualTimeCase):
@@ -82,3 +83,33 @@
         except LinkError:
             call.give_up()
         call.close()
+
+    # The connection stayed open at both ends, used by nobody.
+    async def test_who_dials_leaves(self) -> None:
+        """A connection whose dialler has left serves the next call."""
+        self.path.delay_ms = FAR_MS
+        task = self.here.spawn(self.open())
+        await asyncio.sleep(FAR_MS / MS_PER_SECOND)
+        task.cancel()
+        await asyncio.sleep(SOON_S)
+        await self.here.spawn(self.open())
+        self.assertEqual(len(self.open_ends()), 1)
+
+    # Two dialled at once, and the connection of one was not closed.
+    async def test_two_dial_at_once(self) -> None:
+        """Of a probe's connection and a call's, one remains."""
+        self.path.delay_ms = FAR_MS
+        self.here.spawn(self.open())
+        await asyncio.sleep(SOON_S)
+        link = self.here.pool._links[ADDRESS]
+        self.here.spawn(self.here.pool._replace(ADDRESS, link, SOON_S))
+        await asyncio.sleep(2 * FAR_MS / MS_PER_SECOND)
+        link.abort(ConnectionResetError('reset'))
+        self.here.spawn(self.open())
+        await asyncio.sleep(SOON_S)
+        self.assertEqual(len(self.open_ends()), 1)
+
+    async def open(self) -> None:
+        """Open a call and leave it at that."""
+        call = await self.here.pool.open(ADDRESS)
+        call.close()
