A call within its answer is given up by word, one behind it is not

Two fixes met: a call that has heard anything was taken for over at the peer, and a call within its answer has to be ended there. Whether more of an answer follows is stated by its messages; both tests pass now (test_call_given_up_behind_its_answer_is_forgotten, test_part_of_an_answer_and_silence).

--- a/src/savoryhold/peer/stream.py
+++ b/src/savoryhold/peer/stream.py
@@ -68,6 +68,7 @@
         self._ours = ours
         self._renew: Renew | None = None
         self._received = False
+        self._is_within = False
         self._given_up = False
         self._inbox: deque[messages.Message | None] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -129,9 +130,9 @@
         -----
         The call stays on its link until the peer has confirmed, so that a
         silent link is noticed and the word goes out again on the next one.
-        One that has its answer, or its end, is over at the peer, too.
+        One that has its whole answer, or its end, is over at the peer, too.
         """
-        if self._received:
+        if self._received and not self._is_within:
             return
         self._given_up = self.lasting
         self._renew = messages.Cancel
@@ -163,6 +164,7 @@
     def deliver(self, message: messages.Message | None) -> None:
         """Put a received message, or None for the end, in the inbox."""
         self._received = True
+        self._is_within = bool(getattr(message, 'more', False))
         if self._given_up:
             self._given_up = False
             self.close()
