--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -21,7 +21,7 @@
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import LinkStream
 from savoryhold.traffic import Route, RouteKind, SharedBudgets
-from savoryhold.wire import Exchange, HeaderNames
+from savoryhold.wire import Exchange, HeaderNames, HttpRequest
 
 __all__ = ['IngressTask']
 
@@ -53,6 +53,7 @@
         self.req = req
         self.large = route.kind is RouteKind.DOWNLOAD
         self.left = max(1, route.attempts)
+        self.asked: NodeId | None = None
         self.refused: set[NodeId] = set()
         self.may_have_run: RequestError | None = None
 
@@ -110,14 +111,15 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         http = exchange.req
+        attempt: _Attempt | None = None
         try:
-            req, route = self._reader.read(http)
-            answer = await self._answer(_Attempt(req, route))
+            attempt = _Attempt(*self._reader.read(http))
+            answer = await self._answer(attempt)
         except RequestError as exc:
             self._refuse(exchange, exc)
             return
         except asyncio.CancelledError:
-            self._telemetry.gone(http, self.names)
+            self._note_gone(http, attempt)
             raise
         except Exception as exc:  # noqa: BLE001
             # A defect must not leave the caller without an answer.
@@ -126,7 +128,15 @@
             return
         sized = http.method != b'HEAD'
         exchange.reply(answer.status, answer.head, answer.body, sized=sized)
-        self._telemetry.answered(req, answer, http.read_at)
+        self._telemetry.answered(attempt.req, answer, http.read_at)
+
+    def _note_gone(self, http: HttpRequest, attempt: _Attempt | None) -> None:
+        if attempt is None:
+            self._telemetry.gone(http, self.names)
+            return
+        left_ms = attempt.req.deadline - self._clock.now()
+        asked = attempt.asked or ''
+        self._telemetry.gone(http, self.names, asked=asked, left_ms=left_ms)
 
     # Trying -----------------------------------------------------------------
 
@@ -161,6 +171,7 @@
             attempt.req, attempt.refused, large=attempt.large
         )
         attempt.left -= 1
+        attempt.asked = node
         try:
             if node == self._parts.settings.node:
                 return await self._parts.owner.submit(attempt.req)
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -154,7 +154,14 @@
                 took_ms=self._clock.now() - http.read_at,
             )
 
-    def gone(self, http: HttpRequest, names: HeaderNames) -> None:
+    def gone(
+        self,
+        http: HttpRequest,
+        names: HeaderNames,
+        *,
+        asked: str = '',
+        left_ms: int = 0,
+    ) -> None:
         """Note a caller that left before its answer."""
         self.outcomes[('gone', 'unknown')] += 1
         if self.may_log():
@@ -162,6 +169,8 @@
                 'caller_gone',
                 request=_id(http, names),
                 took_ms=self._clock.now() - http.read_at,
+                asked=asked,
+                left_ms=left_ms,
             )
 
     def repeated(
