The module of links is cut into links, their endpoint and lasting calls

Moved, not changed: the suites of links, moving calls, served calls, links in trouble and leaving pass as before (86 tests).

--- a/src/savoryhold/mesh/tests/calls_world.py
+++ b/src/savoryhold/mesh/tests/calls_world.py
@@ -20,7 +20,8 @@
 from savoryhold.mesh.tests.virtual import run_virtual
 from savoryhold.mesh.tests.wires import Life, Path, Wires
 from savoryhold.peer import PeerPool, messages, served
-from savoryhold.peer.link import Link, LinkStream
+from savoryhold.peer.link import Link
+from savoryhold.peer.stream import LinkStream
 from savoryhold.peer.served import ServedCall
 
 __all__ = ['Fault', 'World', 'faults_of']
--- a/src/savoryhold/mesh/tests/test_moving_calls.py
+++ b/src/savoryhold/mesh/tests/test_moving_calls.py
@@ -6,7 +6,7 @@
 from savoryhold.mesh.tests.calls_world import Process, World
 from savoryhold.mesh.tests.virtual import VirtualTimeCase
 from savoryhold.peer import messages
-from savoryhold.peer.link import LinkStream
+from savoryhold.peer.stream import LinkStream
 
 ADDRESS = 'b:1'
 WORK_S = 4.0
--- a/src/savoryhold/peer/__init__.py
+++ b/src/savoryhold/peer/__init__.py
@@ -1,9 +1,10 @@
 """Links between daemons: frames, messages and connections."""
 
+from savoryhold.peer.endpoint import Endpoint
 from savoryhold.peer.frames import Frame, FrameReader, pack_frame
-from savoryhold.peer.link import Endpoint, Link, LinkStream
+from savoryhold.peer.link import Link
 from savoryhold.peer.pool import PeerPool
-from savoryhold.peer.stream import Carrier
+from savoryhold.peer.stream import Carrier, LinkStream
 
 __all__ = [
     'Carrier',
--- /dev/null
+++ b/src/savoryhold/peer/lasting.py
@@ -0,0 +1,106 @@
+"""What messages of lasting calls mean where a link brings them."""
+
+import asyncio
+from functools import partial
+from typing import TYPE_CHECKING
+
+from savoryhold.peer import messages
+from savoryhold.peer.endpoint import Endpoint
+from savoryhold.peer.served import Arrival, CallKey, ServedCall
+
+if TYPE_CHECKING:
+    from savoryhold.peer.link import Link
+
+__all__ = ['LastingCalls']
+
+
+class LastingCalls:
+    """Begins, carries on and ends what the peer's process asks on a link.
+
+    Parameters
+    ----------
+    link : Link
+        The link.
+    endpoint : Endpoint
+        What it shares with the other links of this process.
+    """
+
+    def __init__(self, link: 'Link', endpoint: Endpoint) -> None:
+        self._link = link
+        self._endpoint = endpoint
+        self._on_arrival = {
+            Arrival.BEGIN: self._begin,
+            Arrival.FOLLOW_UP: self._follow_up,
+            Arrival.AGAIN: self._take_on,
+            Arrival.OVER: self._say_over,
+        }
+        self._on_cancel = {
+            Arrival.BEGIN: self._refuse,
+            Arrival.FOLLOW_UP: self._cancel,
+            Arrival.AGAIN: self._cancel,
+            Arrival.OVER: self._say_over,
+        }
+
+    def take_over(self) -> None:
+        """Begin calls of the peer's process on this link only."""
+        newest = self._endpoint.newest
+        other = newest.get(self._link.process, self._link)
+        if other.order > self._link.order:
+            # Held up on its way; a still newer link has come meanwhile.
+            self._link.retired = True
+            return
+        newest[self._link.process] = self._link
+        if other is not self._link:
+            other.retired = True
+            self._endpoint.on_left(other)
+
+    def take(self, number: int, message: messages.Message) -> None:
+        """Take in a message of a call that may move between links."""
+        key = CallKey(self._link.process, number)
+        served = self._endpoint.served
+        arrival = served.arrival(
+            key, self._link, self._link.order, retired=self._link.retired
+        )
+        is_cancel = isinstance(message, messages.Cancel)
+        table = self._on_cancel if is_cancel else self._on_arrival
+        take = table.get(arrival)
+        if take is not None:
+            take(key, message)
+
+    def _known(self, key: CallKey) -> ServedCall:
+        call = self._endpoint.served.get(key)
+        assert call is not None
+        return call
+
+    def _begin(self, key: CallKey, message: messages.Message) -> None:
+        call = ServedCall(self._link, key.number, self._link.order)
+        self._endpoint.served.begin(key, call, _now())
+        call.task = asyncio.create_task(self._endpoint.serve(call, message))
+        call.task.add_done_callback(partial(self._ended, key))
+
+    def _ended(self, key: CallKey, task: 'asyncio.Task[None]') -> None:
+        self._endpoint.served.end(key, _now())
+
+    def _follow_up(self, key: CallKey, message: messages.Message) -> None:
+        self._known(key).deliver(message)
+
+    def _take_on(self, key: CallKey, message: messages.Message) -> None:
+        self._known(key).move_to(self._link, self._link.order)
+
+    def _say_over(self, key: CallKey, message: messages.Message) -> None:
+        over = messages.CallOver()
+        self._link.send(over, key.number, is_reply=True, lasting=True)
+
+    def _cancel(self, key: CallKey, message: messages.Message) -> None:
+        self._known(key).cancel()
+        self._say_over(key, message)
+
+    def _refuse(self, key: CallKey, message: messages.Message) -> None:
+        # What it cancels is held up on an older link, or was lost there.
+        refused = ServedCall(self._link, key.number, self._link.order)
+        self._endpoint.served.refuse(key, refused, _now())
+        self._say_over(key, message)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -2,61 +2,24 @@
 
 import asyncio
 import hmac
-import itertools
 import secrets
-from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import cast
 
 from savoryhold.core.errors import LinkError, MalformedMessageError
 from savoryhold.core.transit import TransitDelay
 from savoryhold.peer import messages
+from savoryhold.peer.endpoint import Endpoint
 from savoryhold.peer.frames import Frame, FrameReader, pack_frame
-from savoryhold.peer.served import (
-    Arrival,
-    CallKey,
-    ProcessId,
-    ServedCall,
-    ServedCalls,
-)
+from savoryhold.peer.lasting import LastingCalls
+from savoryhold.peer.served import ProcessId
 from savoryhold.peer.stream import LinkStream
 
-__all__ = ['Endpoint', 'Link', 'LinkStream', 'PeerHandler']
+__all__ = ['Link']
 
 NONCE_BYTES = 16
-LIFE_BYTES = 8
 MAX_GREETING_BYTES = 1024
 
-PeerHandler = Callable[['LinkStream', messages.Message], Awaitable[None]]
-
-
-class Endpoint:
-    """What all links of this process share.
-
-    Parameters
-    ----------
-    node : str
-        This node's id.
-    secret : bytes
-        The secret that all daemons share.
-    handler : callable
-        Awaited for each call that a peer begins.
-    """
-
-    def __init__(self, node: str, secret: bytes, handler: PeerHandler) -> None:
-        self.node = node
-        self.secret = secret
-        self.handler = handler
-        self.life = secrets.token_hex(LIFE_BYTES)
-        self.numbers = itertools.count(1)
-        self.orders = itertools.count(1)
-        self.served = ServedCalls()
-        self.newest: dict[ProcessId, Link] = {}
-        self.on_malformed: Callable[[str], None] = lambda reason: None
-        self.on_closed: Callable[[Link], None] = lambda link: None
-        self.on_movable: Callable[[Link, list[LinkStream]], None] = _end_all
-        self.on_left: Callable[[Link], None] = lambda link: None
-
 
 class Link(asyncio.Protocol):
     """A connection between two daemons, greeted by a shared secret.
@@ -95,18 +58,7 @@
         self._calls: dict[int, LinkStream] = {}
         self._served: dict[int, LinkStream] = {}
         self._closed = False
-        self._on_arrival = {
-            Arrival.BEGIN: self._begin,
-            Arrival.FOLLOW_UP: self._follow_up,
-            Arrival.AGAIN: self._take_on,
-            Arrival.OVER: self._say_over,
-        }
-        self._on_cancel = {
-            Arrival.BEGIN: self._refuse,
-            Arrival.FOLLOW_UP: self._cancel,
-            Arrival.AGAIN: self._cancel,
-            Arrival.OVER: self._say_over,
-        }
+        self._lasting = LastingCalls(self, endpoint)
 
     @property
     def closed(self) -> bool:
@@ -276,9 +228,9 @@
             if call is not None:
                 call.deliver(message)
         elif isinstance(message, messages.Takeover):
-            self._on_takeover()
+            self._lasting.take_over()
         elif frame.lasting:
-            self._on_lasting(frame.correlation, message)
+            self._lasting.take(frame.correlation, message)
         else:
             self._on_request(frame.correlation, message)
 
@@ -296,77 +248,10 @@
             return
         served = LinkStream(self, correlation, ours=False)
         self._served[correlation] = served
-        served.task = asyncio.create_task(self._serve(served, message))
+        served.task = asyncio.create_task(self._endpoint.serve(served, message))
         # A task that is cancelled before its first step runs no `finally`.
         served.task.add_done_callback(partial(_close, served))
 
-    def _on_takeover(self) -> None:
-        """Begin calls of the peer's process on this link only."""
-        newest = self._endpoint.newest
-        other = newest.get(self.process, self)
-        if other.order > self.order:
-            # Held up on its way; a still newer link has come meanwhile.
-            self.retired = True
-            return
-        newest[self.process] = self
-        if other is not self:
-            other.retired = True
-            self._endpoint.on_left(other)
-
-    def _on_lasting(self, number: int, message: messages.Message) -> None:
-        """Take in a message of a call that may move between links."""
-        key = CallKey(self.process, number)
-        served = self._endpoint.served
-        arrival = served.arrival(key, self, self.order, retired=self.retired)
-        is_cancel = isinstance(message, messages.Cancel)
-        table = self._on_cancel if is_cancel else self._on_arrival
-        take = table.get(arrival)
-        if take is not None:
-            take(key, message)
-
-    def _known(self, key: CallKey) -> ServedCall:
-        call = self._endpoint.served.get(key)
-        assert call is not None
-        return call
-
-    def _begin(self, key: CallKey, message: messages.Message) -> None:
-        call = ServedCall(self, key.number, self.order)
-        self._endpoint.served.begin(key, call, _now())
-        call.task = asyncio.create_task(self._serve(call, message))
-        call.task.add_done_callback(partial(self._ended, key))
-
-    def _ended(self, key: CallKey, task: 'asyncio.Task[None]') -> None:
-        self._endpoint.served.end(key, _now())
-
-    def _follow_up(self, key: CallKey, message: messages.Message) -> None:
-        self._known(key).deliver(message)
-
-    def _take_on(self, key: CallKey, message: messages.Message) -> None:
-        self._known(key).move_to(self, self.order)
-
-    def _say_over(self, key: CallKey, message: messages.Message) -> None:
-        over = messages.CallOver()
-        self.send(over, key.number, is_reply=True, lasting=True)
-
-    def _cancel(self, key: CallKey, message: messages.Message) -> None:
-        self._known(key).cancel()
-        self._say_over(key, message)
-
-    def _refuse(self, key: CallKey, message: messages.Message) -> None:
-        # What it cancels is held up on an older link, or was lost there.
-        refused = ServedCall(self, key.number, self.order)
-        self._endpoint.served.refuse(key, refused, _now())
-        self._say_over(key, message)
-
-    async def _serve(
-        self, served: LinkStream, message: messages.Message
-    ) -> None:
-        try:
-            await self._endpoint.handler(served, message)
-        except LinkError:
-            # The peer went away; its own end reports that.
-            return
-
     def _check_greeting(self, frame: Frame) -> None:
         small = len(frame.payload) <= MAX_GREETING_BYTES
         if not small or not messages.is_greeting(frame.code):
@@ -413,10 +298,5 @@
     call.close()
 
 
-def _end_all(link: Link, calls: list[LinkStream]) -> None:
-    for call in calls:
-        call.deliver(None)
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -6,7 +6,9 @@
 
 from savoryhold.core.errors import LinkError
 from savoryhold.peer import messages
-from savoryhold.peer.link import Endpoint, Link, LinkStream, PeerHandler
+from savoryhold.peer.endpoint import Endpoint, PeerHandler
+from savoryhold.peer.link import Link
+from savoryhold.peer.stream import LinkStream
 
 __all__ = ['PeerPool']
 
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -10,7 +10,9 @@
 
 from savoryhold.core.errors import LinkError, MalformedMessageError
 from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
-from savoryhold.peer.link import Endpoint, Link, LinkStream
+from savoryhold.peer.endpoint import Endpoint
+from savoryhold.peer.link import Link
+from savoryhold.peer.stream import LinkStream
 from savoryhold.peer.packing import MAX_PIECE_BYTES, pack, unpack
 
 __all__ = [
--- a/src/savoryhold/peer/tests/test_served.py
+++ b/src/savoryhold/peer/tests/test_served.py
@@ -8,7 +8,9 @@
 from savoryhold.core.errors import LinkError
 from savoryhold.core.transit import TransitDelay
 from savoryhold.peer import messages, served
-from savoryhold.peer.link import Endpoint, Link, LinkStream
+from savoryhold.peer.endpoint import Endpoint
+from savoryhold.peer.link import Link
+from savoryhold.peer.stream import LinkStream
 from savoryhold.peer.served import (
     Arrival,
     CallKey,
@@ -397,24 +399,24 @@
 
     async def take(self, link: Link, message: messages.Message) -> None:
         """Have a message of the call arrive."""
-        link._on_lasting(NUMBER, message)
+        link._lasting.take(NUMBER, message)
         await asyncio.sleep(0)
 
     async def test_replaced(self) -> None:
         """A connection begins calls until a newer one takes its place."""
-        self.old._on_takeover()
+        self.old._lasting.take_over()
         await self.take(self.old, messages.Relay())
         self.assertEqual(self.begun, [NUMBER])
-        self.new._on_takeover()
+        self.new._lasting.take_over()
         self.assertEqual(self.left, [self.old])
-        self.old._on_lasting(NUMBER + 1, messages.Relay())
+        self.old._lasting.take(NUMBER + 1, messages.Relay())
         await asyncio.sleep(0)
         self.assertEqual(self.begun, [NUMBER])
 
     async def test_held_up(self) -> None:
         """A connection whose word comes late does not take the place back."""
-        self.new._on_takeover()
-        self.old._on_takeover()
+        self.new._lasting.take_over()
+        self.old._lasting.take_over()
         await self.take(self.old, messages.Relay())
         self.assertEqual(self.begun, [])
         await self.take(self.new, messages.Relay())
@@ -422,10 +424,10 @@
 
     async def test_held_up_beyond_the_newer(self) -> None:
         """What was given up does not begin, though nothing is newer now."""
-        self.new._on_takeover()
+        self.new._lasting.take_over()
         await self.take(self.new, messages.Cancel())
         self.new.abort(ConnectionResetError('reset'))
-        self.old._on_takeover()
+        self.old._lasting.take_over()
         await self.take(self.old, messages.Relay())
         self.assertEqual(self.begun, [])
 
@@ -438,9 +440,9 @@
 
     async def test_another_process(self) -> None:
         """A process takes no place of another's, nor do its calls."""
-        self.old._on_takeover()
+        self.old._lasting.take_over()
         self.new.life = THERE
-        self.new._on_takeover()
+        self.new._lasting.take_over()
         for link in (self.old, self.new):
             await self.take(link, messages.Relay())
         self.assertEqual(self.begun, [NUMBER, NUMBER])
