A link that is still taking what was sent is slow, not silent

Callers would see: 504 for all requests with long bodies between two nodes over a narrow link, none of which had run: 1.5 MB over 2 MB/s in the test. Cause: while a long body is being sent nothing comes back, and the probe waits behind it, so that its link was taken for silent after 0.3 s and replaced 0.3 s and a dial later. Each replacement sent all bodies anew from their start, so that none ever arrived and the link was loaded until the deadlines. Change: a link on which bytes written before the probe have been acknowledged since, and on which the probe has not, is kept. The kernel's own count of what is not acknowledged (TIOCOUTQ) is asked, as most of a body waits there; two system calls a probe. A silent path acknowledges nothing, and what swallows all that it gets takes the probe, too. In tests, wires have a width, deliver in pieces, and count what has not arrived. Failed before: test_long_bodies_are_not_taken_for_silence with "AssertionError: Items in the first set but not the second: 504". test_bytes_count_until_they_are_taken guards the count on loopback; there was none before.

--- a/src/savoryhold/mesh/tests/test_links_in_trouble.py
+++ b/src/savoryhold/mesh/tests/test_links_in_trouble.py
@@ -43,6 +43,9 @@
 SLOW_DIAL_MS = 70.0  # a way on which it takes 350 ms until a link is ready
 CALLER_WAITS_S = 0.3
 TIMES = 3
+FEW = 4
+NARROW = 2_000_000  # bytes a second
+LONG_BODY = 1_500_000
 DIALS_AGAIN_S = 0.75  # after a silence that began with a call
 FROM = 0
 TO = 2  # the one node beside a target that runs what is asked
@@ -228,6 +231,20 @@
         await self.check_at_work(SHORT_MS, Path.reset)
         self.assertTrue(caller.status.done())
 
+    # A link was replaced, and all bodies sent anew, before they had arrived.
+    async def test_long_bodies_are_not_taken_for_silence(self) -> None:
+        """A link that takes what is sent is not silent."""
+        self.target.work_ms = SHORT_MS
+        self.path.bytes_per_s = NARROW
+        callers = [
+            self.ask('/book/', f'b{number}', body=bytes(LONG_BODY))
+            for number in range(FEW)
+        ]
+        await asyncio.sleep(LATE_S)
+        self.assertEqual(set(heard(callers)), {OK})
+        self.assertEqual(self.runs(), {f'b{n}': 1 for n in range(FEW)})
+        self.assertEqual(self.fleet.nodes[FROM].pool.replaced, 0)
+
     # Calls under way were ended although no new connection worked, either.
     async def test_runs_outlast_a_cut(self) -> None:
         """Runs beside a cut that ends soon are answered."""
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -14,6 +14,7 @@
 from savoryhold.peer.lasting import LastingCalls
 from savoryhold.peer.served import ProcessId
 from savoryhold.peer.stream import LinkStream
+from savoryhold.unsent import count_unsent
 
 __all__ = ['Link']
 
@@ -75,6 +76,13 @@
         """Return since when calls have waited and nothing has arrived."""
         return max(self.last_received, self.waiting_since)
 
+    @property
+    def unsent(self) -> int:
+        """Return how many bytes the other end has not taken."""
+        if self._closed or self._transport is None:
+            return 0
+        return count_unsent(self._transport)
+
     @property
     def serving(self) -> int:
         """Return how many calls of the peer are being served."""
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -192,24 +192,25 @@
         Notes
         -----
         A call may take long, and a probe waits behind what is queued on its
-        link: one that has brought anything since is slow, not silent.
+        link: one that has brought anything since is slow, not silent, and so
+        is one that is still taking what was sent before.
         """
         self.probed += 1
-        asked_at = asyncio.get_running_loop().time()
+        look = _Look(link)
         try:
             if not await _answers(link):
-                await self._replace(address, link, asked_at)
+                await self._replace(address, link, look)
         finally:
             self._probing.discard(address)
 
-    async def _replace(self, address: str, link: Link, asked_at: float) -> None:
+    async def _replace(self, address: str, link: Link, look: '_Look') -> None:
         try:
             fresh = await self._dial(address)
         except LinkError:
             # The path is cut for all connections; a new one is no remedy.
             return
         answers = await _answers(fresh)
-        slow = link.last_received >= asked_at
+        slow = look.is_slow()
         if slow or not answers or self._links.get(address) is not link:
             fresh.abort(ConnectionError('not needed'))
             return
@@ -301,6 +302,29 @@
                 call.cancel()
 
 
+class _Look:
+    """What a link had brought and taken at some time."""
+
+    def __init__(self, link: Link) -> None:
+        self._link = link
+        self._at = asyncio.get_running_loop().time()
+        self._sent = link.bytes_sent
+        self._taken = self._sent - link.unsent
+
+    def is_slow(self) -> bool:
+        """Return whether the link brings something, or takes what is older.
+
+        Notes
+        -----
+        What is written after the look, such as a probe, does not count: some
+        other process between the two ends may take it for good.
+        """
+        link = self._link
+        if link.last_received >= self._at:
+            return True
+        return self._taken < link.bytes_sent - link.unsent <= self._sent
+
+
 async def _answers(link: Link) -> bool:
     """Return whether a link answers a probe."""
     try:
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 import zlib
+from functools import partial
 from typing import cast
 
 import hypothesis
@@ -14,6 +15,7 @@
 from savoryhold.peer.link import Link
 from savoryhold.peer.stream import LinkStream
 from savoryhold.peer.packing import MAX_PIECE_BYTES, pack, unpack
+from savoryhold.unsent import count_unsent
 
 __all__ = [
     'TestFrames',
@@ -21,10 +23,12 @@
     'TestLinks',
     'TestPacking',
     'TestSilence',
+    'TestUnsent',
 ]
 
 SECRET = b'a secret for tests'
 LIMIT_MS = 10_000
+MANY_BYTES = 30_000_000  # more than kernels take for a process
 
 
 class TestFrames(unittest.TestCase):
@@ -243,6 +247,41 @@
         client.close()
 
 
+class TestUnsent(unittest.IsolatedAsyncioTestCase):
+    """Bytes that the other end has not taken."""
+
+    # Bytes in the kernel's buffer were not seen, and their link was replaced.
+    async def test_bytes_count_until_they_are_taken(self) -> None:
+        """What waits anywhere counts; what the other kernel has does not."""
+        may_read = asyncio.Event()
+        server = await asyncio.start_server(
+            partial(read_later, may_read), '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+        _, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(bytes(MANY_BYTES))
+        unsent = count_unsent(writer.transport)
+        self.assertGreater(unsent, writer.transport.get_write_buffer_size())
+        self.assertLessEqual(unsent, MANY_BYTES)
+        may_read.set()
+        async with asyncio.timeout(LIMIT_MS / 1000):
+            while count_unsent(writer.transport):
+                await asyncio.sleep(0.01)
+        writer.close()
+        server.close()
+
+
+async def read_later(
+    may_read: asyncio.Event,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Read to the end, but not at once."""
+    await may_read.wait()
+    await reader.read()
+    writer.close()
+
+
 class TestCancelledAtOnce(unittest.IsolatedAsyncioTestCase):
     """Calls whose cancellation comes together with their beginning."""
 
