Calls that stand behind what is arriving are not taken for left

Callers would see: 504 for requests at which a target is at work, bookings included, though both nodes live, when their link has broken and the requests that move before them have long bodies (more than their link takes in 0.8 s together). Cause: a call is cancelled where it runs if its beginner has not moved it to another link 0.8 s after its own has gone. The beginner sends all calls at once, but one behind the other; the later ones were cancelled while the bodies of the first came in, and answered "the peer has dropped the call" as they arrived. Change: while a message is arriving in part on the newest link of the beginner's process and has brought something in the last 0.3 s, nothing is cancelled; it is looked at again 50 ms later. A process that has ended sends nothing, and its runs end as before. Failed before: test_runs_outlast_a_reset_behind_long_bodies with "AssertionError: Items in the first set but not the second: 504" (2 of 4 bookings).

--- a/src/savoryhold/mesh/tests/test_links_in_trouble.py
+++ b/src/savoryhold/mesh/tests/test_links_in_trouble.py
@@ -46,6 +46,8 @@
 FEW = 4
 NARROW = 2_000_000  # bytes a second
 LONG_BODY = 1_500_000
+BODY = 700_000
+BODIES_SENT_S = 1.5
 DIALS_AGAIN_S = 0.75  # after a silence that began with a call
 FROM = 0
 TO = 2  # the one node beside a target that runs what is asked
@@ -245,6 +247,22 @@
         self.assertEqual(self.runs(), {f'b{n}': 1 for n in range(FEW)})
         self.assertEqual(self.fleet.nodes[FROM].pool.replaced, 0)
 
+    # Runs were stopped while the bodies of calls before them were sent again.
+    async def test_runs_outlast_a_reset_behind_long_bodies(self) -> None:
+        """Calls whose bodies take long to send are not taken for left."""
+        self.target.work_ms = LONG_MS
+        self.path.bytes_per_s = NARROW
+        callers = [
+            self.ask('/book/', f'b{number}', body=bytes(BODY))
+            for number in range(FEW)
+        ]
+        await asyncio.sleep(BODIES_SENT_S)
+        self.assertEqual(len(self.fleet.running), FEW)
+        self.path.reset()
+        await asyncio.sleep(LATE_S)
+        self.assertEqual(set(heard(callers)), {OK})
+        self.assertEqual(self.runs(), {f'b{n}': 1 for n in range(FEW)})
+
     # Calls under way were ended although no new connection worked, either.
     async def test_runs_outlast_a_cut(self) -> None:
         """Runs beside a cut that ends soon are answered."""
--- a/src/savoryhold/peer/frames.py
+++ b/src/savoryhold/peer/frames.py
@@ -58,6 +58,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def in_frame(self) -> bool:
+        """Return whether a frame has come in part."""
+        return bool(self._buffer)
+
     def feed(self, received: bytes) -> list[Frame]:
         """Take in bytes and return the frames that they complete.
 
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -76,6 +76,11 @@
         """Return since when calls have waited and nothing has arrived."""
         return max(self.last_received, self.waiting_since)
 
+    @property
+    def in_frame(self) -> bool:
+        """Return whether a message is arriving and not yet whole."""
+        return not self._closed and self._reader.in_frame
+
     @property
     def unsent(self) -> int:
         """Return how many bytes the other end has not taken."""
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -299,6 +299,14 @@
 
     def _end_orphans(self, link: Link) -> None:
         """End the calls of a link that their beginner has not moved."""
+        newest = self._endpoint.newest.get(link.process, link)
+        loop = asyncio.get_running_loop()
+        silent_ms = (loop.time() - newest.last_received) * MS_PER_SECOND
+        if newest.in_frame and silent_ms < SILENCE_MS:
+            # The calls may stand behind what is arriving.
+            wait_s = MOVE_RETRY_MS / MS_PER_SECOND
+            loop.call_later(wait_s, self._end_orphans, link)
+            return
         for call in self._endpoint.served.on_link(link):
             if link.closed or not call.answered:
                 call.cancel()
