--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -259,7 +259,7 @@
             partial(read_later, may_read), '127.0.0.1', 0
         )
         port = server.sockets[0].getsockname()[1]
-        _, writer = await asyncio.open_connection('127.0.0.1', port)
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
         writer.write(bytes(MANY_BYTES))
         unsent = count_unsent(writer.transport)
         self.assertGreater(unsent, writer.transport.get_write_buffer_size())
@@ -268,6 +268,8 @@
         async with asyncio.timeout(LIMIT_MS / 1000):
             while count_unsent(writer.transport):
                 await asyncio.sleep(0.01)
+            writer.write_eof()
+            await reader.read()
         writer.close()
         server.close()
 
