The next link of a process knows the usual delay of the last

Targets would see: a request that is sent again over a new link and is late on it (long bodies before it, a queue on its machine) with more time than its caller has left, by as much as the first message on that link was late. Cause: the usual delay was learned anew on each link, from its first message, whose own delay then counted as usual. Calls that move come first on new links, and links are replaced where messages are late. After a reset the former link is gone before the next comes, and the delay is learned anew as before. Change: a link that takes the place of an open one goes on with what was learned there; the process, and so its clock, is the same. Failed before: test_usual_delay_is_known_on_the_next_link with "AssertionError: 0 != 500".

--- a/src/savoryhold/peer/lasting.py
+++ b/src/savoryhold/peer/lasting.py
@@ -51,6 +51,8 @@
             return
         newest[self._link.process] = self._link
         if other is not self._link:
+            # The clocks at both ends are the same.
+            self._link.transit = other.transit
             other.retired = True
             self._endpoint.on_left(other)
 
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -24,6 +24,7 @@
     'TestLinks',
     'TestPacking',
     'TestSilence',
+    'TestTakeover',
     'TestUnsent',
 ]
 
@@ -248,6 +249,23 @@
         client.close()
 
 
+class TestTakeover(unittest.IsolatedAsyncioTestCase):
+    """A link that takes the place of another one of the same process."""
+
+    # A request that came late on a new link got its delay as more time.
+    async def test_usual_delay_is_known_on_the_next_link(self) -> None:
+        """What the first message is late by shows at once."""
+        endpoint = Endpoint('a', SECRET, answer)
+        old = Link(endpoint, dialled=False)
+        new = Link(endpoint, dialled=False)
+        for order, link in enumerate((old, new)):
+            link.life, link.order = 'a life', order
+        old._on_takeover()
+        old.transit.excess_ms(0, 10)
+        new._on_takeover()
+        self.assertEqual(new.transit.excess_ms(1000, 1510), 500)
+
+
 class TestUnsent(unittest.IsolatedAsyncioTestCase):
     """Bytes that the other end has not taken."""
 
