Soak: a version that has been replaced has no marker to look for

Trace: n2 was paused from 2,469,743 to 2,473,344 ms with the question for the marker of version 2 unread; versions 3 to 5 were written at 2,471,435 and 2,472,956, and n2 had 3 in force at 18:46:38.446 and 5 at 38.456, when it answered 404 as these say. It went back from nothing. The check compares a marker with the answer only while its version stands; a node that goes back says 404 to the next question, too, which comes within 0.2 s or so.

--- a/soak/world.py
+++ b/soak/world.py
@@ -201,10 +201,10 @@
                 continue
             if sent.status == STATUS_OK:
                 self._seen[life] = max(newest, self._seen.get(life, 0))
-            went_back = (
-                sent.status == NOT_FOUND and self._seen.get(life, 0) >= newest
-            )
-            if went_back:
+            seen = self._seen.get(life, 0) >= newest
+            # A newer version has no marker of an older one.
+            is_newest = newest == self.version
+            if sent.status == NOT_FOUND and seen and is_newest:
                 self.broken.append(f'config: {life} went back from {newest}')
 
 
