--- a/src/savoryhold/peer/endpoint.py
+++ b/src/savoryhold/peer/endpoint.py
@@ -42,6 +42,8 @@
         self.orders = itertools.count(1)
         self.served = ServedCalls()
         self.newest: dict[ProcessId, 'Link'] = {}
+        # What happens to a link: garbage came; it closed; it closed with calls
+        # that can move; calls served on it have to come by another one.
         self.on_malformed: Callable[[str], None] = lambda reason: None
         self.on_closed: Callable[['Link'], None] = lambda link: None
         self.on_movable: Callable[['Link', list[LinkStream]], None] = _end_all
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -270,12 +270,12 @@
     def _carry_on(self, link: Link, calls: list[LinkStream]) -> None:
         for call in sorted(calls, key=_number):
             if not call.movable:
-                # Its beginner has given it up meanwhile.
+                # Its beginner has closed it meanwhile.
                 continue
             try:
                 link.adopt(call)
             except LinkError:
-                # The next link, too, has closed: `movable` takes it out again.
+                # The next link has closed in turn.
                 call.deliver(None)
             else:
                 self.moved += 1
