--- a/src/savoryhold/mesh/tests/test_links_in_trouble.py
+++ b/src/savoryhold/mesh/tests/test_links_in_trouble.py
@@ -117,6 +117,18 @@
         """Ask for a lookup and a booking that run at the other node."""
         return [self.ask(path, path) for path in BOTH]
 
+    def ask_few(self, size: int) -> list[Caller]:
+        """Send bookings with bodies of a size."""
+        return [
+            self.ask('/book/', f'b{number}', body=bytes(size))
+            for number in range(FEW)
+        ]
+
+    def check_few(self, callers: list[Caller]) -> None:
+        """See these bookings answered, with one run each."""
+        self.assertEqual(set(heard(callers)), {OK})
+        self.assertEqual(self.runs(), {f'b{n}': 1 for n in range(FEW)})
+
     async def check_once(self, callers: list[Caller]) -> None:
         """See both answered, with one run each that nothing has stopped."""
         await asyncio.sleep(LATE_S)
@@ -238,13 +250,9 @@
         """A link that takes what is sent is not silent."""
         self.target.work_ms = SHORT_MS
         self.path.bytes_per_s = NARROW
-        callers = [
-            self.ask('/book/', f'b{number}', body=bytes(LONG_BODY))
-            for number in range(FEW)
-        ]
+        callers = self.ask_few(LONG_BODY)
         await asyncio.sleep(LATE_S)
-        self.assertEqual(set(heard(callers)), {OK})
-        self.assertEqual(self.runs(), {f'b{n}': 1 for n in range(FEW)})
+        self.check_few(callers)
         self.assertEqual(self.fleet.nodes[FROM].pool.replaced, 0)
 
     # Runs were stopped while the bodies of calls before them were sent again.
@@ -252,16 +260,12 @@
         """Calls whose bodies take long to send are not taken for left."""
         self.target.work_ms = LONG_MS
         self.path.bytes_per_s = NARROW
-        callers = [
-            self.ask('/book/', f'b{number}', body=bytes(BODY))
-            for number in range(FEW)
-        ]
+        callers = self.ask_few(BODY)
         await asyncio.sleep(BODIES_SENT_S)
         self.assertEqual(len(self.fleet.running), FEW)
         self.path.reset()
         await asyncio.sleep(LATE_S)
-        self.assertEqual(set(heard(callers)), {OK})
-        self.assertEqual(self.runs(), {f'b{n}': 1 for n in range(FEW)})
+        self.check_few(callers)
 
     # Calls under way were ended although no new connection worked, either.
     async def test_runs_outlast_a_cut(self) -> None:
--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -319,6 +319,17 @@
                 self.assertLess(leave_ms(grace_ms), grace_ms)
 
 
+def run_program(program: str) -> 'subprocess.CompletedProcess[bytes]':
+    """Run Python text as a process of its own at the repository's root."""
+    return subprocess.run(
+        [sys.executable, '-c', program],
+        cwd=pathlib.Path(__file__).parents[4],
+        env={},
+        check=False,
+        capture_output=True,
+    )
+
+
 class TestStart(unittest.TestCase):
     """Signals that come before a node listens for them."""
 
@@ -333,13 +344,7 @@
             '    kept = signal.getsignal(signal.SIGHUP) is signal.SIG_IGN\n'
             '    sys.exit(0 if kept else 1)\n'
         )
-        found = subprocess.run(
-            [sys.executable, '-c', program],
-            cwd=pathlib.Path(__file__).parents[4],
-            env={},
-            check=False,
-            capture_output=True,
-        )
+        found = run_program(program)
         self.assertEqual(found.returncode, 0, found.stderr)
 
 
@@ -370,13 +375,7 @@
             'status = run.main()\n'
             'sys.exit(status)\n'
         )
-        found = subprocess.run(
-            [sys.executable, '-c', program],
-            cwd=pathlib.Path(__file__).parents[4],
-            env={},
-            check=False,
-            capture_output=True,
-        )
+        found = run_program(program)
         self.assertEqual(found.returncode, 0, found.stderr)
 
 
