Logs tell which configuration was announced, and how long it took

Change: `config_announced`; `announced_ms` and `decode_ms` of `config_in_force`; `took_ms` of failed pulls and reads; `config_version` of refusals; two gauges.

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -60,6 +60,8 @@
     ) -> None:
         self.routes: RouteTable | None = None
         self.version = 0
+        self.announced = 0
+        self.failed_pulls = 0
         self.on_change: Callable[[], None] = lambda: None
         self._adapter = adapter
         self._pool = pool
@@ -70,6 +72,7 @@
         # `bool()` is False: without peers nobody announces changes.
         self.peers_reach_store: Callable[[], bool] = bool
         self._changed_at = 0
+        self._announced_at = 0
         self._packed: tuple[int, bytes, bool] | None = None
         self.loaded = asyncio.Event()
         self._pulling: asyncio.Task[None] | None = None
@@ -110,6 +113,7 @@
 
     def accept(self, spec: Any, source: str) -> bool:
         """Put a configuration in force if it is valid and newer."""
+        began = self._clock.now()
         try:
             cfg = self._adapter.decode_config(spec)
         except ConfigurationError as exc:
@@ -117,14 +121,18 @@
             return False
         if cfg.version <= self.version:
             return False
+        self.routes = RouteTable(cfg)
+        now = self._clock.now()
         self._log.info(
             'config_in_force',
             version=cfg.version,
             before=self.version,
             routes=len(cfg.routes),
             source=source,
+            decode_ms=now - began,
+            announced=self.announced,
+            announced_ms=now - self._announced_at,
         )
-        self.routes = RouteTable(cfg)
         self.version = cfg.version
         self._spec = spec
         self.loaded.set()
@@ -138,6 +146,19 @@
         version, text, packed = self._packed
         return messages.ConfigUpdate(version=version, text=text, packed=packed)
 
+    def record_announcement(self, version: int, address: str) -> None:
+        """Record that a peer has a version newer than any known before."""
+        if version <= max(self.announced, self.version):
+            return
+        self.announced = version
+        self._announced_at = self._clock.now()
+        self._log.info(
+            'config_announced',
+            version=version,
+            peer=address,
+            in_force=self.version,
+        )
+
     def schedule_pull(self, address: str) -> None:
         """Pull a peer's configuration in a task, unless a pull is running."""
         if self._pulling is None or self._pulling.done():
@@ -146,10 +167,17 @@
     async def pull(self, address: str) -> None:
         """Pull a peer's configuration, or read the stored one if that fails."""
         query = messages.MeshPull(service_name='')
+        began = self._clock.now()
         try:
             reply = await self._pool.call(address, query, PULL_LIMIT_MS)
         except LinkError as exc:
-            self._log.info('config_not_pulled', peer=address, error=str(exc))
+            self.failed_pulls += 1
+            self._log.info(
+                'config_not_pulled',
+                peer=address,
+                error=str(exc),
+                took_ms=self._clock.now() - began,
+            )
             await self._read_instead()
         else:
             self.apply_update(reply, address)
@@ -167,10 +195,15 @@
 
     async def _read_instead(self) -> None:
         """Read the configuration from the store after a failed pull."""
+        began = self._clock.now()
         try:
             stored = await self._adapter.read_config()
         except PlatformError as exc:
-            self._log.info('config_not_read', error=str(exc))
+            self._log.info(
+                'config_not_read',
+                error=str(exc),
+                took_ms=self._clock.now() - began,
+            )
             return
         if stored is not None:
             self._accept_and_announce(stored, 'store')
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -283,7 +283,9 @@
             retry_ms = max(MIN_RETRY_MS, exc.retry_after_ms)
             head = b'retry-after: %.3f\r\n' % (retry_ms / MS_PER_SECOND)
         exchange.reply(exc.status, head)
-        self._telemetry.record_refusal(exchange.req, self.names, exc)
+        self._telemetry.record_refusal(
+            exchange.req, self.names, exc, self._context.configs.version
+        )
 
 
 def _cancel(task: 'asyncio.Task[None]') -> None:
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -239,6 +239,7 @@
             return
         address = status.address
         if (message.config_version or 0) > self._configs.version:
+            self._configs.record_announcement(message.config_version, address)
             self._configs.schedule_pull(address)
         for entry in message.tables or ():
             service = ServiceName(entry.service_name)
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -141,7 +141,11 @@
             )
 
     def record_refusal(
-        self, http: HttpRequest, names: HeaderNames, exc: RequestError
+        self,
+        http: HttpRequest,
+        names: HeaderNames,
+        exc: RequestError,
+        config_version: int,
     ) -> None:
         """Record a request that this node answered with an error."""
         self.outcomes[(exc.code, exc.verdict.value)] += 1
@@ -155,6 +159,7 @@
                 reason=str(exc),
                 retry_after_ms=exc.retry_after_ms,
                 took_ms=self._clock.now() - http.read_at,
+                config_version=config_version,
             )
 
     def record_disconnect(
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -231,7 +231,7 @@
             self.members,
             self.owner,
             cast(Any, SimpleNamespace(tables={}, machines={})),
-            cast(Any, SimpleNamespace(routes=RouteTable(CONFIG))),
+            cast(Any, SimpleNamespace(routes=RouteTable(CONFIG), version=1)),
             self.pool,
             fleet.clock,
             log,
