A version is fetched from whoever has it, until it is in force

Callers saw 404 for a route that had been confirmed over 3 s before (CONFIG). Cause: a node that does not watch the store had one track to the next version: one peer for 0.5 s, then the store for 1 s, then nothing until a status 1 or 2 s later; what other peers announced meanwhile was dropped. Two failures in a row took more than the bound. Change: announcements are kept by peer. A staggered race asks the next one after 0.15 s, the store after 0.4 s, and goes on, at a growing pace, until nothing newer than what is in force is known. What a peer or the store denies is dropped. The tests of a failed pull go through announcements, and check as much as before.

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -1,7 +1,7 @@
 """The operators' configuration: watched in the store or pulled from peers.
 
 A few nodes of each region watch the store; the others learn from statuses that
-a newer version exists and pull it from the sender.
+a newer version exists and fetch it (`ConfigFollower`).
 """
 
 import asyncio
@@ -20,6 +20,7 @@
 )
 from savoryhold.core.ids import ServiceName
 from savoryhold.daemon.logs import Log
+from savoryhold.mesh.config_follower import ConfigFollower, ConfigSources
 from savoryhold.mesh.interface import Adapter, StoredObject
 from savoryhold.peer import PeerPool, messages
 from savoryhold.peer.packing import pack, unpack
@@ -36,7 +37,7 @@
 STORM_PAUSE_MS = 250
 ABSENT_MS = 1000  # between reads until operators write the first version
 REREAD_MS = 150  # avoids a busy loop if the store keeps no history
-PULL_LIMIT_MS = 500
+PULL_LIMIT_MS = 2000  # other sources are tried meanwhile
 DEFAULT_LIMITS = CallerLimits()
 
 
@@ -60,7 +61,6 @@
     ) -> None:
         self.routes: RouteTable | None = None
         self.version = 0
-        self.announced = 0
         self.failed_pulls = 0
         self.on_change: Callable[[], None] = lambda: None
         self._adapter = adapter
@@ -72,11 +72,16 @@
         # `bool()` is False: without peers nobody announces changes.
         self.peers_reach_store: Callable[[], bool] = bool
         self._changed_at = 0
-        self._announced_at = 0
         self._packed: tuple[int, bytes, bool] | None = None
         self.loaded = asyncio.Event()
-        self._pulling: asyncio.Task[None] | None = None
         self.should_watch: Callable[[], bool] = lambda: True
+        self.follower = ConfigFollower(
+            ConfigSources(
+                self._version_in_force, self._pull, self._read_stored
+            ),
+            clock,
+            log,
+        )
 
     def keyed_services(self) -> set[ServiceName]:
         """Return the services whose requests have keys."""
@@ -93,23 +98,10 @@
         return DEFAULT_LIMITS if self.routes is None else self.routes.cfg.limits
 
     async def run(self) -> None:
-        """Read and watch the stored configuration until cancelled."""
-        revision: int | None = None
-        while True:
-            try:
-                revision = await self._next_revision(revision)
-            except HistoryLostError:
-                # The current version is read instead of the changes up to it.
-                revision = None
-                await asyncio.sleep(REREAD_MS / MS_PER_SECOND)
-            except PlatformError as exc:
-                revision = None
-                self._log_store_lost(str(exc))
-                usual = LONG_RETRY_MS if self.peers_reach_store() else RETRY_MS
-                pause = usual * (0.5 + random.random())
-                await asyncio.sleep(pause / MS_PER_SECOND)
-            else:
-                self._log_store_back()
+        """Watch the store and follow announcements until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch_store())
+            group.create_task(self.follower.run())
 
     def accept(self, spec: Any, source: str) -> bool:
         """Put a configuration in force if it is valid and newer."""
@@ -130,8 +122,8 @@
             routes=len(cfg.routes),
             source=source,
             decode_ms=now - began,
-            announced=self.announced,
-            announced_ms=now - self._announced_at,
+            announced=self.follower.announced,
+            announced_ms=now - self.follower.announced_at,
         )
         self.version = cfg.version
         self._spec = spec
@@ -146,26 +138,22 @@
         version, text, packed = self._packed
         return messages.ConfigUpdate(version=version, text=text, packed=packed)
 
-    def record_announcement(self, version: int, address: str) -> None:
-        """Record that a peer has a version newer than any known before."""
-        if version <= max(self.announced, self.version):
-            return
-        self.announced = version
-        self._announced_at = self._clock.now()
-        self._log.info(
-            'config_announced',
-            version=version,
-            peer=address,
-            in_force=self.version,
-        )
+    def apply_update(self, update: messages.Message, source: str) -> bool:
+        """Put a peer's configuration in force if it is newer."""
+        if not isinstance(update, messages.ConfigUpdate) or not update.text:
+            return False
+        try:
+            spec = json.loads(unpack(update.text, packed=bool(update.packed)))
+        except (ValueError, MalformedMessageError) as exc:
+            self._log.error('config_unreadable', error=str(exc))
+            return False
+        return self.accept(spec, source)
 
-    def schedule_pull(self, address: str) -> None:
-        """Pull a peer's configuration in a task, unless a pull is running."""
-        if self._pulling is None or self._pulling.done():
-            self._pulling = asyncio.ensure_future(self.pull(address))
+    def _version_in_force(self) -> int:
+        return self.version
 
-    async def pull(self, address: str) -> None:
-        """Pull a peer's configuration, or read the stored one if that fails."""
+    async def _pull(self, address: str) -> int | None:
+        """Pull a peer's configuration; return its version, None on failure."""
         query = messages.MeshPull(service_name='')
         began = self._clock.now()
         try:
@@ -178,23 +166,12 @@
                 error=str(exc),
                 took_ms=self._clock.now() - began,
             )
-            await self._read_instead()
-        else:
-            self.apply_update(reply, address)
-
-    def apply_update(self, update: messages.Message, source: str) -> bool:
-        """Put a peer's configuration in force if it is newer."""
-        if not isinstance(update, messages.ConfigUpdate) or not update.text:
-            return False
-        try:
-            spec = json.loads(unpack(update.text, packed=bool(update.packed)))
-        except (ValueError, MalformedMessageError) as exc:
-            self._log.error('config_unreadable', error=str(exc))
-            return False
-        return self.accept(spec, source)
+            return None
+        self.apply_update(reply, address)
+        return getattr(reply, 'version', None)
 
-    async def _read_instead(self) -> None:
-        """Read the configuration from the store after a failed pull."""
+    async def _read_stored(self) -> int | None:
+        """Read the store; return the version found, None on failure."""
         began = self._clock.now()
         try:
             stored = await self._adapter.read_config()
@@ -204,9 +181,29 @@
                 error=str(exc),
                 took_ms=self._clock.now() - began,
             )
-            return
+            return None
         if stored is not None:
             self._accept_and_announce(stored, 'store')
+        return self.version
+
+    async def _watch_store(self) -> None:
+        """Read and watch the stored configuration until cancelled."""
+        revision: int | None = None
+        while True:
+            try:
+                revision = await self._next_revision(revision)
+            except HistoryLostError:
+                # The current version is read instead of the changes up to it.
+                revision = None
+                await asyncio.sleep(REREAD_MS / MS_PER_SECOND)
+            except PlatformError as exc:
+                revision = None
+                self._log_store_lost(str(exc))
+                usual = LONG_RETRY_MS if self.peers_reach_store() else RETRY_MS
+                pause = usual * (0.5 + random.random())
+                await asyncio.sleep(pause / MS_PER_SECOND)
+            else:
+                self._log_store_back()
 
     async def _next_revision(self, revision: int | None) -> int | None:
         """Read, watch or wait; return the revision to continue from."""
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -363,7 +363,7 @@
         gauges = {
             'keys_owned': float(self.tables.owned_key_count()),
             'config_version': float(self.configs.version),
-            'config_announced': float(self.configs.announced),
+            'config_announced': float(self.configs.follower.announced),
             'config_pulls_failed': float(self.configs.failed_pulls),
             'target_connections_opened': float(
                 self.owner.pool.opened if self.owner.pool else 0
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -238,9 +238,9 @@
             # answers that it still has to send.
             return
         address = status.address
-        if (message.config_version or 0) > self._configs.version:
-            self._configs.record_announcement(message.config_version, address)
-            self._configs.schedule_pull(address)
+        self._configs.follower.on_announced(
+            message.config_version or 0, status.node, address
+        )
         for entry in message.tables or ():
             service = ServiceName(entry.service_name)
             known = self._tables.tables.get(service)
--- a/src/savoryhold/mesh/tests/test_config_delivery.py
+++ b/src/savoryhold/mesh/tests/test_config_delivery.py
@@ -227,6 +227,7 @@
     async def test_failed_round_is_repeated(self) -> None:
         """The path and the store recover after one second."""
         await self.run_node()
+        self.node.store.version = 2
         self.node.store.is_silent = True
         self.node.links.rates['first'] = 0
         self.first.put_in_force(2)
