Leaving nodes neither watch for others nor hide a version

Cause: the nodes that watch for a region are its first two, also while they leave, and what a leaving node announces was ignored. If both leave at once the region hears of versions from the other one only. Change: leaving nodes are not counted among the first.

--- a/src/savoryhold/mesh/config_follower.py
+++ b/src/savoryhold/mesh/config_follower.py
@@ -176,11 +176,16 @@
             # has, and to send only what has changed since.
             best = min(peers, key=self._rank)
             self._start(best, self._sources.pull(best))
-        elif self._may_try(STORE, now) and (
-            now - since >= STORE_AFTER_MS or not self._attempts
-        ):
+        elif self._may_try(STORE, now) and self._is_store_due(now - since):
             self._start(STORE, self._sources.read())
 
+    def _is_store_due(self, behind_ms: int) -> bool:
+        """Return whether peers have failed, or have had their time."""
+        if behind_ms >= STORE_AFTER_MS:
+            return True
+        failed = any(address in self._failures for address in self._announced)
+        return failed and not self._attempts
+
     def _may_try(self, address: str, now: int) -> bool:
         return address not in self._attempts and now >= self._retry_at.get(
             address, 0
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -171,14 +171,16 @@
 
         Notes
         -----
-        Up to `count` nodes that cannot reach the store are skipped.  Skipping
-        all of them would make every node try in an outage of the store.
+        Nodes that are leaving are skipped, and so are up to `count` that cannot
+        reach the store.  Skipping all of the latter would make every node try
+        in an outage of the store.
         """
         preceding = [
             member.status.store_lost
             for member in self.live_members(now)
             if member.status.region == self._region
             and member.status.node < self.node
+            and not member.status.leaving
         ]
         return len(preceding) < count + min(count, preceding.count(True))
 
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -233,14 +233,14 @@
     def _(self, message: messages.Message) -> None:
         status = status_from_message(message)
         self._members.learn(status, self._clock.now())
-        if status.leaving:
-            # Nothing is pulled from a leaving node: it needs its link for the
-            # answers that it still has to send.
-            return
-        address = status.address
+        # Nothing is pulled from a leaving node: it needs its link for the
+        # answers that it still has to send.
+        address = '' if status.leaving else status.address
         self._configs.follower.on_announced(
             message.config_version or 0, status.node, address
         )
+        if not address:
+            return
         for entry in message.tables or ():
             service = ServiceName(entry.service_name)
             known = self._tables.tables.get(service)
--- a/src/savoryhold/mesh/tests/test_node_shutdown.py
+++ b/src/savoryhold/mesh/tests/test_node_shutdown.py
@@ -440,9 +440,13 @@
             ),
         ):
             node.peers._receive_update(make_message())
-            self.assertFalse(configs.follower.on_announced.called)
+            configs.follower.on_announced.assert_called_once_with(
+                2, leaver.name, ''
+            )
             self.assertFalse(tables.schedule_pull.called)
             leaver.peers.leaving = False
             node.peers._receive_update(make_message())
-        self.assertTrue(configs.follower.on_announced.called)
+        configs.follower.on_announced.assert_called_with(
+            2, leaver.name, leaver.address
+        )
         self.assertTrue(tables.schedule_pull.called)
