Versions travel as what they change, and are pushed

Change: each node keeps the differences between its versions. A watching node sends its difference to all; a node with another version pulls, says which one it has, and is sent the differences since. Large differences are announced only. A whole configuration is sent where the version is not known.

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -1,10 +1,12 @@
 """The operators' configuration: watched in the store or pulled from peers.
 
-A few nodes of each region watch the store; the others learn from statuses that
-a newer version exists and fetch it (`ConfigFollower`).
+A few nodes of each region watch the store.  They send the others what has
+changed; a node that lacks the version from which it has changed, or that only
+learns from a status of a newer one, fetches it (`ConfigFollower`).
 """
 
 import asyncio
+import functools
 import json
 import random
 from collections.abc import Callable
@@ -20,6 +22,11 @@
 )
 from savoryhold.core.ids import ServiceName
 from savoryhold.daemon.logs import Log
+from savoryhold.mesh.config_delta import (
+    DeltaHistory,
+    apply_delta,
+    make_delta,
+)
 from savoryhold.mesh.config_follower import ConfigFollower, ConfigSources
 from savoryhold.mesh.interface import Adapter, StoredObject
 from savoryhold.peer import PeerPool, messages
@@ -38,6 +45,7 @@
 ABSENT_MS = 1000  # between reads until operators write the first version
 REREAD_MS = 150  # avoids a busy loop if the store keeps no history
 PULL_LIMIT_MS = 2000  # other sources are tried meanwhile
+MAX_PUSH_BYTES = 4096  # a larger difference is sent only to who asks for it
 DEFAULT_LIMITS = CallerLimits()
 
 
@@ -72,7 +80,10 @@
         # `bool()` is False: without peers nobody announces changes.
         self.peers_reach_store: Callable[[], bool] = bool
         self._changed_at = 0
-        self._packed: tuple[int, bytes, bool] | None = None
+        self._previous = 0
+        self._history = DeltaHistory()
+        # Messages with the version in force, by the base of their difference.
+        self._updates: dict[int, messages.Message] = {}
         self.loaded = asyncio.Event()
         self.should_watch: Callable[[], bool] = lambda: True
         self.follower = ConfigFollower(
@@ -123,52 +134,105 @@
             source=source,
             decode_ms=now - began,
             announced=self.follower.announced,
-            announced_ms=now - self.follower.announced_at,
+            announced_ms=self.follower.behind_ms(cfg.version),
         )
-        self.version = cfg.version
+        if self.version:
+            self._history.add(self.version, make_delta(self._spec, spec))
+        self._previous, self.version = self.version, cfg.version
         self._spec = spec
+        self._updates.clear()
         self.loaded.set()
         return True
 
-    def update_message(self) -> messages.Message:
-        """Return the message with the configuration in force."""
-        if self._packed is None or self._packed[0] != self.version:
-            text = json.dumps(self._spec, separators=(',', ':')).encode()
-            self._packed = (self.version, *pack(text))
-        version, text, packed = self._packed
-        return messages.ConfigUpdate(version=version, text=text, packed=packed)
+    def update_message(self, base: int) -> messages.Message:
+        """Return the message with the configuration in force.
+
+        Parameters
+        ----------
+        base : int
+            Version that the receiver has, 0 if none.
+        """
+        if base >= self.version:
+            return messages.ConfigUpdate(version=self.version)
+        update = self._updates.get(base)
+        if update is None:
+            update = self._delta_message(base) or self._whole_message()
+            self._updates[base] = update
+        return update
+
+    def push_message(self) -> messages.Message | None:
+        """Return what the version in force has changed, None if that is much.
+
+        Notes
+        -----
+        Every node that watches sends it to all others, so that each receives
+        it several times.
+        """
+        update = self.update_message(self._previous)
+        small = bool(update.base) and len(update.text) <= MAX_PUSH_BYTES
+        return update if small else None
 
     def apply_update(self, update: messages.Message, source: str) -> bool:
         """Put a peer's configuration in force if it is newer."""
         if not isinstance(update, messages.ConfigUpdate) or not update.text:
             return False
+        if update.base and update.base != self.version:
+            return False
         try:
             spec = json.loads(unpack(update.text, packed=bool(update.packed)))
-        except (ValueError, MalformedMessageError) as exc:
+            if update.base:
+                spec = functools.reduce(apply_delta, spec, self._spec)
+        except (ValueError, TypeError, MalformedMessageError) as exc:
             self._log.error('config_unreadable', error=str(exc))
             return False
         return self.accept(spec, source)
 
+    def _delta_message(self, base: int) -> messages.Message | None:
+        """Return the differences from a version, None if it is not known."""
+        deltas = self._history.since(base) if base else None
+        if deltas is None:
+            return None
+        text, packed = pack(_to_json(deltas))
+        is_large = len(text) > MAX_PUSH_BYTES
+        if is_large and len(text) >= len(self._whole_message().text):
+            return None
+        return messages.ConfigUpdate(
+            version=self.version, text=text, packed=packed, base=base
+        )
+
+    def _whole_message(self) -> messages.Message:
+        whole = self._updates.get(0)
+        if whole is None:
+            text, packed = pack(_to_json(self._spec))
+            whole = messages.ConfigUpdate(
+                version=self.version, text=text, packed=packed
+            )
+            self._updates[0] = whole
+        return whole
+
     def _version_in_force(self) -> int:
         return self.version
 
     async def _pull(self, address: str) -> int | None:
         """Pull a peer's configuration; return its version, None on failure."""
-        query = messages.MeshPull(service_name='')
-        began = self._clock.now()
-        try:
-            reply = await self._pool.call(address, query, PULL_LIMIT_MS)
-        except LinkError as exc:
-            self.failed_pulls += 1
-            self._log.info(
-                'config_not_pulled',
-                peer=address,
-                error=str(exc),
-                took_ms=self._clock.now() - began,
-            )
-            return None
-        self.apply_update(reply, address)
-        return getattr(reply, 'version', None)
+        while True:
+            base = self.version
+            query = messages.MeshPull(service_name='', version=base)
+            began = self._clock.now()
+            try:
+                reply = await self._pool.call(address, query, PULL_LIMIT_MS)
+            except LinkError as exc:
+                self.failed_pulls += 1
+                self._log.info(
+                    'config_not_pulled',
+                    peer=address,
+                    error=str(exc),
+                    took_ms=self._clock.now() - began,
+                )
+                return None
+            if self.apply_update(reply, address) or self.version == base:
+                return getattr(reply, 'version', None)
+            # Another source was faster; the difference is from an old version.
 
     async def _read_stored(self) -> int | None:
         """Read the store; return the version found, None on failure."""
@@ -249,3 +313,7 @@
         if not self.store_reachable:
             self.store_reachable = True
             self._log.info('store_back')
+
+
+def _to_json(fields: Any) -> bytes:
+    return json.dumps(fields, separators=(',', ':')).encode()
--- a/src/savoryhold/mesh/config_follower.py
+++ b/src/savoryhold/mesh/config_follower.py
@@ -16,10 +16,10 @@
 __all__ = ['ConfigFollower', 'ConfigSources']
 
 MS_PER_SECOND = 1000
-# Between the starts of two attempts: well above the round trip to a healthy
-# peer, as each attempt costs a message or a call of the store.
-STEP_MS = 150
-STORE_AFTER_MS = 400  # a call of the store costs more than one of a peer
+# Between the starts of two attempts.  On a busy link, several at once would
+# slow one another down.
+STEP_MS = 250
+STORE_AFTER_MS = 800  # the store sends the whole configuration, uncompressed
 MAX_RETRY_MS = 2000
 MAX_ATTEMPTS = 4  # at once
 STORE = ''  # stands for the store among the addresses of peers
@@ -80,7 +80,7 @@
         self._attempts: dict[str, asyncio.Task[int | None]] = {}
         self._began_at: dict[str, int] = {}
         self._is_behind = asyncio.Event()
-        self.announced_at = 0
+        self._announced_at = 0
         self._highest = 0
 
     @property
@@ -88,6 +88,12 @@
         """Return the newest version that was announced, 0 if none."""
         return self._highest
 
+    def behind_ms(self, version: int) -> int:
+        """Return the time since a version was announced, 0 if it was not."""
+        if version > self._highest:
+            return 0
+        return self._clock.now() - self._announced_at
+
     def on_announced(self, version: int, node: NodeId, address: str) -> None:
         """Record that a node has a version.
 
@@ -108,7 +114,7 @@
         if known is None or known.version < version:
             self._announced[address] = _Announcement(version, now)
         if version > self._highest:
-            self._highest, self.announced_at = version, now
+            self._highest, self._announced_at = version, now
             self._log.info(
                 'config_announced',
                 version=version,
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -202,7 +202,7 @@
         self.tables.keyed_services = self.configs.keyed_services
         self.configs.should_watch = self._should_watch_config
         self.configs.peers_reach_store = self._peers_reach_store
-        self.configs.on_change = self.peers.broadcast_status
+        self.configs.on_change = self.peers.broadcast_config
         self.tables.on_table_written = self.peers.broadcast_table
         self.owner.machine_of = self.tables.machines.get
         self.owner.is_peer_alive = self._is_alive
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -54,6 +54,8 @@
         sent_at = self._sent_at(call, message)
         if isinstance(message, messages.Relay):
             await self._relay(call, message, sent_at)
+        elif isinstance(message, messages.ConfigUpdate):
+            self._receive_config(NodeId(call.peer), message)
         elif isinstance(message, _ONE_WAY):
             self._receive_update(message)
         else:
@@ -72,6 +74,14 @@
         self._status_sent_at.clear()
         self._send_due_statuses()
 
+    def broadcast_config(self) -> None:
+        """Send what the configuration in force has changed to all members."""
+        update = self._configs.push_message()
+        if update is None:
+            self.broadcast_status()
+        else:
+            self._send_all(update)
+
     def broadcast_table(
         self, table: RangeTable, older: RangeTable | None
     ) -> None:
@@ -182,6 +192,15 @@
             )
         )
 
+    def _receive_config(self, node: NodeId, update: messages.Message) -> None:
+        """Apply a difference, or note that the node has a newer version."""
+        if self._configs.apply_update(update, node):
+            return
+        member = self._members.members.get(node)
+        leaving = member is not None and member.status.leaving
+        address = '' if leaving else self._members.addresses.get(node, '')
+        self._configs.follower.on_announced(update.version or 0, node, address)
+
     @singledispatchmethod
     def _answer(self, message: object) -> messages.Message:
         self._log.warning('unexpected_call', kind=type(message).__name__)
@@ -194,7 +213,7 @@
     @_answer.register(messages.MeshPull)
     def _(self, message: messages.Message) -> messages.Message:
         if not message.service_name:
-            return self._configs.update_message()
+            return self._configs.update_message(message.version or 0)
         table = self._tables.tables.get(ServiceName(message.service_name))
         if table is None:
             return messages.TableUpdate(service_name=message.service_name)
--- a/src/savoryhold/mesh/tests/test_config_delivery.py
+++ b/src/savoryhold/mesh/tests/test_config_delivery.py
@@ -260,6 +260,62 @@
         await self.check_in_force(STORM_VERSIONS[-1])
 
 
+class TestPushes(DeliveryCase):
+    """Differences that the watching nodes send to all."""
+
+    async def push(self, version: int) -> None:
+        """Put a version in force at the first peer and push it."""
+        self.first.put_in_force(version)
+        update = self.first.configs.push_message()
+        assert update is not None
+        call = SimpleNamespace(peer='first', link=mock.Mock())
+        await self.node.peers.handle(cast(Any, call), update)
+
+    async def test_difference_from_the_version_in_force_is_applied(
+        self,
+    ) -> None:
+        """Nothing is fetched."""
+        await self.run_node()
+        await self.push(2)
+        self.assertEqual(self.node.configs.version, 2)
+        self.assertEqual(
+            self.node.configs._spec, make_spec(2, self.node.store.routes)
+        )
+        self.assertEqual(self.node.links.calls, [])
+
+    async def test_difference_from_another_version_is_an_announcement(
+        self,
+    ) -> None:
+        """The node fetches what it lacks, from the node that sent it."""
+        await self.run_node()
+        self.first.put_in_force(2)
+        self.node.hear(self.first)
+        self.node.links.rates['first'] = 0
+        await asyncio.sleep(ROUND_TRIP_S)
+        self.node.links.rates['first'] = FAST
+        self.node.store.version = 3
+        await self.push(3)
+        self.assertEqual(self.node.configs.version, 1)
+        await self.check_in_force(3)
+
+    async def test_late_difference_changes_nothing(self) -> None:
+        """A version never decreases."""
+        await self.run_node()
+        self.first.put_in_force(2)
+        late = self.first.configs.push_message()
+        self.node.store.version = 3
+        await self.push(3)
+        await self.check_in_force(3)
+        self.assertFalse(self.node.configs.apply_update(cast(Any, late), 'f'))
+        self.assertEqual(self.node.configs.version, 3)
+
+    async def test_large_difference_is_only_announced(self) -> None:
+        """Each node would receive it several times."""
+        self.first.store.routes = ROUTES
+        self.first.put_in_force(2)
+        self.assertIsNone(self.first.configs.push_message())
+
+
 class TestSources(DeliveryCase):
     """Which nodes announce a version."""
 
--- a/src/savoryhold/mesh/tests/test_config_storm.py
+++ b/src/savoryhold/mesh/tests/test_config_storm.py
@@ -85,7 +85,7 @@
         store = StormStore()
         task, other = make_task(store), make_task(store)
         task.accept(store._stored().spec, 'store')
-        update_message = task.update_message()
+        update_message = task.update_message(0)
         self.assertLess(len(update_message.text), 1000)
         self.assertTrue(other.apply_update(update_message, 'peer'))
         self.assertEqual(other.version, 1)
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -188,10 +188,18 @@
   5: bool packed,
   6: list<i64> lives,
 }
-struct ConfigUpdate { 1: i64 version, 2: binary text, 3: bool packed }
+// A configuration, or its differences from version `base`; without a text only
+// the version that the sender has.
+struct ConfigUpdate {
+  1: i64 version,
+  2: binary text,
+  3: bool packed,
+  4: i64 base,
+}
 
-// Requests a table, or the configuration if `service_name` is empty.
-struct MeshPull { 1: string service_name }
+// Requests a table, or the configuration if `service_name` is empty; then
+// `version` is the one that the sender has.
+struct MeshPull { 1: string service_name, 2: i64 version }
 
 // Asks which table version the peer has confirmed with the store, and when.
 struct ProofQuery { 1: string service_name }
