Odd entries of other writers end no reader and hide no entry

Cause: each decoder caught its own set of errors. A deeply nested report or entry raised RecursionError, a number as 1e999 OverflowError, and both left the decoder; numbers above 64 bits and ports out of range were taken and failed later, in tasks whose end ends the node. One odd entry of a listing, or one odd change of a watch, hid all others. Change: core/decoding has one set of errors, one JSON reader, and checks of whole numbers and addresses, used for reports, store entries, configurations, tables and updates of peers. Listings and watches leave odd entries out and count them; an address that cannot be dialled is a failed dial.

--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
+from savoryhold.core.decoding import UNREADABLE, parse_json
 from savoryhold.core.errors import (
-    MalformedMessageError,
     OverloadError,
     RequestError,
     UncertainError,
@@ -113,7 +113,7 @@
         return None
     try:
         return _decode_table(message, local_copy)
-    except (ValueError, MalformedMessageError):
+    except UNREADABLE:
         # The table can still be read from the store.
         return None
 
@@ -123,7 +123,7 @@
 ) -> RangeTable | None:
     service = ServiceName(message.service_name)
     version = Version(message.version)
-    fields = json.loads(
+    fields = parse_json(
         unpack(_to_bytes(message.rows), packed=bool(message.packed))
     )
     if not message.base:
--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from savoryhold.core.clock import Clock
+from savoryhold.core.decoding import parse_json
 from savoryhold.core.errors import (
     ConfigurationError,
     LinkError,
@@ -178,10 +179,10 @@
         if update.base and update.base != self.version:
             return False
         try:
-            spec = json.loads(unpack(update.text, packed=bool(update.packed)))
+            spec = parse_json(unpack(update.text, packed=bool(update.packed)))
             if update.base:
                 spec = functools.reduce(apply_delta, spec, self._spec)
-        except (ValueError, TypeError, MalformedMessageError) as exc:
+        except (TypeError, MalformedMessageError) as exc:
             self._log.error('config_unreadable', error=str(exc))
             return False
         return self.accept(spec, source)
--- a/src/savoryhold/mesh/config_delta.py
+++ b/src/savoryhold/mesh/config_delta.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from savoryhold.core.decoding import UNREADABLE
 from savoryhold.core.errors import MalformedMessageError
 
 __all__ = ['DeltaHistory', 'apply_delta', 'make_delta']
@@ -18,13 +19,6 @@
 OBJECT = 'o'  # [OBJECT, {key: difference}, [removed keys]]
 ITEMS = 'i'  # [ITEMS, [[index, difference], ...]]
 SPLICE = 's'  # [SPLICE, index, count removed, [inserted items]]
-_UNREADABLE = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    RecursionError,
-)
 
 
 def make_delta(old: Any, new: Any) -> list[Any]:
@@ -50,7 +44,7 @@
     """
     try:
         return _apply(old, delta)
-    except _UNREADABLE as exc:
+    except UNREADABLE as exc:
         raise MalformedMessageError(f'difference: {exc!r}') from exc
 
 
--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -32,11 +32,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """Objects or changes of one kind up to the store's revision `at`."""
+    """Objects or changes of one kind up to the store's revision `at`.
+
+    `unreadable` counts entries that are no objects; other writers may have
+    left them.
+    """
 
     at: int
     objects: tuple[StoredObject, ...]
     deleted: tuple[str, ...] = ()
+    unreadable: int = 0
 
 
 class StoreConflictError(VersionConflictError):
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -11,6 +11,7 @@
 
 from savoryhold import __version__
 from savoryhold.core.clock import BootClock
+from savoryhold.core.decoding import UNREADABLE, host_port
 from savoryhold.core.errors import ConfigurationError, PlatformError
 from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import get_log
@@ -279,9 +280,16 @@
 
     async def _read_registry(self) -> dict[str, Any]:
         listing = await self.adapter.store.list(NODE_KIND)
+        if listing.unreadable:
+            self.log.warning('entries_unreadable', count=listing.unreadable)
         for entry in listing.objects:
-            if isinstance(entry.spec, dict):
-                address = str(entry.spec.get('address', ''))
+            try:
+                address = host_port(entry.spec['address'])
+            except UNREADABLE as exc:
+                self.log.warning(
+                    'entry_unreadable', name=entry.name, error=repr(exc)
+                )
+            else:
                 self.members.add_address(NodeId(entry.name), address)
         self.members.registry_loaded = True
         return {node.name: node.spec for node in listing.objects}
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -21,6 +21,7 @@
 DEFAULT_DEADLINE_MS = 10_000
 NO_CONFIG_RETRY_MS = 200
 LATE_RETRY_MS = 50
+MAX_KEY_DIGITS = 20  # the interpreter refuses to convert thousands
 STOPPING_RETRY_MS = 450  # a restarted process is often ready by then
 
 
@@ -146,7 +147,8 @@
     def _key(self, http: HttpRequest) -> int:
         name = self._names.key
         text = http.header(name.lower()).decode('latin-1')
-        if text.isdecimal() and int(text) < KEY_COUNT:
+        is_number = len(text) <= MAX_KEY_DIGITS and text.isdecimal()
+        if is_number and int(text) < KEY_COUNT:
             return int(text)
         raise BadRequestError(
             f'{name.decode()}: expected 0 to {KEY_COUNT - 1}, got {text!r}'
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from savoryhold.core.clock import Clock
+from savoryhold.core.decoding import UNREADABLE
 from savoryhold.core.errors import (
     LinkError,
-    MalformedMessageError,
     PlatformError,
 )
 from savoryhold.core.ids import Epoch, NodeId, ServiceName, Version
@@ -379,7 +379,7 @@
                 stored.spec['rows'],
                 stored.spec.get('lives'),
             )
-        except (MalformedMessageError, KeyError, TypeError) as exc:
+        except UNREADABLE as exc:
             self._log.error(
                 'table_unreadable', service=service, error=repr(exc)
             )
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -183,7 +183,8 @@
             async with asyncio.timeout(DIAL_LIMIT_MS / MS_PER_SECOND):
                 await loop.create_connection(lambda: link, host, int(port))
                 await link.ready
-        except (OSError, TimeoutError, ValueError) as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # The last two tell of an address that is not host:port.
             link.abort(exc)
             raise LinkError(f'{address}: {exc!r}', sent=False) from exc
         link.last_received = loop.time()
--- a/src/savoryhold/ranges/table.py
+++ b/src/savoryhold/ranges/table.py
@@ -1,10 +1,12 @@
 """The versioned table that maps the key ranges of a service to owners."""
 
+import contextlib
 import dataclasses
 from bisect import bisect_right
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Any
 
+from savoryhold.core.decoding import whole_number
 from savoryhold.core.errors import MalformedMessageError
 from savoryhold.core.ids import Epoch, NodeId, ServiceName, Version
 
@@ -225,8 +227,9 @@
         MalformedMessageError
             If the fields are not rows, or do not cover all keys exactly once.
         """
-        valid_lives = (life for life in lives or () if isinstance(life, int))
-        return cls(service, version, rows_from_fields(fields), valid_lives)
+        return cls(
+            service, version, rows_from_fields(fields), _valid_lives(lives)
+        )
 
 
 def initial_rows(owners: Sequence[tuple[NodeId, float]]) -> list[Row]:
@@ -275,14 +278,25 @@
     if not isinstance(entry, list) or len(entry) != ROW_FIELDS:
         raise MalformedMessageError(f'range table: {entry!r} is not a row')
     first, last, owner, epoch, previous = entry
-    numbers = (first, last, epoch)
-    if not all(isinstance(number, int) for number in numbers):
+    if not isinstance(owner, str) or not isinstance(previous, str):
         raise MalformedMessageError(
-            f'range table: {entry!r}: first, last and epoch must be integers'
+            f'range table: {entry!r}: owners must be names of nodes'
         )
-    return Row(
-        Span(first, last), NodeId(str(owner)), Epoch(epoch), NodeId(previous)
-    )
+    try:
+        span = Span(whole_number(first), whole_number(last))
+        return Row(
+            span, NodeId(owner), Epoch(whole_number(epoch)), NodeId(previous)
+        )
+    except ValueError as exc:
+        raise MalformedMessageError(f'range table: {entry!r}: {exc}') from exc
+
+
+def _valid_lives(lives: Any) -> list[int]:
+    found = []
+    for life in lives or ():
+        with contextlib.suppress(ValueError):
+            found.append(whole_number(life))
+    return found
 
 
 def _check_cover(rows: Sequence[Row]) -> None:
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -386,7 +386,8 @@
             raise LinkError(
                 f'{self.address}: connection refused', sent=False
             ) from exc
-        except (OSError, TimeoutError) as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # The last two tell of an address that is not host:port.
             raise LinkError(f'{self.address}: {exc!r}', sent=False) from exc
         self.refused = 0
         return conn
