An answer that is cut within its head is no answer

Other operators' clients got a 200 with an empty body, framed as whole (MIXED, ORDER): a target had closed in the middle of its answer's head. Cause: at the end of a connection, an answer that has a header and no length counted as complete, also if its head was not over. Change: only a body can end with the connection. The same is tested of the native daemon's client, which refuses such answers, and of cut bodies.

--- a/src/savoryhold/target/tests/test_client.py
+++ b/src/savoryhold/target/tests/test_client.py
@@ -73,6 +73,16 @@
         self.assertIn(b'x-note: kept', self.received)
         self.assertTrue(self.received.endswith(b'body'))
 
+    # A target that closes within its answer's head has not answered.
+    async def test_answer_cut_within_its_head_is_no_answer(self) -> None:
+        """Wherever in the head the target closes, the call is uncertain."""
+        head = OK + b'X-First: 1\r\nX-Second: 2\r\n\r\n'
+        for length in range(len(head)):
+            self.reply = head[:length]
+            with self.subTest(sent=self.reply):
+                with self.assertRaises(UncertainError):
+                    await self.call()
+
     async def test_refused_connection_did_not_run(self) -> None:
         """Nothing was sent, so the request has not run."""
         self.server.close()
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -114,7 +114,8 @@
             b'content-length' in self._fields
             or b'transfer-encoding' in self._fields
         )
-        if self._is_in_answer and self._fields and not has_length:
+        in_body = self._is_in_answer and not self._in_head
+        if in_body and self._fields and not has_length:
             self.on_message_complete()
         return False
 
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -9,7 +9,7 @@
 
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import LinkError
-from savoryhold.wire import ClientPool, Exchange, HttpServer
+from savoryhold.wire import ClientAnswer, ClientPool, Exchange, HttpServer
 from savoryhold.wire.client import (
     MAX_HEAD_BYTES,
     MAX_POOL_BYTES,
@@ -142,6 +142,61 @@
         server.close()
 
 
+class TestCutAnswers(unittest.IsolatedAsyncioTestCase):
+    """Answers that end before they are whole."""
+
+    async def ask(self, sent: bytes) -> ClientAnswer:
+        """Ask a target that sends some bytes and closes."""
+
+        async def serve(  # noqa: WPS430
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(sent)
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        self.addCleanup(pool.close)
+        async with asyncio.timeout(LIMIT_S):
+            return await pool.ask(REQUEST, LIMIT_MS)
+
+    # A target that closed within its answer's head passed for one that had
+    # answered 200 without a body.
+    async def test_answer_cut_within_its_head_is_no_answer(self) -> None:
+        """Wherever in the head the target closes, there is no answer."""
+        head = b'HTTP/1.1 200 OK\r\nx-first: 1\r\nx-second: 2\r\n\r\n'
+        for length in range(len(head)):
+            with self.subTest(sent=head[:length]):
+                with self.assertRaises(LinkError):
+                    await self.ask(head[:length])
+
+    async def test_body_without_length_ends_with_the_connection(self) -> None:
+        """A whole head and a close are a whole answer."""
+        for body in (b'', b'body'):
+            with self.subTest(body=body):
+                answer = await self.ask(
+                    b'HTTP/1.1 200 OK\r\nx: 1\r\n\r\n' + body
+                )
+                self.assertEqual((answer.status, answer.body), (200, body))
+
+    async def test_answer_cut_within_its_body_is_no_answer(self) -> None:
+        """A body is whole only with its stated end."""
+        for head, body in (
+            (b'content-length: 5', b'four'),
+            (b'transfer-encoding: chunked', b'4\r\nfour\r\n'),
+            (b'transfer-encoding: chunked', b'4\r\nfo'),
+            (b'transfer-encoding: chunked', b'4\r\nfour\r\n0\r\n'),
+        ):
+            with self.subTest(head=head, body=body):
+                with self.assertRaises(LinkError):
+                    await self.ask(
+                        b'HTTP/1.1 200 OK\r\n' + head + b'\r\n\r\n' + body
+                    )
+
+
 class TestSlowReaders(unittest.IsolatedAsyncioTestCase):
     """Targets that are slow to read a request from their kernel."""
 
