A refusal sent once more does not answer the next try

Other operators' clients were told 'not run, try again' for requests that a backend was running (REFUSED), or such a request ran at a second backend (TWICE): a faulty backend had written an earlier refusal once more on a kept connection. Cause: answers are matched by the request's id, which two tries of a request share; the protocol has nothing that tells them apart. A refused request that came back to the same connection was answered by the first refusal. Answers to the native daemon have no id at all: any next request took the refusal. Change: a connection does not carry a request again that failed on it; other requests keep using it, until it remembers 64. The native daemon closes a connection that brought a refusal.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -417,11 +417,14 @@
             raise TargetDownError('no target has reported', DOWN_RETRY_MS)
         left = req.deadline - now
         request = self._request_bytes(req, left, life)
+        request_id = req.request.encode()
         answer_matches = partial(
-            _has_request_id, self.names.request_id.lower(), req.request.encode()
+            _has_request_id, self.names.request_id.lower(), request_id
         )
         try:
-            return await pool.ask(request, left, answer_matches, on_sent)
+            return await pool.ask(
+                request, left, answer_matches, on_sent, request_id
+            )
         except LinkError as exc:
             raise self._link_error(req, exc) from exc
         except TimeoutError as exc:
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -159,6 +159,7 @@
         timeout_ms: float,
         answer_matches: Any = None,
         on_sent: Callable[[], None] | None = None,
+        request_id: bytes = b'',
     ) -> ClientAnswer:
         """Run a request, in place of a pool of connections to the target."""
         if self.dial_ms:
--- a/src/savoryhold/mesh/tests/test_node_shutdown.py
+++ b/src/savoryhold/mesh/tests/test_node_shutdown.py
@@ -277,6 +277,7 @@
         timeout_ms: float,
         answer_matches: Any,
         on_sent: Any,
+        request_id: bytes,
     ) -> ClientAnswer:
         """Let a request run into its timeout."""
         on_sent()
--- a/src/savoryhold/target/client.py
+++ b/src/savoryhold/target/client.py
@@ -47,10 +47,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _OutgoingCall:
-    """A call; `connected` is set right before its first byte is written."""
+    """A call; `protocol` is set right before its first byte is written."""
 
     may_send: MaySend
-    connected: bool = False
+    protocol: Any = None
+
+    @property
+    def connected(self) -> bool:
+        """Return whether the request may have been written."""
+        return self.protocol is not None
 
 
 _OUTGOING_CALL: contextvars.ContextVar[_OutgoingCall] = (
@@ -89,7 +94,7 @@
             raise NotOwnerError(
                 'lease or shard was lost before the request was sent'
             )
-        outgoing.connected = True
+        outgoing.protocol = conn.protocol
         return conn
 
     def _has_unread_input(self, conn: Any) -> bool:
@@ -183,7 +188,13 @@
             raise NotOwnerError(text) from exc
         finally:
             _OUTGOING_CALL.reset(token)
-        return await _read_start(answer)
+        try:
+            return await _read_start(answer)
+        except OverloadError:
+            # A faulty target may send its refusal once more, and answers have
+            # no id that tells it from the answer to the next request.
+            outgoing.protocol.close()
+            raise
 
     async def cancel(self, address: str, request: str) -> None:
         """Tell the target that nobody waits for the answer to a request."""
--- a/src/savoryhold/target/tests/test_client.py
+++ b/src/savoryhold/target/tests/test_client.py
@@ -47,6 +47,7 @@
         """Listen on a free port."""
         self.reply = b''
         self.received = b''
+        self.connections = 0
         self.extra_requests = 0
         self.server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
         port = self.server.sockets[0].getsockname()[1]
@@ -77,7 +78,7 @@
     async def test_answer_cut_within_its_head_is_no_answer(self) -> None:
         """Wherever in the head the target closes, the call is uncertain."""
         head = OK + b'X-First: 1\r\nX-Second: 2\r\n\r\n'
-        for length in range(len(head)):
+        for length, _ in enumerate(head):
             self.reply = head[:length]
             with self.subTest(sent=self.reply):
                 with self.assertRaises(UncertainError):
@@ -158,9 +159,24 @@
         with self.assertRaises(OverloadError):
             await self.call()
 
+    # A refusal sent twice passed for the answer to the next request, which
+    # then ran although its caller was told that it had not.
+    async def test_connection_with_a_refusal_is_not_used_again(self) -> None:
+        """Answers have no id that tells whose refusal they are."""
+        self.extra_requests = 1
+        self.reply = (
+            b'HTTP/1.1 503 Busy\r\nX-Savoryhold-Verdict: not-run\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+        for _ in range(2):
+            with self.assertRaises(OverloadError):
+                await self.call()
+        self.assertEqual(self.connections, 2)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connections += 1
         # Only the first connection is kept open, so that a request that is
         # sent again on another one is counted and the test ends.
         extra_requests, self.extra_requests = self.extra_requests, 0
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -31,6 +31,8 @@
 MAX_SKIPPED = 16  # interim and stray answers before the awaited one
 MAX_POOL_BYTES = 64_000_000  # of all answers under way from one target
 FIRST_FINAL_STATUS = 200  # lower ones are interim answers
+FIRST_FAILED_STATUS = 400
+MAX_FAILED_IDS = 64  # kept of a connection
 
 # Devices between both ends, such as a NAT, may drop a connection silently.
 _SOCKET_OPTIONS = (
@@ -85,6 +87,8 @@
         self._bodiless = False
         self._is_in_answer = False
         self._in_head = False
+        self._request_id = b''
+        self._failed_ids: set[bytes] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the TCP timeouts."""
@@ -172,13 +176,29 @@
         answer = ClientAnswer(
             status, self._headers, self._fields, b''.join(self._body)
         )
+        if status >= FIRST_FAILED_STATUS and self._request_id:
+            self._failed_ids.add(self._request_id)
         if not self.fut.done():
             self.fut.set_result(answer)
 
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether no answer to an earlier try can pass for the next.
+
+        Notes
+        -----
+        Two tries of a request have the same id.  A faulty server may send its
+        refusal of the first once more on the connection that carried it.
+        """
+        return request_id not in self._failed_ids
+
     def send(
-        self, request: bytes, answer_matches: AnswerMatcher | None
+        self,
+        request: bytes,
+        answer_matches: AnswerMatcher | None,
+        request_id: bytes,
     ) -> None:
         """Send a request; the answer arrives in `fut`."""
+        self._request_id = request_id
         self.fut = asyncio.get_running_loop().create_future()
         self.answer_matches = answer_matches
         self.received = False
@@ -199,7 +219,12 @@
     def can_take_request(self) -> bool:
         """Return whether the connection is fit for another request."""
         # If a stray answer has begun, its body would swallow the next answer.
-        return self.reusable and not self._is_in_answer and self._is_flushed()
+        return (
+            self.reusable
+            and not self._is_in_answer
+            and self._is_flushed()
+            and len(self._failed_ids) < MAX_FAILED_IDS
+        )
 
     @property
     def is_quiet(self) -> bool:
@@ -288,6 +313,7 @@
         timeout_ms: float,
         answer_matches: AnswerMatcher | None = None,
         on_sent: Callable[[], None] = _ignore,
+        request_id: bytes = b'',
     ) -> ClientAnswer:
         """Send a request and return its complete answer.
 
@@ -301,6 +327,9 @@
             Returns whether an answer with these headers is to this request.
         on_sent : callable, optional
             Called right before the request is written.
+        request_id : bytes, optional
+            Id that this try shares with other tries of the request.  It is not
+            sent on a connection that brought a failure of an earlier one.
 
         Raises
         ------
@@ -310,13 +339,13 @@
         TimeoutError
             If no answer arrives in time; the connection is closed.
         """
-        conn = await self._take(timeout_ms)
+        conn = await self._take(timeout_ms, request_id)
         if self._retired:
             conn.close()
             raise LinkError(f'{self.address}: pool is closed', sent=False)
         self._busy.add(conn)
         on_sent()
-        conn.send(request, answer_matches)
+        conn.send(request, answer_matches, request_id)
         fut = cast('asyncio.Future[ClientAnswer]', conn.fut)
         loop = asyncio.get_running_loop()
         timer = loop.call_later(
@@ -364,10 +393,12 @@
                 self._idle.remove(conn)
                 conn.close()
 
-    async def _take(self, timeout_ms: float) -> _Connection:
+    async def _take(self, timeout_ms: float, request_id: bytes) -> _Connection:
         self.trim()
-        while self._idle:
-            conn = self._idle.pop()
+        for conn in reversed(list(self._idle)):
+            if not conn.may_carry(request_id):
+                continue
+            self._idle.remove(conn)
             if conn.is_quiet:
                 return conn
             conn.close()
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -11,6 +11,7 @@
 from savoryhold.core.errors import LinkError
 from savoryhold.wire import ClientAnswer, ClientPool, Exchange, HttpServer
 from savoryhold.wire.client import (
+    MAX_FAILED_IDS,
     MAX_HEAD_BYTES,
     MAX_POOL_BYTES,
     MS_PER_SECOND,
@@ -168,7 +169,7 @@
     async def test_answer_cut_within_its_head_is_no_answer(self) -> None:
         """Wherever in the head the target closes, there is no answer."""
         head = b'HTTP/1.1 200 OK\r\nx-first: 1\r\nx-second: 2\r\n\r\n'
-        for length in range(len(head)):
+        for length, _ in enumerate(head):
             with self.subTest(sent=head[:length]):
                 with self.assertRaises(LinkError):
                     await self.ask(head[:length])
@@ -197,6 +198,69 @@
                     )
 
 
+class TestRepeatedRefusals(unittest.IsolatedAsyncioTestCase):
+    """A server that sends its refusal of a request once more."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.connections = 0
+        self.requests = 0
+        server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        self.pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        self.addCleanup(self.pool.close)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Refuse all requests of the first connection, run all others."""
+        self.connections += 1
+        refuses = self.connections == 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                self.requests += 1
+                status = b'503 No' if refuses else b'200 OK'
+                request_id = head.split(b'x-id: ')[1].split(b'\r\n')[0]
+                writer.write(
+                    b'HTTP/1.1 %s\r\nx-id: %s\r\ncontent-length: 0\r\n\r\n'
+                    % (status, request_id)
+                )
+        writer.close()
+
+    async def ask(self, request_id: bytes) -> int:
+        """Return the status of the answer to a request."""
+        request = b'GET / HTTP/1.1\r\nx-id: %s\r\n\r\n' % request_id
+        async with asyncio.timeout(LIMIT_S):
+            answer = await self.pool.ask(
+                request, LIMIT_MS, request_id=request_id
+            )
+        return answer.status
+
+    # The refusal of the first try passed for the answer to the second, which
+    # had the same id and was running: callers were told that it had not run.
+    async def test_next_try_goes_over_another_connection(self) -> None:
+        """A request does not return to the connection that refused it."""
+        self.assertEqual(await self.ask(b'r1'), 503)
+        self.assertEqual(await self.ask(b'r1'), 200)
+        self.assertEqual(self.connections, 2)
+
+    async def test_connection_is_kept_for_other_requests(self) -> None:
+        """Their ids tell their answers from the refusal."""
+        self.assertEqual(await self.ask(b'r1'), 503)
+        self.assertEqual(await self.ask(b'r2'), 503)
+        self.assertEqual(self.connections, 1)
+
+    async def test_refusals_that_a_connection_remembers_are_bounded(
+        self,
+    ) -> None:
+        """A connection that has brought too many is replaced."""
+        for number in range(MAX_FAILED_IDS + 1):
+            await self.ask(b'r%d' % number)
+        self.assertEqual(self.connections, 2)
+
+
 class TestSlowReaders(unittest.IsolatedAsyncioTestCase):
     """Targets that are slow to read a request from their kernel."""
 
