--- a/src/savoryhold/mesh/tests/test_node_shutdown.py
+++ b/src/savoryhold/mesh/tests/test_node_shutdown.py
@@ -364,6 +364,7 @@
         timeout_ms: float,
         answer_matches: Any,
         on_sent: Any,
+        request_id: bytes,
     ) -> ClientAnswer:
         """Run a request that makes a nested call after a while."""
         on_sent()
