--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -293,13 +293,15 @@
             pause = REREAD_MS * (0.5 + random.random())
             await asyncio.sleep(pause / MS_PER_SECOND)
             return None
-        if not listing.objects:
+        if listing.objects:
+            self._accept_and_announce(listing.objects[-1], 'watch')
+        elif not listing.unreadable:
             return listing.at
-        self._accept_and_announce(listing.objects[-1], 'watch')
         previous, self._changed_at = self._changed_at, self._clock.now()
-        if self._changed_at - previous > STORM_MS:
+        if self._changed_at - previous > STORM_MS and not listing.unreadable:
             return listing.at
-        # A watch would return every version, a read only the last one.
+        # A watch would return every version, a read only the last one; and a
+        # change that cannot be read may have been one of the configuration.
         await asyncio.sleep(STORM_PAUSE_MS / MS_PER_SECOND)
         return None
 
--- a/src/savoryhold/mesh/tests/test_odd_entries.py
+++ b/src/savoryhold/mesh/tests/test_odd_entries.py
@@ -27,6 +27,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[4] / 'platform'))
 
+from adapter import PlatformAdapter  # noqa: E402
 from decode import decode_call, decode_config  # noqa: E402
 from names import HEARTBEAT_CALL, LEAVE_CALL, RPC_PATH  # noqa: E402
 from objects import ObjectStore  # noqa: E402
@@ -168,6 +169,18 @@
                 self.assertEqual([one.name for one in listing.objects], ['a'])
                 self.assertEqual(listing.deleted, ('b',))
 
+    # The last change counted as the configuration, whatever its name.
+    async def test_other_name_is_not_the_configuration(self) -> None:
+        """A watch of the configuration returns its changes only."""
+        events = ','.join(
+            f'{{"object":{stored(name, "1")}}}' for name in ('main', 'other')
+        )
+        self.bodies = [f'{{"events":[{events}],"at":9}}'.encode()]
+        adapter = PlatformAdapter('127.0.0.1:1', BootClock().now)
+        adapter.store = self.client
+        listing = await adapter.watch_config(5, 1)
+        self.assertEqual([one.name for one in listing.objects], ['main'])
+
     async def test_unreadable_answer_is_a_failed_call(self) -> None:
         """The caller of the client tries again later."""
         for body in (DEEP, b'7', b'{"items":7}', b'{"items":[],"at":1e999}'):
@@ -215,6 +228,23 @@
             with self.subTest(port=port):
                 self.assertIsNone(await task._pull(f'127.0.0.1:{port}'))
 
+    async def test_configuration_is_read_after_an_odd_change(self) -> None:
+        """The odd change may have been one of the configuration."""
+        spec = {'version': 2, 'virtual_hosts': [], 'services': []}
+        adapter = SimpleNamespace(
+            decode_config=decode_config,
+            watch_config=mock.AsyncMock(return_value=Listing(9, (), (), 1)),
+            read_config=mock.AsyncMock(
+                return_value=StoredObject('main', Version(8), spec)
+            ),
+        )
+        pool = cast(PeerPool, mock.Mock())
+        clock, log = LoopClock(), get_log(node='n')
+        task = ConfigTask(cast(Any, adapter), pool, clock, log)
+        self.assertIsNone(await task._watch(5))
+        await task._next_revision(None)
+        self.assertEqual(task.version, 2)
+
     async def test_unreadable_update_changes_nothing(self) -> None:
         """The version in force stays."""
         pool = cast(PeerPool, mock.Mock())
