--- a/src/savoryhold/cli/client.py
+++ b/src/savoryhold/cli/client.py
@@ -4,11 +4,13 @@
 
 import aiohttp
 
+from savoryhold.core.decoding import UNREADABLE
 from savoryhold.core.errors import SavoryholdError
 
 __all__ = ['AdminClient', 'AdminError']
 
 CALL_LIMIT_S = 5.0
+_FAILED_CALLS = (aiohttp.ClientError, TimeoutError, *UNREADABLE)
 
 
 class AdminError(SavoryholdError):
@@ -53,7 +55,7 @@
                 fields = await answer.json()
                 _check_answer(url, answer.ok, fields)
                 return fields
-        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        except _FAILED_CALLS as exc:
             raise AdminError(f'{url}: {exc!r}') from exc
 
 
--- a/src/savoryhold/core/records.py
+++ b/src/savoryhold/core/records.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from savoryhold.core.decoding import UNREADABLE, parse_json, whole_number
 from savoryhold.core.errors import MalformedMessageError
 from savoryhold.core.ids import (
     Epoch,
@@ -54,8 +55,6 @@
     services: frozenset[ServiceName] = frozenset()
 
 
-_DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
-
 # Types of `NodeRecord.owned` and `NodeRecord.outgoing`.
 Owned = Mapping[ShardKey, Epoch]
 Outgoing = Mapping[ShardKey, Grant]
@@ -119,8 +118,8 @@
         If the text is not JSON or a field is missing or of a wrong type.
     """
     try:
-        return _decode_fields(json.loads(text))
-    except _DECODE_ERRORS as exc:
+        return _decode_fields(parse_json(text))
+    except UNREADABLE as exc:
         raise MalformedMessageError(f'malformed node record: {exc!r}') from exc
 
 
@@ -135,14 +134,20 @@
     return NodeRecord(
         profile,
         NodeState(fields['state']),
-        fields['claimant'],
-        fields['standby'],
+        _node_or_none(fields['claimant']),
+        _node_or_none(fields['standby']),
         _decode_owned(fields['owned']),
         _decode_outgoing(fields['outgoing']),
-        int(fields['serial']),
+        whole_number(fields['serial']),
     )
 
 
+def _node_or_none(field: Any) -> NodeId | None:
+    if field is not None and not isinstance(field, str):
+        raise TypeError(f'{field!r} is not the name of a node')
+    return field if field is None else NodeId(field)
+
+
 def _encode_owned(owned: Owned) -> dict[str, dict[str, int]]:
     fields: dict[str, dict[str, int]] = {}
     for key, epoch in owned.items():
@@ -160,7 +165,9 @@
 
 def _decode_owned(fields: Any) -> dict[ShardKey, Epoch]:
     return {
-        ShardKey(ServiceName(service), ShardId(int(shard))): Epoch(int(epoch))
+        ShardKey(ServiceName(service), ShardId(int(shard))): Epoch(
+            whole_number(epoch)
+        )
         for service, shards in fields.items()
         for shard, epoch in shards.items()
     }
@@ -169,7 +176,7 @@
 def _decode_outgoing(fields: Any) -> dict[ShardKey, Grant]:
     return {
         ShardKey(ServiceName(service), ShardId(int(shard))): Grant(
-            Epoch(int(epoch)), NodeId(str(owner))
+            Epoch(whole_number(epoch)), NodeId(str(owner))
         )
         for service, shards in fields.items()
         for shard, (epoch, owner) in shards.items()
--- a/src/savoryhold/core/tests/test_decisions.py
+++ b/src/savoryhold/core/tests/test_decisions.py
@@ -23,6 +23,7 @@
     GossipTable,
     ObjectUpdate,
 )
+from savoryhold.core.errors import MalformedMessageError
 from savoryhold.core.ids import (
     Epoch,
     NodeId,
@@ -315,6 +316,32 @@
         self.assertEqual(kept.text, 'new')
 
 
+class TestOddRecords(unittest.TestCase):
+    """Records that another writer has left."""
+
+    # A record that raised another error ended the task that read it.
+    def test_odd_record_is_malformed(self) -> None:
+        """Nested or too large fields raise `MalformedMessageError`."""
+        good = (
+            '{"node":"n","address":"a","region":"r","zone":"z","services":[],'
+            '"state":"ACTIVE","claimant":null,"standby":null,"serial":1,'
+            '"owned":{"s":{"1":2}},"outgoing":{}}'
+        )
+        self.assertEqual(decode_record(good).node, 'n')
+        for old, new in (
+            ('"serial":1', '"serial":1e999'),
+            ('"serial":1', '"serial":99999999999999999999'),
+            ('{"1":2}', '{"1":1e999}'),
+            ('{"1":2}', '{"1":99999999999999999999}'),
+            ('"claimant":null', '"claimant":[]'),
+            ('"standby":null', '"standby":7'),
+            (good, '[' * 100_000),
+        ):
+            with self.subTest(new=new[:30]):
+                with self.assertRaises(MalformedMessageError):
+                    decode_record(good.replace(old, new))
+
+
 class TestRecords(unittest.TestCase):
     """Node records as text."""
 
--- a/src/savoryhold/daemon/node.py
+++ b/src/savoryhold/daemon/node.py
@@ -391,6 +391,10 @@
         return snapshot.revision
 
     def _learn_deleted(self, snapshot: Snapshot) -> None:
+        if snapshot.unreadable:
+            # An entry that cannot be read may be that of any object.
+            self.log.warning('entries_unreadable', count=snapshot.unreadable)
+            return
         present = {found.name for found in snapshot.objects}
         for item in list(self.gossip_table.items()):
             older = item.version < snapshot.revision
--- a/src/savoryhold/daemon/watcher.py
+++ b/src/savoryhold/daemon/watcher.py
@@ -56,7 +56,8 @@
         changed = await self._node.platform.watch('', revision, WATCH_MS)
         for found in changed.objects:
             self._node.learn_object(found)
-        return changed.revision
+        # What cannot be read may hide a change of any object.
+        return None if changed.unreadable else changed.revision
 
     def _is_watcher(self) -> bool:
         machine = self._node.machine
--- a/src/savoryhold/declare/document.py
+++ b/src/savoryhold/declare/document.py
@@ -53,7 +53,7 @@
     """
     try:
         fields = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise ConfigurationError(f'not TOML: {exc}') from exc
     unknown = sorted(set(fields) - {'format', 'services'})
     if unknown:
--- a/src/savoryhold/gateway/admin.py
+++ b/src/savoryhold/gateway/admin.py
@@ -11,6 +11,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from savoryhold.core.decoding import UNREADABLE
 from savoryhold.core.errors import SavoryholdError
 from savoryhold.daemon.metrics import Metrics
 from savoryhold.target import Announcement
@@ -117,10 +118,10 @@
                 return _error('not authorized', STATUS_UNAUTHORIZED)
             try:
                 return await handler(req)
-            except (KeyError, ValueError, TypeError) as exc:
-                return _error(f'bad request: {exc!r}', STATUS_BAD)
             except SavoryholdError as exc:
                 return _error(str(exc), STATUS_BAD)
+            except UNREADABLE as exc:
+                return _error(f'bad request: {exc!r}', STATUS_BAD)
 
         return check
 
--- a/src/savoryhold/mesh/settings.py
+++ b/src/savoryhold/mesh/settings.py
@@ -145,7 +145,7 @@
     """
     try:
         given = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise ConfigurationError(f'settings are not TOML: {exc}') from exc
     given.setdefault('advertised', given.get('peers'))
     found = {}
--- a/src/savoryhold/settings/reader.py
+++ b/src/savoryhold/settings/reader.py
@@ -29,7 +29,7 @@
         fields = tomllib.loads(path.read_text(encoding='utf-8'))
     except (OSError, UnicodeDecodeError) as exc:
         raise ConfigurationError(f'{path}: {exc}') from exc
-    except tomllib.TOMLDecodeError as exc:
+    except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise ConfigurationError(f'{path}: not TOML: {exc}') from exc
     try:
         return Settings.model_validate(fields)
--- a/src/savoryhold/store/client.py
+++ b/src/savoryhold/store/client.py
@@ -1,5 +1,6 @@
 """Client for an object store with conditional writes, over HTTP."""
 
+import contextlib
 import dataclasses
 import json
 from collections import Counter
@@ -7,6 +8,7 @@
 
 import aiohttp
 
+from savoryhold.core.decoding import UNREADABLE, whole_number
 from savoryhold.core.errors import (
     PlatformError,
     VersionConflictError,
@@ -24,6 +26,7 @@
 STATUS_MISSING = 404
 STATUS_ERROR = 400
 STATUS_SERVER_ERROR = 500
+_FAILED_READS = (aiohttp.ClientError, TimeoutError, *UNREADABLE)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,10 +40,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Objects, or changes to them, as of one revision of the store."""
+    """Objects, or changes to them, as of one revision of the store.
+
+    `unreadable` counts entries that are no objects; other writers may have
+    left them.
+    """
 
     revision: Version
     objects: tuple[ObjectVersion, ...]
+    unreadable: int = 0
 
 
 class PlatformClient:
@@ -83,6 +91,8 @@
         for found in snapshot.objects:
             if found.name == name:
                 return found
+        if snapshot.unreadable:
+            raise PlatformError(f'{name}: the stored object is unreadable')
         return ObjectVersion(name, snapshot.revision, None)
 
     async def snapshot(self, prefix: str) -> Snapshot:
@@ -160,7 +170,7 @@
                 if answer.status >= STATUS_ERROR:
                     raise PlatformError(f'{kind}: status {answer.status}')
                 return await answer.json()
-        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        except _FAILED_READS as exc:
             raise PlatformError(f'{kind}: {exc!r}') from exc
 
     async def _change(
@@ -207,14 +217,19 @@
 
 def _parse_snapshot(fields: Any, kind: str) -> Snapshot:
     try:
-        objects = tuple(_parse_object(entry) for entry in fields[kind])
-        return Snapshot(Version(int(fields['revision'])), objects)
-    except (KeyError, TypeError, ValueError) as exc:
+        entries = list(fields[kind])
+        revision = Version(whole_number(fields['revision']))
+    except UNREADABLE as exc:
         raise PlatformError(f'malformed {kind}: {exc!r}') from exc
+    objects = []
+    for entry in entries:
+        with contextlib.suppress(*UNREADABLE):
+            objects.append(_parse_object(entry))
+    return Snapshot(revision, tuple(objects), len(entries) - len(objects))
 
 
 def _parse_object(entry: Any) -> ObjectVersion:
     content = entry['value']
     text = None if content is None else json.dumps(content)
     name = ObjectName(str(entry['name']))
-    return ObjectVersion(name, Version(int(entry['version'])), text)
+    return ObjectVersion(name, Version(whole_number(entry['version'])), text)
