Silent peers do not keep a node from reading the store

Callers may see 404 for a route that had been confirmed (CONFIG), where a path is cut one way: peers are heard and do not answer. Cause: a peer that had not been tried went before the store, and four silent ones took all attempts for 2 s each. Change: after 0.8 s the store is read beside the pulls, of which there are three at most.

--- a/src/savoryhold/mesh/config_follower.py
+++ b/src/savoryhold/mesh/config_follower.py
@@ -21,7 +21,7 @@
 STEP_MS = 250
 STORE_AFTER_MS = 800  # the store sends the whole configuration, uncompressed
 MAX_RETRY_MS = 2000
-MAX_ATTEMPTS = 4  # at once
+MAX_PULLS = 3  # at once
 STORE = ''  # stands for the store among the addresses of peers
 
 
@@ -170,25 +170,30 @@
             be behind.
         """
         now = self._clock.now()
-        if len(self._attempts) >= MAX_ATTEMPTS:
+        if self._may_try(STORE, now) and now - since >= STORE_AFTER_MS:
+            self._start(STORE, self._sources.read())
             return
-        peers = [
-            address
-            for address in self._announced
-            if address != STORE and self._may_try(address, now)
-        ]
+        peers = self._peers_to_try(now)
         if peers:
             # The last source is likely to have the version that this node
             # has, and to send only what has changed since.
             best = min(peers, key=self._rank)
             self._start(best, self._sources.pull(best))
-        elif self._may_try(STORE, now) and self._is_store_due(now - since):
+        elif self._may_try(STORE, now) and self._has_failed():
             self._start(STORE, self._sources.read())
 
-    def _is_store_due(self, behind_ms: int) -> bool:
-        """Return whether peers have failed, or have had their time."""
-        if behind_ms >= STORE_AFTER_MS:
-            return True
+    def _peers_to_try(self, now: int) -> list[str]:
+        pulls = len(self._attempts) - (STORE in self._attempts)
+        if pulls >= MAX_PULLS:
+            return []
+        return [
+            address
+            for address in self._announced
+            if address != STORE and self._may_try(address, now)
+        ]
+
+    def _has_failed(self) -> bool:
+        """Return whether peers have failed and none is being tried."""
         failed = any(address in self._failures for address in self._announced)
         return failed and not self._attempts
 
--- a/src/savoryhold/mesh/tests/test_config_delivery.py
+++ b/src/savoryhold/mesh/tests/test_config_delivery.py
@@ -32,6 +32,7 @@
 NARROW = 40_000  # bytes a second that traffic leaves on a busy link
 ROUTES = 1400
 HOSTS = 20
+SILENT_PEERS = 12
 STORM_VERSIONS = range(3, 28)
 STORM_GAP_S = 0.11
 
@@ -238,6 +239,25 @@
         await self.check_in_force(2)
 
 
+class TestSilentPeers(DeliveryCase):
+    """Peers that are heard and do not answer, as on a path cut one way."""
+
+    # Silent peers took all attempts at once, and the store was not read.
+    async def test_store_is_read_while_all_announcers_are_silent(
+        self,
+    ) -> None:
+        """However many announce the version."""
+        await self.run_node()
+        self.node.store.version = 2
+        for number in range(SILENT_PEERS):
+            peer = StubNode(f'silent-{number}')
+            self.node.links.peers[peer.name] = peer
+            self.node.links.rates[peer.name] = 0
+            peer.put_in_force(2)
+            self.node.hear(peer)
+        await self.check_in_force(2)
+
+
 class TestLargeConfiguration(DeliveryCase):
     """Versions of a large configuration over a busy link."""
 
