Ports of the mesh tests are reserved until their end

Three tests of test_platform.TestMesh failed once each beside other plays: 'connection refused' at a node's port in one, a wait of 20 s in another. Cause: ports of the ephemeral range were chosen, released and used later; an outgoing connection of any process could take one in between, so that the node did not start. The error of the third test was not kept. Change: the tests use PortReservation, as the fleets do.

--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -1,11 +1,9 @@
 """Mesh nodes with stand-ins of the platform, on loopback sockets."""
 
 import asyncio
-import contextlib
 import os
 import pathlib
 import re
-import socket
 import subprocess
 import sys
 import unittest
@@ -28,6 +26,7 @@
 )
 from savoryhold.mesh.telemetry import set_up_mesh_logs
 from savoryhold.ranges import GrantReply
+from savoryhold.standins.fleet import PortReservation
 from savoryhold.wire import ClientPool, HttpRequest
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[4] / 'platform'))
@@ -37,6 +36,8 @@
 from standins import ObjectApi, Target  # noqa: E402
 
 LIMIT_S = 20
+HOST_COUNT = 3
+PORTS_A_HOST = 6
 POLL_S = 0.02
 ASK_MS = 3000
 REPORT_PATH = '/v1/rpc?call=instances.heartbeat&of=i-1'
@@ -77,22 +78,13 @@
 }
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on."""
-    found = []
-    with contextlib.ExitStack() as stack:
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(('127.0.0.1', 0))
-            found.append(sock.getsockname()[1])
-    return found
-
-
 class Host:
     """A node and its target."""
 
-    def __init__(self, name: str, service: str, store: str) -> None:
-        local = [f'127.0.0.1:{port}' for port in free_ports(6)]
+    def __init__(
+        self, name: str, service: str, store: str, ports: list[int]
+    ) -> None:
+        local = [f'127.0.0.1:{port}' for port in ports]
         self.target = Target(f't-{name}', service, local[0], local[1])
         self.callers = local[2]
         settings = MeshSettings(
@@ -134,11 +126,18 @@
         """Start everything, and wait until targets hold all keys."""
         self.tasks: list[asyncio.Future[Any]] = []
         self.api = ObjectApi()
-        store = f'127.0.0.1:{free_ports(1)[0]}'
+        # An outgoing connection of any process may take a port of another kind
+        # between its choice and its use; the node would not start.
+        reservation = PortReservation(1 + PORTS_A_HOST * HOST_COUNT)
+        self.addCleanup(reservation.release)
+        ports = reservation.ports
+        store = f'127.0.0.1:{ports.pop()}'
         await self.api.server.start(store, 64)
         self.api.put('config', 'main', CONFIG)
         self.hosts = [
-            Host(name, service, store)
+            Host(
+                name, service, store, [ports.pop() for _ in range(PORTS_A_HOST)]
+            )
             for name, service in (
                 ('one', 'desk'),
                 ('two', 'desk'),
