A standby stores adopted request ids whatever former owners left

Cause: the standby's ledger counted an id once for each owner that had it. Change: an id counts once towards the limit, with a copy an owner, eight at most. A new owner's copy of a known id therefore always has room. Evidence: TestRepeatedLosses plays the recorded steps; it failed before. Ruled out: dropping copies on adoption (a claim that fails halfway needs them again).

--- a/src/savoryhold/core/ledger.py
+++ b/src/savoryhold/core/ledger.py
@@ -18,6 +18,7 @@
 ]
 
 ENTRY_BYTES = 400  # counted for each entry besides the body of its answer
+MAX_COPIES = 8  # of an id; the oldest belongs to a holder lost long ago
 
 
 class LedgerState(enum.Enum):
@@ -190,26 +191,37 @@
     ----------
     limits : LedgerLimits
         Bounds over all holders; when one is reached, no more ids are accepted.
+
+    Notes
+    -----
+    An id counts once towards the limit, however many holders had it in turn.
+    A new owner's copy of an adopted id is therefore always accepted.
     """
 
     def __init__(self, limits: LedgerLimits | None = None) -> None:
         self._limits = limits or LedgerLimits()
-        self._ids: OrderedDict[tuple[NodeId, ShardKey, RequestId], int] = (
-            OrderedDict()
-        )
+        # Times of the copies by holder, the newest copy last.
+        self._copies: OrderedDict[_EntryId, dict[NodeId, int]] = OrderedDict()
 
     def __len__(self) -> int:
         """Return how many ids are stored."""
-        return len(self._ids)
+        return len(self._copies)
 
     def append(
         self, holder: NodeId, key: ShardKey, request: RequestId, now: int
     ) -> bool:
         """Store an id; return whether there was room for it."""
         self.expire(now)
-        if len(self._ids) >= self._limits.count:
-            return False
-        self._ids[holder, key, request] = now
+        entry_id = (key, request)
+        if entry_id not in self._copies:
+            if len(self._copies) >= self._limits.count:
+                return False
+            self._copies[entry_id] = {}
+        copies = self._copies[entry_id]
+        copies.pop(holder, None)
+        copies[holder] = now
+        if len(copies) > MAX_COPIES:
+            copies.pop(next(iter(copies)))
         return True
 
     def export(
@@ -217,19 +229,19 @@
     ) -> list[LedgerEntry]:
         """Return a holder's ids of some shards, as unknown outcomes."""
         return [
-            LedgerEntry(key, request, LedgerState.UNKNOWN, at)
-            for (node, key, request), at in self._ids.items()
-            if node == holder and key in keys
+            LedgerEntry(key, request, LedgerState.UNKNOWN, copies[holder])
+            for (key, request), copies in self._copies.items()
+            if holder in copies and key in keys
         ]
 
     def expire(self, now: int) -> None:
-        """Remove ids that are older than the age bound."""
+        """Remove ids whose copies are all older than the age bound."""
         oldest = now - self._limits.age_ms
-        while self._ids:
-            entry_id, at = next(iter(self._ids.items()))
-            if at >= oldest:
+        while self._copies:
+            entry_id, copies = next(iter(self._copies.items()))
+            if max(copies.values()) >= oldest:
                 return
-            self._ids.pop(entry_id)
+            self._copies.pop(entry_id)
 
 
 def in_batches(
--- a/src/savoryhold/core/tests/test_ledger_machine.py
+++ b/src/savoryhold/core/tests/test_ledger_machine.py
@@ -4,6 +4,8 @@
 are replaced; the new owner receives the ids that the standby stored.
 """
 
+import unittest
+
 import hypothesis
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -18,7 +20,7 @@
     StoredAnswer,
 )
 
-__all__ = ['LedgerFuzz', 'TestLedger']
+__all__ = ['LedgerFuzz', 'TestLedger', 'TestRepeatedLosses']
 
 KEY = ShardKey(ServiceName('booking'), ShardId(3))
 LIMITS = LedgerLimits(count=12, size_bytes=8000, age_ms=5000, answer_bytes=500)
@@ -141,3 +143,26 @@
     deadline=None,
     database=None,
 )
+
+
+class TestRepeatedLosses(unittest.TestCase):
+    """An owner that is lost again and again."""
+
+    def test_adopted_ids_have_room_at_the_standby(self) -> None:
+        """Copies of former owners do not keep an adopted id from being stored.
+
+        Guards against a second run after a last loss whose owner knew of it.
+        """
+        fuzz = LedgerFuzz()
+        fuzz.send(0, standby_up=True)
+        fuzz.lose()
+        for _ in range(5):
+            fuzz.wait(900)
+        fuzz.send(0, standby_up=False)
+        fuzz.send(0, standby_up=True)
+        for _ in range(6):
+            fuzz.lose()
+        fuzz.wait(900)
+        fuzz.send(0, standby_up=True)
+        fuzz.ran_at_most_once()
+        fuzz.within_bounds()
