Soak: a node that SIGHUP ends before its first line is started again

Cause: SIGHUP has its default action until the interpreter runs the first line of platform/run.py, which ignores it. No code of ours runs by then.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -178,8 +178,22 @@
 
 
 async def reload_node(injector: FaultInjector, host: Host) -> None:
-    """Make a node reload its settings."""
+    """Make a node reload its settings.
+
+    Notes
+    -----
+    SIGHUP ends a process whose interpreter has not run its first line yet; the
+    platform then starts it again.
+    """
     host.signal_node(signal.SIGHUP)
+    if not await host.has_ended():
+        return
+    status = await host.wait_node_exit()
+    if status != -signal.SIGHUP or host.has_listened():
+        injector.deployment.violations.append(
+            f'exit: {host.plan.name} ended with status {status} after SIGHUP'
+        )
+    await host.start_node()
 
 
 async def change_config(injector: FaultInjector, host: Host) -> None:
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -1,6 +1,7 @@
 """The processes and the proxies of one host."""
 
 import asyncio
+import contextlib
 import dataclasses
 import enum
 import pathlib
@@ -23,6 +24,7 @@
 GRACE_MS = 4000
 HOLD_MAX_MS = 10_000
 EXIT_TIMEOUT_S = 8.0
+SIGNAL_S = 0.3  # within which a signal without a handler ends a process
 STARTED_EVENT = b'event=started'
 SETTINGS_VARIABLE = 'SAVORYHOLD_NODE_FILE'
 
@@ -175,6 +177,15 @@
         """Wait for the node's exit status; return None if it hangs."""
         return await _wait_exit(self.node)
 
+    async def has_ended(self) -> bool:
+        """Return whether the node ends within `SIGNAL_S` by itself."""
+        if self.node is None:
+            return True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SIGNAL_S):
+                await self.node.wait()
+        return self.node.returncode is not None
+
     async def wait_target_exit(self) -> int | None:
         """Wait for the target's exit status; return None if it hangs."""
         return await _wait_exit(self.target)
