A cancellation reaches the peer however late its link comes back

Cause: (1) a call cut in the middle of an answer of several messages was not cancelled at the peer, since its end looked like the end of the answer; (2) a cancellation on a closed link was dropped; (3) cancellations that could not move within 0.8 s were dropped with the calls that callers wait for. Change: a cut-off call is not taken for an answered one; a cancellation on a closed link is handed to the pool; cancellations are tried for 20 s, at a pace.

--- a/src/savoryhold/mesh/tests/test_call_fuzz.py
+++ b/src/savoryhold/mesh/tests/test_call_fuzz.py
@@ -100,7 +100,7 @@
     """Move calls to any process that listens at the address."""
     try:
         async with asyncio.timeout(1):
-            link = await self._next_link(old.address)
+            link = await self._next_link(old.address, calls)
     except (LinkError, TimeoutError):
         for call in calls:
             call.deliver(None)
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -232,6 +232,11 @@
         table = self._calls if is_initiator else self._served
         table.pop(correlation, None)
 
+    def hand_over(self, call: LinkStream) -> None:
+        """Have a call of this closed link continue on the next one."""
+        self._calls.pop(call.number, None)
+        self._endpoint.on_calls_movable(self, [call])
+
     def _register(self, call: LinkStream) -> None:
         if not self._calls:
             self.waiting_since = _now()
--- a/src/savoryhold/peer/pool.py
+++ b/src/savoryhold/peer/pool.py
@@ -21,6 +21,8 @@
 # had an answer to a probe on it.
 MOVE_LIMIT_MS = DIAL_LIMIT_MS + PROBE_LIMIT_MS
 MOVE_RETRY_MS = 50
+CANCEL_LIMIT_MS = 20_000  # longer than a call may be served
+CANCEL_RETRY_MS = 400
 IDLE_POLL_MS = 10
 
 
@@ -258,10 +260,15 @@
     async def _move(self, old: Link, calls: list[LinkStream]) -> None:
         """Continue calls on the next link, if it is to the same process."""
         link: Link | None = None
+        only_cancelled = all(call.cancel_pending for call in calls)
+        limit_ms = CANCEL_LIMIT_MS if only_cancelled else MOVE_LIMIT_MS
         try:
-            async with asyncio.timeout(MOVE_LIMIT_MS / MS_PER_SECOND):
-                link = await self._next_link(old.address)
-        except (LinkError, TimeoutError):
+            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
+                link = await self._next_link(old.address, calls)
+        except TimeoutError:
+            if not only_cancelled:
+                calls = self._keep_cancelling(old, calls)
+        except LinkError:
             # `on_moved` reports that there is no link.
             link = None
         finally:
@@ -271,6 +278,21 @@
             self._resume_calls(link, calls)
         self.on_moved(old, link, len(calls))
 
+    def _keep_cancelling(
+        self, old: Link, calls: list[LinkStream]
+    ) -> list[LinkStream]:
+        """Move cancelled calls on their own; return the others.
+
+        Notes
+        -----
+        A peer that cannot be reached may still serve them.  Nobody waits for
+        them here, so that their cancellations can be sent far later.
+        """
+        cancelled = [call for call in calls if call.cancel_pending]
+        if cancelled:
+            self._move_soon(old, cancelled)
+        return [call for call in calls if not call.cancel_pending]
+
     def _resume_calls(self, link: Link, calls: list[LinkStream]) -> None:
         for call in sorted(calls, key=_number):
             if not call.movable:
@@ -285,7 +307,7 @@
                 self.moved += 1
         self._call_started.set()
 
-    async def _next_link(self, address: str) -> Link:
+    async def _next_link(self, address: str, calls: list[LinkStream]) -> Link:
         while True:
             try:
                 return await self._get_link(address)
@@ -293,7 +315,9 @@
                 if isinstance(exc.__cause__, ConnectionRefusedError):
                     # The process has ended, and its calls with it.
                     raise
-            await asyncio.sleep(MOVE_RETRY_MS / MS_PER_SECOND)
+            urgent = any(not call.cancel_pending for call in calls)
+            pause_ms = MOVE_RETRY_MS if urgent else CANCEL_RETRY_MS
+            await asyncio.sleep(pause_ms / MS_PER_SECOND)
 
     def _end_orphans_later(self, link: Link) -> None:
         if not self._endpoint.served.active_on(link):
--- a/src/savoryhold/peer/stream.py
+++ b/src/savoryhold/peer/stream.py
@@ -46,6 +46,9 @@
     def forget(self, correlation: int, *, is_initiator: bool) -> None:
         """Drop the state of a call."""
 
+    def hand_over(self, call: 'LinkStream') -> None:
+        """Have a call of a closed link continue on the next one."""
+
 
 class LinkStream:
     """One end of a call.
@@ -72,6 +75,7 @@
         self._has_received = False
         self._expects_more = False
         self._cancel_pending = False
+        self._is_cut_off = False
         self._inbox: deque[messages.Message | None] = deque()
         self._waiter: asyncio.Future[None] | None = None
 
@@ -83,9 +87,13 @@
     @property
     def movable(self) -> bool:
         """Return whether the call can continue on another link."""
-        return self._cancel_pending or (
-            self.resumable and not self._has_received
-        )
+        unanswered = not (self._has_received or self._is_cut_off)
+        return self._cancel_pending or (self.resumable and unanswered)
+
+    @property
+    def cancel_pending(self) -> bool:
+        """Return whether the peer has yet to confirm a cancellation."""
+        return self._cancel_pending
 
     def begin(self, make_first: MakeMessage) -> None:
         """Send the first message of a resumable call.
@@ -145,7 +153,8 @@
             self.send(messages.Cancel())
         except LinkError:
             # A call that is not resumable ends with its link.
-            return
+            if self._cancel_pending:
+                self.link.hand_over(self)
 
     async def receive(self, timeout_ms: float) -> messages.Message:
         """Return the next message of this call.
@@ -168,8 +177,11 @@
 
     def deliver(self, message: messages.Message | None) -> None:
         """Queue a received message; None means that the call was cut off."""
-        self._has_received = True
-        self._expects_more = bool(getattr(message, 'more', False))
+        if message is None:
+            self._is_cut_off = True
+        else:
+            self._has_received = True
+            self._expects_more = bool(getattr(message, 'more', False))
         if self._cancel_pending:
             # Ignore answers that crossed the cancellation.
             if message is None or isinstance(message, messages.CallEnded):
--- a/src/savoryhold/peer/tests/test_served_calls.py
+++ b/src/savoryhold/peer/tests/test_served_calls.py
@@ -70,6 +70,9 @@
     def forget(self, correlation: int, *, is_initiator: bool) -> None:
         """Do nothing."""
 
+    def hand_over(self, call: LinkStream) -> None:
+        """Do nothing: only initiators hand calls over."""
+
 
 def answer_part(body: bytes = BODY) -> messages.Message:
     """Return a part of an answer."""
