One entry nested too deeply hides no other; odd addresses are refused

Cause: the C scanner of json counts nesting against the recursion limit, so that a listing with one entry nested a thousand deep was refused whole. The native daemon accepted any text as its target's address; a port out of range ended the task that dialled it.

--- a/src/savoryhold/core/decoding.py
+++ b/src/savoryhold/core/decoding.py
@@ -6,11 +6,18 @@
 
 import ipaddress
 import json
+import re
 from typing import Any
 
 from savoryhold.core.errors import MalformedMessageError
 
-__all__ = ['UNREADABLE', 'host_port', 'parse_json', 'whole_number']
+__all__ = [
+    'UNREADABLE',
+    'host_port',
+    'parse_json',
+    'parse_json_list',
+    'whole_number',
+]
 
 # Raised on text that is not JSON or is nested too deeply, and on access to a
 # field that is missing, of another type or too large.
@@ -26,6 +33,10 @@
 MAX_NUMBER = 0x7FFFFFFFFFFFFFFF  # numbers travel in 64 bits
 MAX_PORT = 65_535
 MAX_PORT_DIGITS = 5
+MAX_DEPTH = 64  # of nesting in an answer of which one entry is too deep
+STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
+OPENING = frozenset('[{')
+CLOSING = frozenset(']}')
 
 
 def parse_json(text: bytes | str) -> Any:
@@ -42,6 +53,25 @@
         raise MalformedMessageError(f'not readable as JSON: {exc!r}') from exc
 
 
+def parse_json_list(text: bytes) -> Any:
+    """Return the data of a JSON text that lists entries of many writers.
+
+    What is nested deeper than `MAX_DEPTH` is read as null if the text cannot
+    be read otherwise, so that one entry does not hide the others.
+
+    Raises
+    ------
+    MalformedMessageError
+        If the text is not JSON.
+    """
+    try:
+        return json.loads(text)
+    except RecursionError:
+        return parse_json(_without_deep_values(text.decode(errors='replace')))
+    except UNREADABLE as exc:
+        raise MalformedMessageError(f'not readable as JSON: {exc!r}') from exc
+
+
 def whole_number(field: Any, least: int = 0) -> int:
     """Return a whole number from `least` to 64 bits.
 
@@ -75,3 +105,24 @@
     if not 0 < int(port) <= MAX_PORT:
         raise ValueError(f'{field!r}: the port is not in 1..{MAX_PORT}')
     return field
+
+
+def _without_deep_values(text: str) -> str:
+    """Replace the values of a JSON text below `MAX_DEPTH` by null."""
+    parts: list[str] = []
+    depth = 0
+    begin = 0
+    for found in STRING_OR_BRACKET.finditer(text):
+        if found[0] in OPENING:
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                parts.extend((text[begin : found.start()], 'null'))
+        elif found[0] in CLOSING:
+            depth -= 1
+            if depth == MAX_DEPTH:
+                begin = found.end()
+    if depth > MAX_DEPTH:
+        # The text ends within a value that is too deep.
+        begin = len(text)
+    parts.append(text[begin:])
+    return ''.join(parts)
--- a/src/savoryhold/mesh/tests/test_odd_entries.py
+++ b/src/savoryhold/mesh/tests/test_odd_entries.py
@@ -33,6 +33,7 @@
 from objects import ObjectStore  # noqa: E402
 
 DEEP = b'[' * 100_000
+DEEP_LIST = '[' * 5000 + '"]"' + ']' * 5000
 HUGE = '1e999'
 TOO_LONG = str(2**64)
 ODD_PORTS = ('99999', '0', '-1', 'x', '', '²')
@@ -114,6 +115,8 @@
     '{"metadata":7}',
     '{"metadata":{"name":"x","revision":1e999}}',
     '{"metadata":{"name":"x","revision":"x"}}',
+    DEEP_LIST,
+    f'{{"metadata":{DEEP_LIST}}}',
 )
 
 
@@ -134,7 +137,7 @@
     async def test_odd_entry_hides_no_other(self) -> None:
         """A listing has the entries that can be read."""
         for odd in ODD_ENTRIES:
-            with self.subTest(odd=odd):
+            with self.subTest(odd=odd[:60]):
                 items = f'[{stored("a", "1")},{odd},{stored("b", "2")}]'
                 body = f'{{"items":{items},"has_more":false,"at":5}}'
                 self.bodies = [body.encode()]
@@ -160,7 +163,7 @@
     async def test_odd_change_hides_no_other(self) -> None:
         """A watch returns the changes that can be read."""
         for odd in ('7', '{}', *(f'{{"object":{one}}}' for one in ODD_ENTRIES)):
-            with self.subTest(odd=odd):
+            with self.subTest(odd=odd[:60]):
                 good = f'{{"object":{stored("a", "1")}}}'
                 gone = f'{{"object":{stored("b", "1")},"deleted":true}}'
                 body = f'{{"events":[{odd},{good},{gone}],"at":9}}'
--- a/src/savoryhold/store/client.py
+++ b/src/savoryhold/store/client.py
@@ -8,7 +8,11 @@
 
 import aiohttp
 
-from savoryhold.core.decoding import UNREADABLE, whole_number
+from savoryhold.core.decoding import (
+    UNREADABLE,
+    parse_json_list,
+    whole_number,
+)
 from savoryhold.core.errors import (
     PlatformError,
     VersionConflictError,
@@ -169,7 +173,7 @@
             ) as answer:
                 if answer.status >= STATUS_ERROR:
                     raise PlatformError(f'{kind}: status {answer.status}')
-                return await answer.json()
+                return parse_json_list(await answer.read())
         except _FAILED_READS as exc:
             raise PlatformError(f'{kind}: {exc!r}') from exc
 
--- a/src/savoryhold/store/tests/test_client.py
+++ b/src/savoryhold/store/tests/test_client.py
@@ -57,6 +57,20 @@
         self.reply = _answer(200, 'ETag: "7"\r\n')
         self.assertEqual(await self.client.write(NAME, '{}', None), 7)
 
+    async def test_deeply_nested_entry_hides_no_other(self) -> None:
+        """A list is read although one of its entries is nested too deeply.
+
+        Guards against a node that takes a whole store for unreadable.
+        """
+        deep = '[' * 5000 + ']' * 5000
+        good = '{"name":"node/a","version":3,"value":{}}'
+        body = f'{{"revision":5,"objects":[{deep},{good}]}}'
+        head = 'Content-Type: application/json\r\n'
+        self.reply = _answer(200, head, body)
+        snapshot = await self.client.snapshot('node/')
+        self.assertEqual([one.name for one in snapshot.objects], ['node/a'])
+        self.assertEqual(snapshot.unreadable, 1)
+
     async def test_creation_is_not_sent_again_by_the_library(self) -> None:
         """A repeated creation could take effect after a deletion."""
         self.extra_requests = 1
--- a/src/savoryhold/target/tracker.py
+++ b/src/savoryhold/target/tracker.py
@@ -1,8 +1,11 @@
 """Liveness and announced properties of the target on the daemon's host."""
 
-from pydantic import BaseModel, ConfigDict, Field
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from savoryhold.core.clock import Clock
+from savoryhold.core.decoding import host_port
 
 __all__ = ['Announcement', 'TargetTracker']
 
@@ -16,7 +19,7 @@
     model_config = ConfigDict(extra='ignore', frozen=True)
 
     service: str
-    address: str
+    address: Annotated[str, AfterValidator(host_port)]
     slots: int = Field(gt=0)
     connections: int = Field(DEFAULT_CONNECTIONS, gt=0)
     checks_fence: bool = False
