Statuses go by zone and through relays in fleets of more than 32 nodes

Cause: each node sent its status to each other. Change: a node sends its status to its zone; two relays a zone, chosen by rank among live nodes, exchange digests with those of the other zones; who receives a digest passes it on in its zone. Broadcasts go the same way. Neighbours that vote on a loss are the zone; a silent zone is voted on by the others. Proofs of tables come by way of the first node of a zone. Ruled out: the store's rates, processor time of the planner (0.06 cores). Tests: test_fleet_growth (messages at 60, 195, 600 nodes; relays that end together, zones that are cut off).

--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -64,6 +64,13 @@
         message.life or 0,
         frozenset(NodeId(name) for name in message.silent or ()),
         bool(message.store_lost),
+        frozenset(Zone(name) for name in message.silent_zones or ()),
+        message.sent_at or 0,
+        message.config_version or 0,
+        tuple(
+            (ServiceName(entry.service_name), Version(entry.version))
+            for entry in message.tables or ()
+        ),
     )
 
 
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -1,24 +1,32 @@
-"""Membership: the last status of each other node, and failure detection.
+"""Membership: the last status of each other node.
 
-Each node sends its status to every other node at a regular period.  A node
-whose statuses stop arriving counts as silent; a node that at least half of
-its neighbours report as silent counts as lost, and its keys may be claimed.
+In a small fleet each node sends its status to every other node at a regular
+period.  In a larger one statuses go to the nodes of the own zone only; two
+relays a zone pass on digests of them (see `DigestTask`).
 """
 
 import dataclasses
+import itertools
 
-from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
+from savoryhold.core.ids import NodeId, Region, ServiceName, Version, Zone
+from savoryhold.mesh.places import Place, ZoneIndex
 
 __all__ = ['Member', 'MemberTable', 'NodeStatus']
 
 STATUS_MS = 400  # period of statuses in a small fleet
-FULL_RATE_NODES = 16  # the period grows with the fleet beyond this size
+FULL_RATE_NODES = 16  # the period grows with the receivers beyond this number
 MAX_PERIOD_MS = 1000  # older load figures would mislead the choice of nodes
 REMOTE_REGION_FACTOR = 2  # of the period, for nodes of other regions
+DIRECT_NODES = 32  # larger fleets exchange statuses by zone
+DIGEST_MS = 500  # period of digests between zones of one region
+REMOTE_DIGEST_MS = 1000  # and of those between regions, where traffic is billed
+FORWARD_MS = 400  # period at which relays pass on digests of other zones
+RELAYS = 2  # of a zone
 ALIVE_PERIODS = 2.5  # two statuses in a row may be lost
 LOST_PERIODS = 4.0  # silence after which the keys of a node may be claimed
 ALIVE_SLACK_MS = 300
 STALE_PERIODS = 2.0  # age at which a reported wait is disregarded
+NO_ZONE = Zone('')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +61,15 @@
         The nodes from which it receives no statuses.
     store_lost : bool
         Whether it cannot reach the store.
+    silent_zones : frozenset of Zone
+        The other zones from which it hears of no node.
+    sent_at : int
+        Time of sending in ms of its clock, which orders the statuses of one
+        life; 0 if unknown.
+    config_version : int
+        Version of the configuration in force at the node.
+    tables : tuple of (ServiceName, Version)
+        Versions of its key range tables.
     """
 
     node: NodeId
@@ -69,11 +86,19 @@
     life: int
     silent: frozenset[NodeId]
     store_lost: bool = False
+    silent_zones: frozenset[Zone] = frozenset()
+    sent_at: int = 0
+    config_version: int = 0
+    tables: tuple[tuple[ServiceName, Version], ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
 class Member:
-    """A node's last status and the number of requests relayed to it."""
+    """A node's last status and the number of requests relayed to it.
+
+    ``received_at`` is when this node, or the relay that passed the status on,
+    received it from the member itself.
+    """
 
     status: NodeStatus
     received_at: int
@@ -89,48 +114,96 @@
         Name of this node.
     region : Region
         Region of this node.
+    zone : Zone
+        Zone of this node.
+    started_at : int
+        Start time of this process in ms.
     """
 
-    def __init__(self, node: NodeId, region: Region) -> None:
+    def __init__(
+        self,
+        node: NodeId,
+        region: Region,
+        zone: Zone = NO_ZONE,
+        started_at: int = 0,
+    ) -> None:
         self.node = node
+        self.place = Place(zone, region)
+        self.started_at = started_at
         self.members: dict[NodeId, Member] = {}
         self.addresses: dict[NodeId, str] = {}
+        self.index = ZoneIndex()
+        self.index.add(node, self.place)
         self.registry_loaded = False
-        self._region = region
 
-    def period_ms(self, region: Region) -> int:
-        """Return the period of this node's statuses to a region.
+    @property
+    def by_zone(self) -> bool:
+        """Return whether statuses are exchanged within zones only."""
+        return len(self.addresses) >= DIRECT_NODES
+
+    def period_ms(self, place: Place) -> int:
+        """Return the period of the statuses exchanged with a place.
 
         Notes
         -----
-        Every node sends to every other, so that the traffic grows with the
-        square of the fleet.  The period therefore grows with the fleet, and
-        more so over the link between regions, which has less bandwidth.
+        Traffic grows with the square of the nodes that exchange statuses.
+        The period therefore grows with their number, and, where each node
+        sends to every other, more so over the link between regions.
         """
-        factor = max(1.0, (1 + len(self.addresses)) / FULL_RATE_NODES)
+        if self.by_zone:
+            exchanging = len(self.index.nodes(place.zone))
+        else:
+            exchanging = 1 + len(self.addresses)
+        factor = max(1.0, exchanging / FULL_RATE_NODES)
         period = min(MAX_PERIOD_MS, STATUS_MS * factor)
-        if region != self._region and factor > 1:
+        remote = place.region != self.place.region
+        if remote and factor > 1 and not self.by_zone:
             period *= REMOTE_REGION_FACTOR
         return round(period)
 
-    def learn(self, status: NodeStatus, now: int) -> None:
-        """Store a node's status, unless it is outdated."""
+    def digest_ms(self, region: Region) -> int:
+        """Return the period of digests that are sent to a region."""
+        is_own = region == self.place.region
+        return DIGEST_MS if is_own else REMOTE_DIGEST_MS
+
+    def learn(self, status: NodeStatus, heard_at: int) -> bool:
+        """Store a node's status, unless it is outdated.
+
+        Parameters
+        ----------
+        status : NodeStatus
+            The status.
+        heard_at : int
+            When it was received from the node itself, in ms.
+
+        Returns
+        -------
+        bool
+            Whether the status is newer than the one that was known.
+        """
         if status.node == self.node:
-            return
-        self.addresses[status.node] = status.address
+            return False
         member = self.members.get(status.node)
+        if member is not None and _is_outdated(status, heard_at, member):
+            return False
+        self.addresses[status.node] = status.address
+        self.index.add(status.node, Place(status.zone, status.region))
         if member is None:
-            self.members[status.node] = Member(status, now)
-        elif _is_outdated(status, member.status):
-            return
+            self.members[status.node] = Member(status, heard_at)
         else:
             member.status = status
-            member.received_at = now
+            member.received_at = max(member.received_at, heard_at)
+        return True
 
-    def add_address(self, node: NodeId, address: str) -> None:
+    def add_address(
+        self, node: NodeId, address: str, place: Place | None = None
+    ) -> None:
         """Add the address of a node that has sent no status yet."""
-        if node != self.node:
-            self.addresses.setdefault(node, address)
+        if node == self.node:
+            return
+        self.addresses.setdefault(node, address)
+        if node not in self.index.places:
+            self.index.add(node, place or Place(NO_ZONE, Region('')))
 
     def fleet_size(self) -> int | None:
         """Return the number of nodes, None until the registry was loaded."""
@@ -151,19 +224,32 @@
             if self._is_recent(member, now)
         ]
 
-    def silent_nodes(self, now: int) -> frozenset[NodeId]:
-        """Return the nodes from which no statuses arrive at this node."""
-        return frozenset(
-            node for node in self.addresses if self._is_silent(node, now)
-        )
+    def live_nodes(self, zone: Zone, now: int) -> list[NodeId]:
+        """Return the live nodes of a zone, without this node."""
+        return [
+            node
+            for node in self.index.nodes(zone)
+            if node != self.node and self.is_alive(node, now)
+        ]
 
-    def lost_nodes(self, now: int) -> frozenset[NodeId]:
-        """Return the nodes silent to at least half of their neighbours."""
-        return frozenset(
+    def relays(self, zone: Zone, now: int) -> list[NodeId]:
+        """Return the nodes that relay between a zone and the others.
+
+        Notes
+        -----
+        Each zone chooses for itself, and by rank, so that all nodes agree
+        without a word as far as they hear of the same nodes.
+        """
+        relays = (
             node
-            for node in self.addresses
-            if not self.is_alive(node, now)
-            and self._is_reported_silent(node, now)
+            for node in self.index.by_rank(zone)
+            if node == self.node or self._may_relay(node, now)
+        )
+        return list(itertools.islice(relays, RELAYS))
+
+    def _may_relay(self, node: NodeId, now: int) -> bool:
+        return (
+            self.is_alive(node, now) and not self.members[node].status.leaving
         )
 
     def is_among_first(self, count: int, now: int) -> bool:
@@ -178,7 +264,7 @@
         preceding = [
             member.status.store_lost
             for member in self.live_members(now)
-            if member.status.region == self._region
+            if member.status.region == self.place.region
             and member.status.node < self.node
             and not member.status.leaving
         ]
@@ -194,65 +280,53 @@
         """Return the members whose target accepts requests of a service."""
         return [
             member
-            for member in self.live_members(now)
+            for member in self.members.values()
             if member.status.service == service
             and member.status.ready
             and not member.status.leaving
+            and self._is_recent(member, now)
         ]
 
     def wait_ms(self, member: Member, now: int) -> float:
         """Return the wait at a member, scaled down as its status ages."""
         age = now - member.received_at
-        limit = STALE_PERIODS * self.period_ms(member.status.region)
+        place = self.index.places[member.status.node]
+        limit = STALE_PERIODS * self.period_ms(place) + self.relay_ms(place)
         return member.status.wait_ms * max(0.0, 1 - age / limit)
 
-    def _is_recent(self, member: Member, now: int) -> bool:
-        period = self.period_ms(member.status.region)
-        limit = ALIVE_PERIODS * period + ALIVE_SLACK_MS
-        return now - member.received_at < limit
-
-    def _is_silent(self, node: NodeId, now: int) -> bool:
-        member = self.members.get(node)
-        if member is None:
-            return True
-        period = self.period_ms(member.status.region)
-        limit = LOST_PERIODS * period + ALIVE_SLACK_MS
-        return now - member.received_at >= limit
-
-    def _is_reported_silent(self, node: NodeId, now: int) -> bool:
-        """Return whether at least half of a node's neighbours report it silent.
+    def relay_ms(self, place: Place) -> int:
+        """Return how much later than direct ones relayed statuses may come.
 
         Notes
         -----
-        Neighbours are the live members of the node's region, or all live
-        members if there are none.  This node must find it silent, too, unless
-        the node is in another region that has live members.
+        A status waits for the next digest of its zone, which may get lost,
+        and for the next time at which relays pass digests on.
         """
-        alive = self.live_members(now)
-        known = self.members.get(node)
-        neighbours = [
-            member
-            for member in alive
-            if known is not None and member.status.region == known.status.region
-        ]
-        voters = neighbours or alive
-        votes = sum(1 for member in voters if node in member.status.silent)
-        if (
-            known is None
-            or known.status.region == self._region
-            or not neighbours
-        ):
-            if not self._is_silent(node, now):
-                return False
-        return votes >= len(voters) / 2
+        if not self.by_zone or place.zone == self.place.zone:
+            return 0
+        return 2 * self.digest_ms(place.region) + FORWARD_MS
+
+    def silence_ms(self, place: Place) -> float:
+        """Return the silence after which a node of a place counts as silent."""
+        period = self.period_ms(place)
+        return LOST_PERIODS * period + ALIVE_SLACK_MS + self.relay_ms(place)
+
+    def _is_recent(self, member: Member, now: int) -> bool:
+        place = self.index.places[member.status.node]
+        limit = ALIVE_PERIODS * self.period_ms(place) + ALIVE_SLACK_MS
+        return now - member.received_at < limit + self.relay_ms(place)
 
 
-def _is_outdated(status: NodeStatus, last: NodeStatus) -> bool:
-    """Return whether a status was sent before its process began to leave.
+def _is_outdated(status: NodeStatus, heard_at: int, known: Member) -> bool:
+    """Return whether a status is not newer than the one that is known.
 
     Notes
     -----
     A process that has reported that it is leaving does not take that back.
     """
-    same_life = status.life == last.life
-    return same_life and last.leaving and not status.leaving
+    last = known.status
+    if status.life != last.life:
+        return heard_at < known.received_at
+    if last.leaving and not status.leaving:
+        return True
+    return 0 < status.sent_at <= last.sent_at
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -13,7 +13,7 @@
 from savoryhold.core.clock import BootClock
 from savoryhold.core.decoding import UNREADABLE, host_port
 from savoryhold.core.errors import ConfigurationError, PlatformError
-from savoryhold.core.ids import NodeId
+from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.inbound_links import InboundLinks
@@ -24,6 +24,7 @@
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.peers import PeerTask
 from savoryhold.mesh.placement import PlacementTask
+from savoryhold.mesh.places import Place
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.table_proofs import TableProofTask
@@ -94,7 +95,9 @@
         self.clock = BootClock()
         clock = self.clock
         self.pool = PeerPool(settings.node, SECRET, self._on_peer)
-        self.members = MemberTable(settings.node, settings.region)
+        self.members = MemberTable(
+            settings.node, settings.region, settings.zone, clock.now()
+        )
         self.configs = ConfigTask(adapter, self.pool, clock, self.log)
         self.owner = OwnerTask(
             settings.node,
@@ -219,6 +222,7 @@
             self.configs.run(),
             self._register(),
             self.peers.run(),
+            self.peers.digests.run(),
             self.owner.tick(),
             self.owner.watch_target(),
             self.tables.run(),
@@ -276,7 +280,9 @@
         if specs.get(cfg.node) != spec:
             await store.replace(NODE_KIND, cfg.node, spec, None)
         self.log.info('registered', members=len(self.members.addresses))
-        self.peers.broadcast_status()
+        self.peers.introduce()
+        if self.members.by_zone:
+            await self.peers.digests.pull()
 
     async def _read_registry(self) -> dict[str, Any]:
         listing = await self.adapter.store.list(NODE_KIND)
@@ -285,12 +291,13 @@
         for entry in listing.objects:
             try:
                 address = host_port(entry.spec['address'])
+                place = _place_of(entry.spec)
             except UNREADABLE as exc:
                 self.log.warning(
                     'entry_unreadable', name=entry.name, error=repr(exc)
                 )
             else:
-                self.members.add_address(NodeId(entry.name), address)
+                self.members.add_address(NodeId(entry.name), address, place)
         self.members.registry_loaded = True
         return {node.name: node.spec for node in listing.objects}
 
@@ -495,6 +502,13 @@
         )
 
 
+def _place_of(spec: dict[str, Any]) -> Place:
+    """Return the place that a node has registered."""
+    return Place(
+        Zone(str(spec.get('zone', ''))), Region(str(spec.get('region', '')))
+    )
+
+
 def linger_ms(grace_ms: int) -> int:
     """Return how long a leaving node waits for readiness checks."""
     return min(LINGER_MS, round(grace_ms * LINGER_SHARE))
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -14,7 +14,11 @@
     table_delta_message,
     table_message,
 )
+from savoryhold.mesh.digest_task import DigestTask
+from savoryhold.mesh.losses import LossDetector
+from savoryhold.mesh.members import NodeStatus
 from savoryhold.mesh.node_context import NodeContext
+from savoryhold.mesh.places import Place
 from savoryhold.peer import LinkStream, messages
 from savoryhold.ranges import RangeTable, Span
 
@@ -24,7 +28,12 @@
 STATUS_SLACK_MS = 100  # a status is sent up to this early
 SEND_LIMIT_MS = 300
 # Messages that have no reply.
-_ONE_WAY = (messages.MeshStatus, messages.TableUpdate, messages.StrikeNotice)
+_ONE_WAY = (
+    messages.MeshStatus,
+    messages.TableUpdate,
+    messages.StrikeNotice,
+    messages.MemberDigest,
+)
 
 
 class PeerTask:
@@ -48,11 +57,15 @@
         self._log = context.log
         self._last_alive: frozenset[NodeId] = frozenset()
         self._status_sent_at: dict[NodeId, int] = {}
+        self._losses = LossDetector(context.members)
+        self.digests = DigestTask(context, self._send_soon, self.status_message)
 
     async def handle(self, call: LinkStream, message: messages.Message) -> None:
         """Serve a call of another node, or process a one-way message."""
         sent_at = self._sent_at(call, message)
-        if isinstance(message, messages.Relay):
+        if isinstance(message, messages.ZoneBroadcast):
+            self._receive_broadcast(NodeId(call.peer), message)
+        elif isinstance(message, messages.Relay):
             await self._relay(call, message, sent_at)
         elif isinstance(message, messages.ConfigUpdate):
             self._receive_config(NodeId(call.peer), message)
@@ -65,15 +78,25 @@
         """Send this node's status to all members until cancelled."""
         while True:
             self._send_due_statuses()
-            period_ms = self._members.period_ms(self._settings.region)
+            period_ms = self._members.period_ms(self._members.place)
             await asyncio.sleep(period_ms / MS_PER_SECOND)
             self._log_member_changes()
 
-    def broadcast_status(self) -> None:
-        """Send this node's status to all members at once."""
+    def introduce(self) -> None:
+        """Send this node's status at once to those that receive it from here.
+
+        In a large fleet the next digest brings it to the other zones: many
+        nodes may be starting at the same time.
+        """
         self._status_sent_at.clear()
         self._send_due_statuses()
 
+    def broadcast_status(self) -> None:
+        """Send this node's status to all members at once."""
+        self.introduce()
+        if self._members.by_zone:
+            self._broadcast_to_zones(self.status_message())
+
     def broadcast_config(self) -> None:
         """Send what the configuration in force has changed to all members."""
         update = self._configs.push_message()
@@ -90,8 +113,11 @@
             message = table_message(table)
         else:
             message = table_delta_message(table, older)
+        if self._members.by_zone:
+            self._send_all(message)
+            return
         for member in self._members.live_members(self._clock.now()):
-            asyncio.ensure_future(self._send(member.status.address, message))
+            self._send_soon(member.status.address, message)
 
     def broadcast_strike(self, strike: Strike) -> None:
         """Report to all members that a request crashed a target."""
@@ -132,7 +158,8 @@
                 )
                 for table in self._tables.tables.values()
             ],
-            silent=sorted(self._members.silent_nodes(now)),
+            silent=sorted(self._losses.silent_nodes(now)),
+            silent_zones=sorted(self._losses.silent_zones(now)),
             sent_at=now,
             store_lost=not self._configs.store_reachable,
         )
@@ -141,23 +168,61 @@
         """Send this node's status to the members for which it is due."""
         now = self._clock.now()
         status = self.status_message()
-        for node, address in self._members.addresses.items():
-            member = self._members.members.get(node)
-            region = (
-                self._settings.region
-                if member is None
-                else member.status.region
-            )
-            due = self._status_sent_at.get(node, 0) + self._members.period_ms(
-                region
-            )
+        for node in self._status_receivers():
+            period_ms = self._members.period_ms(self._place_of(node))
+            due = self._status_sent_at.get(node, 0) + period_ms
             if now >= due - STATUS_SLACK_MS:
                 self._status_sent_at[node] = now
-                asyncio.ensure_future(self._send(address, status))
+                self._send_soon(self._members.addresses[node], status)
+
+    def _status_receivers(self) -> list[NodeId]:
+        """Return the nodes that receive the status from this node itself."""
+        if not self._members.by_zone:
+            return list(self._members.addresses)
+        zone = self._members.index.nodes(self._members.place.zone)
+        return [node for node in zone if node != self._members.node]
+
+    def _place_of(self, node: NodeId) -> Place:
+        if node in self._members.members or self._members.by_zone:
+            return self._members.index.places[node]
+        # A small fleet tries all nodes at the rate of the own region.
+        return self._members.place
 
     def _send_all(self, message: messages.Message) -> None:
-        for address in self._members.addresses.values():
-            asyncio.ensure_future(self._send(address, message))
+        """Send a one-way message to all members, by relays if they are many."""
+        for node in self._status_receivers():
+            self._send_soon(self._members.addresses[node], message)
+        if self._members.by_zone:
+            self._broadcast_to_zones(message)
+
+    def _broadcast_to_zones(self, message: messages.Message) -> None:
+        """Have the relays of all other zones pass a message on."""
+        now = self._clock.now()
+        wrapped = _wrap(message)
+        for zone in self._members.index.zones():
+            if zone == self._members.place.zone:
+                continue
+            for node in self._members.relays(zone, now):
+                self._send_soon(self._members.addresses[node], wrapped)
+
+    def _receive_broadcast(
+        self, sender: NodeId, wrapped: messages.Message
+    ) -> None:
+        """Process a message of another zone, and pass it on in this one."""
+        message = messages.decode(wrapped.code, wrapped.payload)
+        if not wrapped.forwarded:
+            now = self._clock.now()
+            forwarded = _wrap(message, forwarded=True)
+            zone = self._members.place.zone
+            for node in self._members.live_nodes(zone, now):
+                self._send_soon(self._members.addresses[node], forwarded)
+        if isinstance(message, messages.ConfigUpdate):
+            self._receive_config(sender, message)
+        elif isinstance(message, _ONE_WAY):
+            self._receive_update(message)
+
+    def _send_soon(self, address: str, message: messages.Message) -> None:
+        asyncio.ensure_future(self._send(address, message))
 
     async def _send(self, address: str, message: messages.Message) -> None:
         try:
@@ -210,6 +275,10 @@
     def _(self, message: messages.Message) -> messages.Message:
         return messages.Ack(ok=True)
 
+    @_answer.register(messages.MembersQuery)
+    def _(self, message: messages.Message) -> messages.Message:
+        return self.digests.all_known()
+
     @_answer.register(messages.MeshPull)
     def _(self, message: messages.Message) -> messages.Message:
         if not message.service_name:
@@ -252,18 +321,26 @@
     def _(self, message: messages.Message) -> None:
         status = status_from_message(message)
         self._members.learn(status, self._clock.now())
+        self._follow(status)
+
+    @_receive_update.register(messages.MemberDigest)
+    def _(self, message: messages.Message) -> None:
+        for status in self.digests.receive(message):
+            self._follow(status)
+
+    def _follow(self, status: NodeStatus) -> None:
+        """Fetch what a node has in a newer version than this one."""
         # Nothing is pulled from a leaving node: it needs its link for the
         # answers that it still has to send.
         address = '' if status.leaving else status.address
         self._configs.follower.on_announced(
-            message.config_version or 0, status.node, address
+            status.config_version, status.node, address
         )
         if not address:
             return
-        for entry in message.tables or ():
-            service = ServiceName(entry.service_name)
+        for service, version in status.tables:
             known = self._tables.tables.get(service)
-            if known is None or known.version < entry.version:
+            if known is None or known.version < version:
                 self._tables.schedule_pull(service, address)
 
     @_receive_update.register(messages.TableUpdate)
@@ -288,3 +365,13 @@
         for node in self._last_alive - alive:
             self._log.warning('node_silent', peer=node)
         self._last_alive = alive
+
+
+def _wrap(
+    message: messages.Message, *, forwarded: bool = False
+) -> messages.Message:
+    return messages.ZoneBroadcast(
+        code=messages.code_of(message),
+        payload=messages.encode(message),
+        forwarded=forwarded,
+    )
--- a/src/savoryhold/mesh/placement.py
+++ b/src/savoryhold/mesh/placement.py
@@ -9,6 +9,7 @@
 
 from savoryhold.core.errors import LinkError
 from savoryhold.core.ids import NodeId, ServiceName
+from savoryhold.mesh.losses import LossDetector
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.peer import messages
 from savoryhold.ranges import (
@@ -43,6 +44,7 @@
         self._node = context.settings.node
         self._tables = context.tables
         self._members = context.members
+        self._losses = LossDetector(context.members)
         self._owner = context.owner
         self._pool = context.pool
         self._clock = context.clock
@@ -92,7 +94,7 @@
             self._send_order(service, order, now)
 
     def _lost_owners(self, table: RangeTable, now: int) -> set[NodeId]:
-        lost = self._members.lost_nodes(now)
+        lost = self._losses.lost_nodes(now)
         return {
             owner
             for owner in table.owners()
--- a/src/savoryhold/mesh/table_proofs.py
+++ b/src/savoryhold/mesh/table_proofs.py
@@ -4,10 +4,12 @@
 the local target expire unless it is renewed.  To spare the store, only the
 first node of a service by name reads the table.  The others query that node
 and date its answer by the time at which they sent the query, so that a proof
-never seems more recent than it is.
+never seems more recent than it is.  In a large fleet only the first node of a
+zone queries it, and the others of the zone query that one.
 """
 
 import asyncio
+import dataclasses
 import random
 
 from savoryhold.core.errors import LinkError
@@ -22,6 +24,9 @@
 PROOF_INTERVAL_MS = 300
 PROOF_FRESH_MS = 900  # a proof is renewed from this age on
 PROOF_READ_MS = 1900  # age at which a node reads the store itself
+# The same, where proofs come by way of the first node of a zone.
+ZONE_PROOF_FRESH_MS = 1500
+ZONE_PROOF_READ_MS = 3500
 ASK_LIMIT_MS = 250
 MAX_ASKED = 3  # peers queried if the store does not answer
 PREPARE_LIMIT_MS = 400  # the target ignores a reply after one second
@@ -31,6 +36,22 @@
 JITTER = (0.8, 1.3)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProofAges:
+    """Ages of a proof, in ms, at which a node acts.
+
+    ``renewed`` is the age from which it is renewed, ``read`` the one at which
+    the node reads the store itself.
+    """
+
+    renewed: int
+    read: int
+
+
+USUAL_AGES = ProofAges(PROOF_FRESH_MS, PROOF_READ_MS)
+ZONE_AGES = ProofAges(ZONE_PROOF_FRESH_MS, ZONE_PROOF_READ_MS)
+
+
 class TableProofTask:
     """Renews the proof of the local target's table.
 
@@ -99,30 +120,44 @@
     async def _renew_proof(self, service: ServiceName) -> None:
         machine = self._tables.machine(service)
         now = self._clock.now()
-        if now - machine.proved_at < PROOF_FRESH_MS:
+        nodes = self._nodes_of(service, now)
+        reader, ages = self._reader(nodes)
+        if now - machine.proved_at < ages.renewed:
             return
-        names = sorted(
-            member.status.node
-            for member in self._members.live_members(now)
-            if member.status.service == service
-        )
-        has_reader = bool(names) and names[0] < self._node
-        if has_reader:
-            await self._query_proof(machine, service, names[0])
+        if reader is not None:
+            await self._query_proof(machine, service, reader)
         now = self._clock.now()
-        if has_reader and self._tables.is_missing(service):
+        if reader is not None and self._tables.is_missing(service):
             # The first node creates the table and announces it.
             return
-        if not has_reader or now - machine.proved_at >= PROOF_READ_MS:
+        if reader is None or now - machine.proved_at >= ages.read:
             if await self._tables.read(service):
                 return
-            for name in names[:MAX_ASKED]:
-                await self._query_proof(machine, service, name)
+            for node in nodes[:MAX_ASKED]:
+                await self._query_proof(machine, service, node)
+
+    def _nodes_of(self, service: ServiceName, now: int) -> list[NodeId]:
+        """Return the other live nodes of a service by name."""
+        return sorted(
+            member.status.node
+            for member in self._members.live_members(now)
+            if member.status.service == service
+        )
+
+    def _reader(self, nodes: list[NodeId]) -> tuple[NodeId | None, ProofAges]:
+        """Return the node to query and when, None if this one reads."""
+        preceding = [node for node in nodes if node < self._node]
+        if self._members.by_zone:
+            zone = self._members.index.nodes(self._members.place.zone)
+            near = [node for node in preceding if node in zone]
+            if near:
+                return near[0], ZONE_AGES
+        return next(iter(preceding), None), USUAL_AGES
 
     async def _query_proof(
-        self, machine: GrantMachine, service: ServiceName, name: str
+        self, machine: GrantMachine, service: ServiceName, name: NodeId
     ) -> None:
-        address = self._members.addresses[NodeId(name)]
+        address = self._members.addresses[name]
         sent_at = self._clock.now()
         query = messages.ProofQuery(service_name=service)
         try:
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -23,6 +23,7 @@
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.settings import MeshSettings
+from savoryhold.mesh.table_deltas import EarlyDeltas
 from savoryhold.peer import PeerPool, messages
 from savoryhold.ranges import (
     HOLD_MS,
@@ -111,6 +112,7 @@
         self._missing: set[ServiceName] = set()
         self._step_lock = asyncio.Lock()
         self._due = asyncio.Event()
+        self._early_deltas = EarlyDeltas()
         self._pulling: dict[ServiceName, asyncio.Task[None]] = {}
 
     # Copies -----------------------------------------------------------
@@ -133,8 +135,16 @@
         )
         self._due.set()
         self._owner.wake()
+        self._apply_early_delta(table)
         return True
 
+    def _apply_early_delta(self, table: RangeTable) -> None:
+        """Apply the difference from a version, if it has arrived before."""
+        update = self._early_deltas.take(table.service, table.version)
+        later = update and table_from_message(update, table)
+        if later is not None:
+            self.learn(later)
+
     def machine(self, service: ServiceName) -> GrantMachine:
         """Return the state of this node's grants for a service."""
         machine = self.machines.get(service)
@@ -409,9 +419,12 @@
     def apply_update(self, update: messages.Message) -> None:
         """Process a table that a peer has sent."""
         service = ServiceName(update.service_name or '')
-        table = table_from_message(update, self.tables.get(service))
+        known = self.tables.get(service)
+        table = table_from_message(update, known)
         if table is not None:
             self.learn(table)
+        elif update.base and (known is None or update.base > known.version):
+            self._early_deltas.add(update)
 
     def may_write(self, now: int) -> bool:
         """Return whether the pause after the last failed write is over."""
@@ -456,12 +469,14 @@
         include_self : bool
             Whether to include the local target.
         """
+        table = self.tables.get(service)
+        keys = {} if table is None else table.key_counts()
         loads = [
             TargetLoad(
                 member.status.node,
                 member.status.demand,
                 member.status.slots,
-                member.status.keys,
+                keys.get(member.status.node, 0),
             )
             for member in self._members.serving_members(service, now)
         ]
@@ -475,7 +490,7 @@
                     self.node,
                     self._owner.demand(now),
                     self._owner.report.slots,
-                    self.owned_key_count(),
+                    keys.get(self.node, 0),
                 )
             )
         return sorted(loads, key=lambda load: load.node)
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -35,6 +35,8 @@
     'LedgerItem',
     'LinkTakeover',
     'LoadQuery',
+    'MemberDigest',
+    'MembersQuery',
     'MeshPull',
     'MeshStatus',
     'Message',
@@ -59,6 +61,7 @@
     'TableVersion',
     'VersionEntry',
     'Welcome',
+    'ZoneBroadcast',
     'code_of',
     'decode',
     'encode',
@@ -115,6 +118,9 @@
 HandoverOrder = _structs.HandoverOrder
 LinkTakeover = _structs.LinkTakeover
 CallEnded = _structs.CallEnded
+MemberDigest = _structs.MemberDigest
+MembersQuery = _structs.MembersQuery
+ZoneBroadcast = _structs.ZoneBroadcast
 
 _BY_CODE = dict(
     enumerate(
@@ -155,6 +161,9 @@
             HandoverOrder,
             LinkTakeover,
             CallEnded,
+            MemberDigest,
+            MembersQuery,
+            ZoneBroadcast,
         ),
         start=1,
     )
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -177,8 +177,19 @@
   15: i64 life,
   16: i64 sent_at,
   17: bool store_lost,
+  18: list<string> silent_zones,
 }
 
+// Statuses of many nodes, as compressed JSON.  `forwarded` within a zone only.
+struct MemberDigest { 1: binary entries, 2: bool packed, 3: bool forwarded }
+
+// Asks for a digest of all live nodes that the receiver knows.
+struct MembersQuery {}
+
+// A one-way message that the receiver processes and, unless it is `forwarded`
+// already, passes on to the other nodes of its zone.
+struct ZoneBroadcast { 1: i32 code, 2: binary payload, 3: bool forwarded }
+
 // A whole compressed table, or the rows that changed since version `base`.
 struct TableUpdate {
   1: string service_name,
--- a/src/savoryhold/ranges/planner.py
+++ b/src/savoryhold/ranges/planner.py
@@ -18,6 +18,8 @@
 MIN_IMBALANCE = 1.25  # ratio of busiest to mean use that justifies handovers
 MIN_HANDOVER_SLOTS = 0.3  # smaller handovers are within measurement noise
 MAX_HANDOVERS = 4  # spans that one node hands over in one round
+MAX_FILLERS = 4  # targets that hand over to one without keys
+MAX_FILLING_SHARE = 0.5  # of a target's work; it keeps the other half
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,15 +138,27 @@
 
 
 def _fill_empty_targets(loads: Sequence[TargetLoad]) -> list[HandoverOrder]:
+    """Return orders that give each target without keys an equal part.
+
+    Notes
+    -----
+    At most `MAX_FILLERS` targets hand over to an empty one: each handover is a
+    write, and in a large fleet the parts of all others would be tiny.
+    """
     empty = [load for load in loads if not load.keys]
-    givers = [load for load in loads if load.keys]
-    if not empty or not givers:
-        return []
-    share = 1 / len(loads)
-    return [
-        HandoverOrder(giver.node, empty[index % len(empty)].node, share)
-        for index, giver in enumerate(sorted(givers, key=_busiest_first))
-    ]
+    givers = sorted((load for load in loads if load.keys), key=_busiest_first)
+    found: list[HandoverOrder] = []
+    for index, taker in enumerate(empty):
+        available = givers[index :: len(empty)]
+        fillers = available[:MAX_FILLERS]
+        if not fillers:
+            break
+        part = len(available) / len(fillers) / len(loads)
+        share = min(MAX_FILLING_SHARE, part)
+        found.extend(
+            HandoverOrder(giver.node, taker.node, share) for giver in fillers
+        )
+    return found
 
 
 def _busiest_first(load: TargetLoad) -> tuple[float, NodeId]:
--- a/src/savoryhold/ranges/table.py
+++ b/src/savoryhold/ranges/table.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 from bisect import bisect_right
+from collections import Counter
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from typing import Any
 
@@ -140,6 +141,13 @@
         """Return the nodes that own at least one row."""
         return {row.owner for row in self.rows}
 
+    def key_counts(self) -> Counter[NodeId]:
+        """Return the number of keys that each owner has."""
+        found: Counter[NodeId] = Counter()
+        for row in self.rows:
+            found[row.owner] += row.span.size
+        return found
+
     def overlapping(self, span: Span) -> Iterator[Row]:
         """Yield the rows that overlap a span, in key order."""
         index = max(0, bisect_right(self._firsts, span.first) - 1)
