One node writes a service's table for all in a large fleet

Cause: each owner replaced the stored table for its own handover, on condition of its version. Right after the first table the planner took the keys of others from statuses that were older than it, found all of them without keys, and had each of 118 targets hand four keys over; each new target was filled by all others, one write each. Change: owners send what they ask for to the first ready node of the service, which checks it row by row and writes what has come in 30 ms together. Without an answer a node writes for itself, as before. Numbers of keys come from the table; a new target is filled by four others. Differences of a table that overtake one another are kept until their base arrives.

--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -36,6 +36,7 @@
 
 __all__ = [
     'answer_from_message',
+    'as_bytes',
     'confirmation_message',
     'error_message',
     'relay_message',
@@ -131,7 +132,7 @@
     service = ServiceName(message.service_name)
     version = Version(message.version)
     fields = parse_json(
-        unpack(_to_bytes(message.rows), packed=bool(message.packed))
+        unpack(as_bytes(message.rows), packed=bool(message.packed))
     )
     if not message.base:
         return RangeTable.from_fields(service, version, fields, message.lives)
@@ -181,19 +182,19 @@
         ServiceName(message.service_name),
         message.key,
         message.route,
-        _to_bytes(message.method),
-        _to_bytes(message.path),
-        _to_bytes(message.head),
-        _to_bytes(message.body),
+        as_bytes(message.method),
+        as_bytes(message.path),
+        as_bytes(message.head),
+        as_bytes(message.body),
         sent_at + message.left_ms,
         sent_at + message.aim_ms,
         message.priority,
         bool(message.repeatable),
         fingerprint_of(
             message.service_name,
-            _to_bytes(message.method).decode('latin-1'),
-            _to_bytes(message.path).decode('latin-1'),
-            _to_bytes(message.body),
+            as_bytes(message.method).decode('latin-1'),
+            as_bytes(message.path).decode('latin-1'),
+            as_bytes(message.body),
             message.key,
         ),
         bool(message.repeat),
@@ -215,7 +216,7 @@
     if message.failed:
         raise _decode_error(message)
     return RelayedAnswer(
-        message.status, _to_bytes(message.head), _to_bytes(message.body)
+        message.status, as_bytes(message.head), as_bytes(message.body)
     )
 
 
@@ -264,7 +265,8 @@
     return exc
 
 
-def _to_bytes(field: Any) -> bytes:
+def as_bytes(field: Any) -> bytes:
+    """Return a binary field of a message."""
     # The thrift decoder returns text or None for an empty binary field.
     if isinstance(field, bytes):
         return field
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -383,8 +383,8 @@
             'target_connections_opened': float(
                 self.owner.pool.opened if self.owner.pool else 0
             ),
-            'table_writes': float(self.tables.writes),
-            'key_moves': float(self.tables.moves),
+            'table_writes': float(self.tables.writer.writes),
+            'key_moves': float(self.tables.writer.moves),
             'runs_stopped': float(self.owner.runs.stopped_count),
             'queue_waiting': float(len(self.owner.queue.waiting)),
             'queue_running': float(len(self.owner.queue.running)),
@@ -444,7 +444,7 @@
             keys=self.tables.owned_key_count(),
             running=len(self.owner.queue.running),
             waiting=len(self.owner.queue.waiting),
-            writes=self.tables.writes,
+            writes=self.tables.writer.writes,
             store_calls=' '.join(
                 f'{kind}={count}' for kind, count in sorted(store.items())
             ),
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -1,12 +1,15 @@
 """Messages between nodes: statuses, tables and relayed requests."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
+from typing import Any
 
 from savoryhold.core.errors import LinkError, RequestError
 from savoryhold.core.ids import Epoch, NodeId, ServiceName
 from savoryhold.core.poison import Fingerprint, Strike
 from savoryhold.mesh.codec import (
+    as_bytes,
     confirmation_message,
     error_message,
     request_from_message,
@@ -35,6 +38,11 @@
     messages.MemberDigest,
 )
 
+_Serve = Callable[
+    [LinkStream, messages.Message, int], Coroutine[Any, Any, None]
+]
+_Receive = Callable[[NodeId, messages.Message], None]
+
 
 class PeerTask:
     """Serves calls of other nodes and sends them this node's status.
@@ -57,19 +65,29 @@
         self._log = context.log
         self._last_alive: frozenset[NodeId] = frozenset()
         self._status_sent_at: dict[NodeId, int] = {}
+        # Calls that take time, and messages for which the sender matters.
+        self._serving: dict[type, _Serve] = {
+            messages.Relay: self._relay,
+            messages.TableRequest: self._write_table,
+        }
+        self._receiving: dict[type, _Receive] = {
+            messages.ConfigUpdate: self._receive_config,
+            messages.ZoneBroadcast: self._receive_broadcast,
+        }
         self._losses = LossDetector(context.members)
         self.digests = DigestTask(context, self._send_soon, self.status_message)
 
     async def handle(self, call: LinkStream, message: messages.Message) -> None:
         """Serve a call of another node, or process a one-way message."""
         sent_at = self._sent_at(call, message)
-        if isinstance(message, messages.ZoneBroadcast):
-            self._receive_broadcast(NodeId(call.peer), message)
-        elif isinstance(message, messages.Relay):
-            await self._relay(call, message, sent_at)
-        elif isinstance(message, messages.ConfigUpdate):
-            self._receive_config(NodeId(call.peer), message)
-        elif isinstance(message, _ONE_WAY):
+        kind = type(message)
+        serve = self._serving.get(kind)
+        receive = self._receiving.get(kind)
+        if serve is not None:
+            await serve(call, message, sent_at)
+        elif receive is not None:
+            receive(NodeId(call.peer), message)
+        elif kind in _ONE_WAY:
             self._receive_update(message)
         else:
             call.send(self._answer(message))
@@ -257,6 +275,13 @@
             )
         )
 
+    async def _write_table(
+        self, call: LinkStream, message: messages.Message, sent_at: int
+    ) -> None:
+        service = ServiceName(message.service_name)
+        text = as_bytes(message.changes)
+        call.send(await self._tables.writer.serve(service, text))
+
     def _receive_config(self, node: NodeId, update: messages.Message) -> None:
         """Apply a difference, or note that the node has a newer version."""
         if self._configs.apply_update(update, node):
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -4,7 +4,6 @@
 import contextlib
 import random
 from collections.abc import Callable, Sequence
-from typing import Any
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.decoding import UNREADABLE
@@ -17,15 +16,16 @@
 from savoryhold.mesh.codec import table_from_message
 from savoryhold.mesh.interface import (
     MeshStore,
-    StoreConflictError,
     StoredObject,
 )
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.table_deltas import EarlyDeltas
+from savoryhold.mesh.table_writer import TABLE_KIND, TableWriter, table_spec
 from savoryhold.peer import PeerPool, messages
 from savoryhold.ranges import (
+    ChangeRequest,
     HOLD_MS,
     UNKNOWN_OWNER,
     GrantMachine,
@@ -41,13 +41,14 @@
 
 __all__ = ['TABLE_KIND', 'TableTask']
 
-TABLE_KIND = 'savoryhold-ranges'
 MS_PER_SECOND = 1000
 STEP_MS = 40  # while the grants have pending work
 IDLE_STEP_MS = 300  # also bounds the time until a leaving target is noticed
 ASK_LIMIT_MS = 250
 ASK_INTERVAL_MS = 120
 WRITE_PAUSE_MS = 150
+ANNOUNCED_MS = 60  # until a version that another node has written arrives
+ANNOUNCED_POLL_MS = 10
 MAX_ASKED_ROWS = 1000
 HOLD_REPORTS = 3.4  # report intervals; two lost reports do not end a hold
 LIFE_BITS = 48
@@ -98,8 +99,9 @@
         self.on_table_written: Callable[
             [RangeTable, RangeTable | None], None
         ] = lambda table, older: None
-        self.writes = 0
-        self.moves = 0
+        self.writer = TableWriter(
+            settings.node, store, self, members, pool, clock, log
+        )
         self._store = store
         self._members = members
         self._owner = owner
@@ -328,7 +330,7 @@
         settled: Sequence[Row],
         reason: str,
     ) -> bool:
-        """Write ownership changes; return whether they are stored.
+        """Have ownership changes written; return whether they are stored.
 
         Parameters
         ----------
@@ -341,45 +343,49 @@
         reason : str
             Reason to log.
         """
-        table = self.tables[service]
-        rows = table.with_changes(changes, settled)
-        updated = RangeTable(service, table.version, rows, table.lives)
-        spec = _table_spec(updated)
-        self.writes += 1
-        sent_at = self._clock.now()
-        try:
-            stored = await self._store.replace(
-                TABLE_KIND, service, spec, table.version
-            )
-        except StoreConflictError as exc:
-            if exc.stored is None:
-                await self.read(service)
-            else:
-                self._learn_stored(service, exc.stored)
-            return False
-        except PlatformError as exc:
-            self._log.warning(
-                'table_write_failed', service=service, error=str(exc)
-            )
-            self._no_writes_before = self._clock.now() + WRITE_PAUSE_MS
-            await self.read(service)
-            return False
-        self.moves += len(changes)
-        self._log.info(
-            'table_written',
-            service=service,
-            reason=reason,
-            changes=len(changes),
-            spans=_format_spans(changes),
-            version=stored.version,
-            took_ms=self._clock.now() - sent_at,
+        request = ChangeRequest.on(
+            self.tables[service], changes, settled, reason
         )
+        return await self.writer.request(service, request)
+
+    async def learn_conflict(
+        self, service: ServiceName, stored: StoredObject | None
+    ) -> None:
+        """Learn the table that has made a write fail."""
+        if stored is None:
+            await self.read(service)
+        else:
+            self._learn_stored(service, stored)
+
+    async def on_write_failed(self, service: ServiceName) -> None:
+        """Find out whether a write has taken effect, and pause writing."""
+        self._no_writes_before = self._clock.now() + WRITE_PAUSE_MS
+        await self.read(service)
+
+    def learn_written(
+        self,
+        service: ServiceName,
+        stored: StoredObject,
+        older: RangeTable,
+        sent_at: int,
+    ) -> None:
+        """Learn a table that was written here, and announce it."""
         self._learn_stored(service, stored)
         machine = self.machines.get(service)
         if machine is not None:
             machine.record_proof(stored.version, sent_at)
-        self.on_table_written(self.tables[service], table)
-        return True
+        self.on_table_written(self.tables[service], older)
+
+    async def wait_for(
+        self, service: ServiceName, version: int, address: str
+    ) -> None:
+        """Wait for a version that the node at an address has written."""
+        until = self._clock.now() + ANNOUNCED_MS
+        while self.tables[service].version < version:
+            if self._clock.now() >= until:
+                await self.pull(service, address)
+                return
+            await asyncio.sleep(ANNOUNCED_POLL_MS / MS_PER_SECOND)
 
     def _learn_stored(self, service: ServiceName, stored: StoredObject) -> None:
         try:
@@ -444,7 +450,7 @@
         table = RangeTable(service, Version(0), rows, [*lives, self.life])
         try:
             stored = await self._store.create(
-                TABLE_KIND, service, _table_spec(table)
+                TABLE_KIND, service, table_spec(table)
             )
         except PlatformError as exc:
             self._log.warning('table_create_failed', error=str(exc))
@@ -535,14 +541,3 @@
         for entry in reply.releases or ()
     )
     return ReleaseConfirmation(row.span, row.epoch, releases)
-
-
-def _table_spec(table: RangeTable) -> dict[str, Any]:
-    return {'rows': table.to_fields(), 'lives': sorted(table.lives)}
-
-
-def _format_spans(changes: Sequence[OwnershipChange]) -> str:
-    return ','.join(
-        f'{change.span.first}-{change.span.last}>{change.owner}'
-        for change in changes[:8]
-    )
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -57,8 +57,10 @@
     'ReleaseRow',
     'ShareRequest',
     'StrikeNotice',
+    'TableRequest',
     'TableUpdate',
     'TableVersion',
+    'TableWritten',
     'VersionEntry',
     'Welcome',
     'ZoneBroadcast',
@@ -121,6 +123,8 @@
 MemberDigest = _structs.MemberDigest
 MembersQuery = _structs.MembersQuery
 ZoneBroadcast = _structs.ZoneBroadcast
+TableRequest = _structs.TableRequest
+TableWritten = _structs.TableWritten
 
 _BY_CODE = dict(
     enumerate(
@@ -164,6 +168,8 @@
             MemberDigest,
             MembersQuery,
             ZoneBroadcast,
+            TableRequest,
+            TableWritten,
         ),
         start=1,
     )
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -212,6 +212,11 @@
 // `version` is the one that the sender has.
 struct MeshPull { 1: string service_name, 2: i64 version }
 
+// Asks the node that writes a service's table for changes, as JSON.
+struct TableRequest { 1: string service_name, 2: binary changes }
+// Whether they are stored; no version if the table could not be written.
+struct TableWritten { 1: bool written, 2: i64 version }
+
 // Asks which table version the peer has confirmed with the store, and when.
 struct ProofQuery { 1: string service_name }
 struct Proof { 1: i64 version, 2: i64 age_ms }
--- a/src/savoryhold/ranges/__init__.py
+++ b/src/savoryhold/ranges/__init__.py
@@ -1,5 +1,6 @@
 """Key ranges: the ownership table, grants to targets and load balancing."""
 
+from savoryhold.ranges.draft import ChangeRequest, TableDraft
 from savoryhold.ranges.grants import HOLD_MS, LEASE_MS, GrantMachine
 from savoryhold.ranges.heat import KeyHeat
 from savoryhold.ranges.planner import (
@@ -35,6 +36,7 @@
     'KEY_COUNT',
     'LEASE_MS',
     'UNKNOWN_OWNER',
+    'ChangeRequest',
     'Grant',
     'GrantMachine',
     'GrantReply',
@@ -48,6 +50,7 @@
     'Report',
     'Row',
     'Span',
+    'TableDraft',
     'TargetLife',
     'TargetLoad',
     'distribute_spans',
--- a/src/savoryhold/ranges/table.py
+++ b/src/savoryhold/ranges/table.py
@@ -18,7 +18,9 @@
     'RangeTable',
     'Row',
     'Span',
+    'apply_change',
     'initial_rows',
+    'merge_rows',
     'rows_from_fields',
     'rows_to_fields',
 ]
@@ -184,8 +186,8 @@
             for row in self.rows
         ]
         for change in changes:
-            rows = _apply(rows, change)
-        return _merged(rows)
+            rows = apply_change(rows, change)
+        return merge_rows(rows)
 
     def rows_changed_since(self, older: 'RangeTable') -> list[Row]:
         """Return the rows that an older version of the table lacks."""
@@ -321,20 +323,24 @@
         )
 
 
-def _apply(rows: list[Row], change: OwnershipChange) -> list[Row]:
-    found = []
-    inside = [row for row in rows if row.span.overlaps(change.span)]
+def apply_change(rows: list[Row], change: OwnershipChange) -> list[Row]:
+    """Return rows with one change applied; neighbours are not merged."""
+    start = bisect_right(rows, change.span.first, key=_first_key) - 1
+    end = bisect_right(rows, change.span.last, key=_first_key)
+    inside = rows[start:end]
     # A single epoch for the whole span, so that its rows can be merged.
     epoch = Epoch(1 + max(row.epoch for row in inside))
-    for row in rows:
-        if not row.span.overlaps(change.span):
-            found.append(row)
-            continue
+    found = []
+    for row in inside:
         for part in row.span.without(change.span):
             found.append(dataclasses.replace(row, span=part))
         span = row.span.intersection(change.span)
         found.append(Row(span, change.owner, epoch, _previous(row, change)))
-    return sorted(found)
+    return [*rows[:start], *sorted(found), *rows[end:]]
+
+
+def _first_key(row: Row) -> int:
+    return row.span.first
 
 
 def _previous(row: Row, change: OwnershipChange) -> NodeId:
@@ -344,7 +350,8 @@
     return row.owner if settled else UNKNOWN_OWNER
 
 
-def _merged(rows: list[Row]) -> list[Row]:
+def merge_rows(rows: Iterable[Row]) -> list[Row]:
+    """Return rows with neighbours merged that differ in their spans only."""
     found: list[Row] = []
     for row in rows:
         last = found[-1] if found else None
--- a/src/savoryhold/ranges/tests/ownership_simulation.py
+++ b/src/savoryhold/ranges/tests/ownership_simulation.py
@@ -15,6 +15,8 @@
 
 from savoryhold.core.ids import NodeId, ServiceName, Version
 from savoryhold.ranges import (
+    ChangeRequest,
+    TableDraft,
     LEASE_MS,
     GrantMachine,
     GrantReply,
@@ -240,11 +242,22 @@
         """Send a conditional write, which may take effect late."""
         if not self.store_up or not changes:
             return
-        rows = table.with_changes(changes)
         late = self.faults_enabled and self.chance(0.2)
         delay = self.rng.randrange(5000) if late else self.rng.randrange(30)
+        if self.chance(0.5):
+            request = ChangeRequest.on(table, changes, ())
+            self.schedule(delay, lambda: self.commit_request(request))
+            return
+        rows = table.with_changes(changes)
         self.schedule(delay, lambda: self.commit(table.version, rows))
 
+    def commit_request(self, request: ChangeRequest) -> None:
+        """Have another node write what is still true of the stored rows."""
+        draft = TableDraft(self.table)
+        draft.apply(request)
+        if draft.changed:
+            self.commit(self.table.version, draft.rows())
+
     def commit(self, version: int, rows: list[Row]) -> None:
         """Apply a write if the stored version still matches."""
         if self.table.version == version:
--- a/src/savoryhold/ranges/tests/test_hot_span.py
+++ b/src/savoryhold/ranges/tests/test_hot_span.py
@@ -116,3 +116,30 @@
         found = plan_handovers(loads)
         self.assertEqual({order.taker for order in found}, {'c'})
         self.assertEqual({order.giver for order in found}, {'a', 'b'})
+
+    # Each of 117 targets handed four keys over to each new one: one write each.
+    def test_new_target_of_a_large_fleet_is_filled_by_few(self) -> None:
+        """Four targets hand over what gives the new one an equal part."""
+        loads = [
+            TargetLoad(NodeId(f'n{number}'), 1.0, 2, 560)
+            for number in range(117)
+        ]
+        loads.append(TargetLoad(NodeId('new'), 0.0, 2, 0))
+        found = plan_handovers(loads)
+        self.assertEqual(len(found), 4)
+        keys = sum(order.share * 560 for order in found)
+        self.assertAlmostEqual(keys, 560 * 117 / 118, delta=1)
+
+    def test_each_new_target_is_filled_by_others(self) -> None:
+        """No target hands over to two new ones in one round."""
+        loads = [
+            TargetLoad(NodeId(f'n{number}'), 1.0, 2, 560)
+            for number in range(118)
+        ]
+        loads += [
+            TargetLoad(NodeId(f'new{number}'), 0.0, 2, 0)
+            for number in range(35)
+        ]
+        givers = [order.giver for order in plan_handovers(loads)]
+        self.assertEqual(len(givers), len(set(givers)))
+        self.assertLessEqual(len(givers), 4 * 35)
