A zone that replaces its relays is not taken for lost

Cause: with both relays of a zone gone at once, its nodes replace them when they are silent for 1.3 s, and the first digest of the new ones takes up to 1 s more; after 3.3 s the others took all nodes of the zone for lost. Change: a zone counts as silent later than a node, by the time in which its relays are replaced.

--- a/src/savoryhold/mesh/losses.py
+++ b/src/savoryhold/mesh/losses.py
@@ -8,6 +8,7 @@
 
 from savoryhold.core.ids import NodeId, Zone
 from savoryhold.mesh.members import Member, MemberTable
+from savoryhold.mesh.places import Place
 
 __all__ = ['LossDetector']
 
@@ -35,17 +36,28 @@
         return frozenset(node for node in nodes if self._is_silent(node, now))
 
     def silent_zones(self, now: int) -> frozenset[Zone]:
-        """Return the other zones from which no status arrives at this node."""
+        """Return the other zones from which no status arrives at this node.
+
+        Notes
+        -----
+        A zone whose relays have all ended is silent until it has replaced them.
+        """
         members = self._members
         if not members.by_zone:
             return frozenset()
         return frozenset(
             zone
             for zone in members.index.zones()
-            if zone != members.place.zone
-            and all(
-                self._is_silent(node, now) for node in members.index.nodes(zone)
-            )
+            if zone != members.place.zone and self._is_zone_silent(zone, now)
+        )
+
+    def _is_zone_silent(self, zone: Zone, now: int) -> bool:
+        members = self._members
+        place = Place(zone, members.index.region_of(zone))
+        replaced_by = now - round(members.alive_ms(place))
+        return all(
+            self._is_silent(node, replaced_by)
+            for node in members.index.nodes(zone)
         )
 
     def lost_nodes(self, now: int) -> frozenset[NodeId]:
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -311,10 +311,14 @@
         period = self.period_ms(place)
         return LOST_PERIODS * period + ALIVE_SLACK_MS + self.relay_ms(place)
 
+    def alive_ms(self, place: Place) -> float:
+        """Return up to which silence its neighbours rely on a node."""
+        return ALIVE_PERIODS * self.period_ms(place) + ALIVE_SLACK_MS
+
     def _is_recent(self, member: Member, now: int) -> bool:
         place = self.index.places[member.status.node]
-        limit = ALIVE_PERIODS * self.period_ms(place) + ALIVE_SLACK_MS
-        return now - member.received_at < limit + self.relay_ms(place)
+        limit = self.alive_ms(place) + self.relay_ms(place)
+        return now - member.received_at < limit
 
 
 def _is_outdated(status: NodeStatus, heard_at: int, known: Member) -> bool:
