An overloaded target of a large fleet relieves itself, several spans at once

Cause: heat of 60 to 200 adjacent keys lasts 4 to 5 s; the planner's order came from statuses 1 to 2 s old, for one span at a time, since a row with a pending handover could not be cut again. Change: in fleets that exchange statuses by zone each owner looks at its own heat every 0.3 s and hands up to eight spans over to others with free slots, drawn at random; rows are cut outside pending handovers. Tests: TestRelief.

--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -197,6 +197,13 @@
             and not any(span.overlaps(row.span) for span in self.handovers)
         ]
 
+    def free_spans(self) -> list[Span]:
+        """Return the parts of grantable rows outside pending handovers."""
+        parts = [row.span for row in self._first_seen if self.is_grantable(row)]
+        for span in self.handovers:
+            parts = [rest for part in parts for rest in part.without(span)]
+        return parts
+
     def mergeable_spans(self) -> list[Span]:
         """Return spans of adjacent own rows that could be merged."""
         runs: list[list[Row]] = []
--- a/src/savoryhold/ranges/tests/test_hot_span.py
+++ b/src/savoryhold/ranges/tests/test_hot_span.py
@@ -7,13 +7,17 @@
 import random
 import unittest
 
-from savoryhold.core.ids import NodeId
+from savoryhold.core.ids import NodeId, ServiceName, Version
 from savoryhold.ranges import (
     KEY_COUNT,
+    GrantMachine,
     KeyHeat,
+    RangeTable,
     Span,
     TargetLoad,
+    initial_rows,
     plan_handovers,
+    plan_relief,
 )
 
 ALL = Span(0, KEY_COUNT - 1)
@@ -143,3 +147,70 @@
         givers = [order.giver for order in plan_handovers(loads)]
         self.assertEqual(len(givers), len(set(givers)))
         self.assertLessEqual(len(givers), 4 * 35)
+
+
+class TestRelief(unittest.TestCase):
+    """A target of a large fleet whose keys suddenly get hot.
+
+    Load pattern: 118 targets of two slots, and a span of 200 keys that takes
+    a third of all requests for a few seconds.
+    """
+
+    def others(self) -> list[TargetLoad]:
+        """Return the loads of the other targets."""
+        return [
+            TargetLoad(NodeId(f'n{number}'), 0.2 + number % 10 / 10, 2, 555)
+            for number in range(117)
+        ]
+
+    def test_hot_target_hands_over_to_several_at_once(self) -> None:
+        """Eight others get work, each no more than it has slots for."""
+        own = TargetLoad(NodeId('hot'), 12.0, 2, 555)
+        found = plan_relief(own, self.others(), random.Random(1))
+        self.assertEqual(len({order.taker for order in found}), 8)
+        left = own.demand
+        for order in found:
+            part = order.share * left
+            self.assertLessEqual(part, 1.2)
+            left -= part
+        self.assertLess(left, 6.0)
+
+    def test_targets_that_are_hot_at_once_choose_others(self) -> None:
+        """Ten hot targets hand over to forty different ones at least."""
+        takers = {
+            order.taker
+            for seed in range(10)
+            for order in plan_relief(
+                TargetLoad(NodeId(f'hot{seed}'), 8.0, 2, 555),
+                self.others(),
+                random.Random(seed),
+            )
+        }
+        self.assertGreaterEqual(len(takers), 40)
+
+    def test_usual_load_causes_no_handover(self) -> None:
+        """A target that is not busier than the others keeps its keys."""
+        own = TargetLoad(NodeId('own'), 0.9, 2, 555)
+        self.assertEqual(plan_relief(own, self.others(), random.Random(1)), [])
+
+    # A row with a pending handover could not be cut again: one cut a round.
+    def test_row_is_cut_into_several_pieces_at_once(self) -> None:
+        """All pieces are handed over together; the rest stays."""
+        node = NodeId('a')
+        machine = GrantMachine(node, 0)
+        table = RangeTable(
+            ServiceName('desk'), Version(1), initial_rows([(node, 2.0)]), [1]
+        )
+        machine.learn(table, 0, fresh=True)
+        heat = KeyHeat()
+        for key in range(1000, 1200):
+            heat.add(key, 100, 0)
+        pieces = []
+        for name in 'bcde':
+            cut = heat.cut(machine.free_spans(), 0.2, 0)
+            assert cut is not None
+            self.assertTrue(machine.start_handover(cut, NodeId(name)))
+            pieces.append(cut)
+        self.assertEqual(set(machine.handovers), set(pieces))
+        for piece in pieces:
+            self.assertTrue(Span(1000, 1199).contains(piece))
