--- a/src/savoryhold/mesh/placement.py
+++ b/src/savoryhold/mesh/placement.py
@@ -1,12 +1,10 @@
 """Placement of keys: the first table, claims for lost nodes, balancing.
 
 The first ready node of a service by name plans.  Two planners at a time do no
-harm: only owners hand keys over, and a claim is a conditional write.  In a
-large fleet each node decides for itself when it has too much work.
+harm: only owners hand keys over, and a claim is a conditional write.
 """
 
 import asyncio
-import random
 from collections.abc import Sequence
 
 from savoryhold.core.errors import LinkError
@@ -20,9 +18,7 @@
     TargetLoad,
     initial_rows,
     plan_claims,
-    plan_filling,
     plan_handovers,
-    plan_relief,
 )
 
 __all__ = ['PlacementTask']
@@ -30,7 +26,6 @@
 MS_PER_SECOND = 1000
 PLAN_INTERVAL_MS = 300
 PLAN_PAUSE_MS = 1500  # until a handover shows in the reported loads
-RELIEF_PAUSE_MS = 900  # until the takers of the last one report their load
 FIRST_TABLE_DELAY_MS = 2500  # all nodes of a new fleet have reported by then
 CLAIM_AFTER_START_MS = 4500  # missing nodes may be starting, too
 ORDER_LIMIT_MS = 250
@@ -57,8 +52,6 @@
         self._started_at = context.clock.now()
         self._ready_since: int | None = None
         self._ordered_at: dict[NodeId, int] = {}
-        self._relieved_at = 0
-        self._rng = random.Random()
 
     async def run(self) -> None:
         """Plan regularly, while this node is the planner, until cancelled."""
@@ -75,28 +68,6 @@
                 self._ready_since = now
             if self._is_planner(report.service, now):
                 await self._place_keys(report.service, now)
-            if self._members.by_zone:
-                self._relieve(report.service, now)
-
-    def _relieve(self, service: ServiceName, now: int) -> None:
-        """Hand keys over if the local target has more work than others.
-
-        Notes
-        -----
-        In a large fleet the statuses that a planner has are too old: the heat
-        of a few keys may be over when its order arrives.
-        """
-        if now - self._relieved_at < RELIEF_PAUSE_MS:
-            return
-        own = self._tables.own_load(service, now)
-        if own is None:
-            return
-        others = self._tables.loads(service, now)
-        orders = plan_relief(own, others, self._rng)
-        if orders:
-            self._relieved_at = now
-        for order in orders:
-            self._tables.start_handover(service, order.taker, order.share)
 
     def _is_planner(self, service: ServiceName, now: int) -> bool:
         if not self._owner.is_ready():
@@ -119,8 +90,7 @@
                 self._log.warning('claim', service=service, lost=sorted(lost))
                 await self._tables.write(service, changes, (), 'claim')
                 return
-        plan = plan_filling if self._members.by_zone else plan_handovers
-        for order in plan(loads):
+        for order in plan_handovers(loads):
             self._send_order(service, order, now)
 
     def _lost_owners(self, table: RangeTable, now: int) -> set[NodeId]:
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -501,26 +501,6 @@
             )
         return sorted(loads, key=lambda load: load.node)
 
-    def own_load(self, service: ServiceName, now: int) -> TargetLoad | None:
-        """Return the load of the keys that this node is to keep.
-
-        Returns
-        -------
-        TargetLoad or None
-            None without a ready target or without keys.
-        """
-        machine = self.machines.get(service)
-        report = self._owner.report
-        if machine is None or report is None or not self._owner.is_ready():
-            return None
-        spans = machine.free_spans()
-        return TargetLoad(
-            self.node,
-            self._owner.heat.total_of(spans, now),
-            report.slots,
-            sum(span.size for span in spans),
-        )
-
     def start_handover(
         self, service: ServiceName, taker: NodeId, share: float
     ) -> None:
--- a/src/savoryhold/ranges/__init__.py
+++ b/src/savoryhold/ranges/__init__.py
@@ -8,9 +8,7 @@
     TargetLoad,
     distribute_spans,
     plan_claims,
-    plan_filling,
     plan_handovers,
-    plan_relief,
 )
 from savoryhold.ranges.reports import (
     Grant,
@@ -58,9 +56,7 @@
     'distribute_spans',
     'initial_rows',
     'plan_claims',
-    'plan_filling',
     'plan_handovers',
-    'plan_relief',
     'rows_from_fields',
     'rows_to_fields',
 ]
--- a/src/savoryhold/ranges/heat.py
+++ b/src/savoryhold/ranges/heat.py
@@ -28,11 +28,6 @@
         """Return the work of all keys in slots."""
         return sum(heat for _, heat in self._current(now))
 
-    def total_of(self, spans: Iterable[Span], now: int) -> float:
-        """Return the work of the keys of some spans in slots."""
-        heat_by_span = self._heat_by_span(list(spans), now)
-        return sum(heat for found in heat_by_span.values() for _, heat in found)
-
     def drop_cold_keys(self, now: int) -> None:
         """Drop keys whose heat has decayed below `MIN_HEAT`."""
         self._heat = {
--- a/src/savoryhold/ranges/planner.py
+++ b/src/savoryhold/ranges/planner.py
@@ -1,7 +1,6 @@
 """Placement of keys: redistribution after node loss, and load balancing."""
 
 import dataclasses
-import random
 from collections.abc import Collection, Sequence
 
 from savoryhold.core.ids import NodeId
@@ -12,18 +11,13 @@
     'TargetLoad',
     'distribute_spans',
     'plan_claims',
-    'plan_filling',
     'plan_handovers',
-    'plan_relief',
 ]
 
 MIN_BUSY_USE = 0.6  # of a target's slots; below it, imbalance causes no delay
 MIN_IMBALANCE = 1.25  # ratio of busiest to mean use that justifies handovers
 MIN_HANDOVER_SLOTS = 0.3  # smaller handovers are within measurement noise
 MAX_HANDOVERS = 4  # spans that one node hands over in one round
-MAX_RELIEF = 8  # spans that a target hands over at once to relieve itself
-MIN_PIECE_SLOTS = 0.5  # that a target must have free to be handed a piece
-MIN_RELIEF_LEVEL = 0.7  # utilization; queues stay short below it
 MAX_FILLERS = 4  # targets that hand over to one without keys
 MAX_FILLING_SHARE = 0.5  # of a target's work; it keeps the other half
 
@@ -75,7 +69,7 @@
     """
     if len(loads) < 2:
         return []
-    filling_orders = plan_filling(loads)
+    filling_orders = _fill_empty_targets(loads)
     if filling_orders:
         return filling_orders
     slots = sum(load.slots for load in loads)
@@ -95,7 +89,7 @@
     return found
 
 
-def plan_filling(loads: Sequence[TargetLoad]) -> list[HandoverOrder]:
+def _fill_empty_targets(loads: Sequence[TargetLoad]) -> list[HandoverOrder]:
     """Return orders that give each target without keys an equal part.
 
     Notes
@@ -119,53 +113,6 @@
     return found
 
 
-def plan_relief(
-    own: TargetLoad, others: Sequence[TargetLoad], rng: random.Random
-) -> list[HandoverOrder]:
-    """Return the handovers by which an overloaded target relieves itself.
-
-    Parameters
-    ----------
-    own : TargetLoad
-        The target as it is now.
-    others : sequence of TargetLoad
-        The other targets, as last reported.
-    rng : random.Random
-        Chooses the targets that are considered, so that several which are
-        overloaded at once do not all hand over to the same ones.
-
-    Returns
-    -------
-    list of HandoverOrder
-        Each share is one of the work that the orders before it have left.
-    """
-    level = _relief_level([own, *others])
-    if not _is_overloaded(own, level / MIN_IMBALANCE):
-        return []
-    spare_slots = {
-        load.node: (level - load.utilization) * load.slots for load in others
-    }
-    takers = [
-        node for node, spare in spare_slots.items() if spare >= MIN_PIECE_SLOTS
-    ]
-    left = own.demand
-    found: list[HandoverOrder] = []
-    for taker in rng.sample(takers, min(MAX_RELIEF, len(takers))):
-        part = min(left - level * own.slots, spare_slots[taker])
-        if part < MIN_HANDOVER_SLOTS:
-            break
-        found.append(HandoverOrder(own.node, taker, part / left))
-        left -= part
-    return found
-
-
-def _relief_level(loads: Sequence[TargetLoad]) -> float:
-    """Return the utilization up to which work is handed over."""
-    slots = sum(load.slots for load in loads)
-    mean = sum(load.demand for load in loads) / max(1, slots)
-    return max(MIN_RELIEF_LEVEL, mean * MIN_IMBALANCE)
-
-
 def distribute_spans(
     spans: Sequence[Span], takers: Sequence[TargetLoad]
 ) -> list[tuple[Span, NodeId]]:
