A node writes for itself if the store turns the table's writer away

What callers would see: as long as the store refused the one node that writes a service's table (503, 429, a reset), no owner could hand keys over: hot spans stayed whole and new targets stayed empty. Cause: that node answered a failed write with written=false and its version, as for a request whose rows have changed, so that the sender did not write itself. messages.thrift says 'no version if the table could not be written'. Fix: a request ends STORED, REFUSED or FAILED; after FAILED no version is sent. Test: test_own_write_if_the_store_turns_the_writer_away, which failed before.

--- a/src/savoryhold/mesh/table_writer.py
+++ b/src/savoryhold/mesh/table_writer.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import json
 from collections import defaultdict
 from typing import Any, Protocol
@@ -32,21 +33,29 @@
     TableDraft,
 )
 
-__all__ = ['TABLE_KIND', 'TableWriter', 'table_spec']
+__all__ = ['TABLE_KIND', 'TableWriter', 'WriteOutcome', 'table_spec']
 
 TABLE_KIND = 'savoryhold-ranges'
 MS_PER_SECOND = 1000
 COLLECT_MS = 30  # in which requests join a write
-MAX_CONFLICTS = 5  # of one write; its requests are then refused
+MAX_CONFLICTS = 5  # of one write, which then fails
 REQUEST_LIMIT_MS = 500  # of the call to the node that writes
 SHOWN_SPANS = 8  # of a write, in its log line
 
 
+class WriteOutcome(enum.Enum):
+    """What has become of a request."""
+
+    STORED = enum.auto()
+    REFUSED = enum.auto()  # its rows have changed
+    FAILED = enum.auto()  # the store has not taken the table
+
+
 @dataclasses.dataclass(slots=True)
 class _Pending:
     """Requests for one service that wait for the next write."""
 
-    requests: list[tuple[ChangeRequest, 'asyncio.Future[bool]']]
+    requests: list[tuple[ChangeRequest, 'asyncio.Future[WriteOutcome]']]
     task: 'asyncio.Task[None] | None' = None
 
 
@@ -131,14 +140,16 @@
             written = await self._request_from(writer, service, request)
             if written is not None:
                 return written
-        return await self.collect(service, request)
+        return await self.collect(service, request) is WriteOutcome.STORED
 
     async def collect(
         self, service: ServiceName, request: ChangeRequest
-    ) -> bool:
-        """Write a request together with others; return whether it is stored."""
+    ) -> WriteOutcome:
+        """Write a request together with others."""
         pending = self._pending[service]
-        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        fut: asyncio.Future[WriteOutcome] = (
+            asyncio.get_running_loop().create_future()
+        )
         pending.requests.append((request, fut))
         if pending.task is None or pending.task.done():
             pending.task = asyncio.ensure_future(self._flush(service, pending))
@@ -155,9 +166,14 @@
             return messages.TableWritten()
         if service not in self._copies.tables:
             return messages.TableWritten()
-        written = await self.collect(service, request)
-        version = self._copies.tables[service].version
-        return messages.TableWritten(written=written, version=version)
+        outcome = await self.collect(service, request)
+        if outcome is WriteOutcome.FAILED:
+            # The sender may reach the store where this node does not.
+            return messages.TableWritten()
+        return messages.TableWritten(
+            written=outcome is WriteOutcome.STORED,
+            version=self._copies.tables[service].version,
+        )
 
     def _writer_of(self, service: ServiceName) -> NodeId | None:
         """Return the node that writes for this one, None if it does so."""
@@ -202,7 +218,7 @@
                 await asyncio.sleep(COLLECT_MS / MS_PER_SECOND)
             taken = list(pending.requests)
             pending.requests.clear()
-            outcomes = [False for _ in taken]
+            outcomes = [WriteOutcome.FAILED for _ in taken]
             try:
                 outcomes = await self._write(
                     service, [request for request, _ in taken]
@@ -212,11 +228,16 @@
 
     async def _write(
         self, service: ServiceName, requests: list[ChangeRequest]
-    ) -> list[bool]:
+    ) -> list[WriteOutcome]:
         for _ in range(MAX_CONFLICTS):
             table = self._copies.tables[service]
             draft = TableDraft(table)
-            outcomes = [draft.apply(request) for request in requests]
+            outcomes = [
+                WriteOutcome.STORED
+                if draft.apply(request)
+                else WriteOutcome.REFUSED
+                for request in requests
+            ]
             if not draft.changed:
                 return outcomes
             try:
@@ -233,7 +254,7 @@
             self.moves += draft.changed
             self._log_written(service, requests, stored)
             return outcomes
-        return [False for _ in requests]
+        return [WriteOutcome.FAILED for _ in requests]
 
     async def _replace(
         self, service: ServiceName, table: RangeTable, draft: TableDraft
@@ -266,11 +287,12 @@
 
 
 def _resolve(
-    futures: list['asyncio.Future[bool]'], outcomes: list[bool]
+    futures: list['asyncio.Future[WriteOutcome]'],
+    outcomes: list[WriteOutcome],
 ) -> None:
-    for fut, written in zip(futures, outcomes, strict=True):
+    for fut, outcome in zip(futures, outcomes, strict=True):
         if not fut.done():
-            fut.set_result(written)
+            fut.set_result(outcome)
 
 
 def table_spec(table: RangeTable) -> dict[str, Any]:
--- a/src/savoryhold/mesh/tests/test_table_contention.py
+++ b/src/savoryhold/mesh/tests/test_table_contention.py
@@ -15,7 +15,11 @@
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.interface import StoreConflictError, StoredObject
 from savoryhold.mesh.members import MemberTable, NodeStatus
-from savoryhold.mesh.table_writer import TableWriter, table_spec
+from savoryhold.mesh.table_writer import (
+    TableWriter,
+    WriteOutcome,
+    table_spec,
+)
 from savoryhold.mesh.tests.virtual_time import LoopClock, VirtualTimeCase
 from savoryhold.peer import messages
 from savoryhold.ranges import (
@@ -213,7 +217,7 @@
             self.first.writer.collect(DESK, first),
             self.first.writer.collect(DESK, second),
         )
-        self.assertEqual(outcomes, [True, False])
+        self.assertEqual(outcomes, [WriteOutcome.STORED, WriteOutcome.REFUSED])
         key = first.changes[0].change.span.first
         self.assertEqual(self.store.table.row_at(key).owner, owner(1))
 
@@ -228,9 +232,23 @@
                 for number in range(1, 4)
             )
         )
-        self.assertEqual(outcomes, [False, False, False])
+        self.assertEqual(len(outcomes), 3)
+        self.assertEqual(set(outcomes), {WriteOutcome.FAILED})
         self.assertEqual(self.first.failures, 1)
 
+    # The node that writes answered as if the rows had changed: as long as the
+    # store turned that node away, no other one handed a key over.
+    async def test_own_write_if_the_store_turns_the_writer_away(self) -> None:
+        """A node writes for itself if the writer cannot reach the store."""
+        turned_away = Store(self.store.table)
+        turned_away.error = PlatformError('status 503')
+        self.first.writer._store = cast(Any, turned_away)
+        node = self.nodes[40]
+        outcome = await node.writer.request(DESK, node.handover(40, owner(9)))
+        self.assertTrue(outcome)
+        self.assertEqual(turned_away.writes, 1)
+        self.assertEqual(self.store.writes, 1)
+
     async def test_unreadable_request_is_no_request(self) -> None:
         """The sender then writes for itself."""
         for text in (b'7', b'[', b'["x",[[0,1]],[]]', b'["x",[],7]'):
