--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -20,6 +21,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = 'review.example'
 LOOPBACK = '127.0.0.1'
+PORTS = (15_000, 32_000)
 READY_CHECK_S = 1.0
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
 # (region, zone) of one node after the other.
@@ -283,7 +285,12 @@
                     while (await self.send(node, path, key))[1] != 200:
                         await asyncio.sleep(0.2)
         except TimeoutError as exc:
-            raise NotRunError('not all was served after the start') from exc
+            ended = [
+                (node.name, node.process.returncode, node.log.read_text()[-400:])
+                for node in self.nodes
+                if node.process.returncode is not None
+            ]
+            raise NotRunError(f'not all was served; ended: {ended}') from exc
         self.ready = {node.name for node in self.nodes}
         self.record('all_served')
 
@@ -359,15 +366,17 @@
 
 
 def _free_ports(count):
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((LOOPBACK, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Return free ports below those that the kernel gives to clients."""
+    found = set()
+    while len(found) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        found.add(port)
+    return sorted(found)
 
 
 def trouble():
