review: a loopback address for each run

Cause: a play of case 3 beside two other scripts ended with status 2, address already in use: free ports are chosen first and bound later, so that scripts side by side can choose the same one.

--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -20,7 +20,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = 'review.example'
-LOOPBACK = '127.0.0.1'
+# An address of its own, so that runs side by side share no port.
+LOOPBACK = '127.' + '.'.join(str(random.randint(1, 254)) for _ in range(3))
 PORTS = (15_000, 32_000)
 READY_CHECK_S = 1.0
 EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN = 1, 0, 2
