A report that is not the local target's is refused at the border

Callers saw: after one report of another writer, two targets held the same keys for 1.2 to 2.1 s, and requests that began at the node bore a caller service that no machine runs ("7", "None", a text of 18,000 characters).

Cause: the decoder took str() of any `service`, and any text as an id or a token; the handler took a report of any service and address for one of the local target, and the service of the last report became the caller service.

A refused report gets 400 with the reason, is logged within the limit of request lines, and counted.

--- a/src/savoryhold/core/decoding.py
+++ b/src/savoryhold/core/decoding.py
@@ -16,6 +16,7 @@
     'host_port',
     'parse_json',
     'parse_json_list',
+    'plain_text',
     'whole_number',
 ]
 
@@ -32,6 +33,7 @@
 )
 MAX_NUMBER = 0x7FFFFFFFFFFFFFFF  # numbers travel in 64 bits
 MAX_PORT = 65_535
+MAX_TEXT = 256  # characters; names and tokens are far shorter
 MAX_PORT_DIGITS = 5
 MAX_DEPTH = 64  # of nesting in an answer of which one entry is too deep
 STRING_OR_BRACKET = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]')
@@ -87,6 +89,24 @@
     return field
 
 
+def plain_text(field: Any, least: int = 1) -> str:
+    """Return a text that any log, header, label and message can carry.
+
+    Raises
+    ------
+    ValueError
+        If the field is no text of `least` to `MAX_TEXT` printable characters.
+        Control characters and halves of surrogate pairs are not printable.
+    """
+    if not isinstance(field, str):
+        raise ValueError(f'{type(field).__name__} is not text')
+    if not least <= len(field) <= MAX_TEXT:
+        raise ValueError(f'text of {len(field)} characters')
+    if not field.isprintable():
+        raise ValueError(f'{field!a} is not printable')
+    return field
+
+
 def host_port(field: Any) -> str:
     """Return an address ``ip:port`` that a connection can be opened to.
 
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -131,19 +131,11 @@
         self._proofs = TableProofTask(context)
         self.telemetry = Telemetry(clock, self.log)
         self.ingress = IngressTask(context, adapter.names, self.telemetry)
-        reports = ReportHandler(
-            adapter,
-            self.owner,
-            self.tables,
-            self._proofs,
-            self.configs.loaded,
-            clock,
-            self.log,
-        )
+        self._reports = ReportHandler(adapter, context, self._proofs)
         self.caller_server = HttpServer(
             self.ingress.handle, clock.now, self.configs.limits
         )
-        self.report_server = HttpServer(reports.handle, clock.now)
+        self.report_server = HttpServer(self._reports.handle, clock.now)
         self.ready_server = HttpServer(self._on_ready, clock.now)
         self.metrics_server = HttpServer(self._on_metrics, clock.now)
         self._lines = lines
@@ -396,6 +388,7 @@
             'calls_moved': float(self.pool.moved),
             'calls_cut': float(self._calls_cut),
             'log_lines_lost': float(self._lines.lost_count),
+            'reports_refused': float(self._reports.refused_count),
         }
         exchange.reply(
             HTTPStatus.OK,
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -153,12 +153,11 @@
     def status_message(self) -> messages.Message:
         """Return this node's status."""
         now = self._clock.now()
-        report = self._owner.report
         cfg = self._settings
         return messages.MeshStatus(
             node=cfg.node,
             address=cfg.advertised,
-            service_name=cfg.service if report is None else report.service,
+            service_name=cfg.service,
             zone=cfg.zone,
             region=cfg.region,
             slots=self._owner.queue.slots,
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -7,13 +7,10 @@
 from http import HTTPStatus
 from typing import Any
 
-from savoryhold.core.clock import Clock
 from savoryhold.core.ids import ServiceName
-from savoryhold.daemon.logs import Log
 from savoryhold.mesh.interface import Adapter, TargetLeave, TargetReport
-from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.table_proofs import TableProofTask
-from savoryhold.mesh.tables import TableTask
 from savoryhold.ranges import GrantReply, TargetLife
 from savoryhold.wire import Exchange
 
@@ -37,50 +34,55 @@
     ----------
     adapter : Adapter
         Decodes calls and encodes replies.
-    owner : OwnerTask
-        Queue and connections of the local target.
-    tables : TableTask
-        Ownership of key ranges.
+    context : NodeContext
+        Dependencies of the node's tasks.
     proofs : TableProofTask
         Renews the proof of the local target's table.
-    config_loaded : asyncio.Event
-        Set once a configuration is in force.
-    clock : Clock
-        Source of time.
-    log : Log
-        Logger of this node.
     """
 
     def __init__(
-        self,
-        adapter: Adapter,
-        owner: OwnerTask,
-        tables: TableTask,
-        proofs: TableProofTask,
-        config_loaded: asyncio.Event,
-        clock: Clock,
-        log: Log,
+        self, adapter: Adapter, context: NodeContext, proofs: TableProofTask
     ) -> None:
-        self._config_loaded = config_loaded
+        self.refused_count = 0
+        self._settings = context.settings
+        self._config_loaded = context.configs.loaded
         self._adapter = adapter
-        self._owner = owner
-        self._tables = tables
+        self._owner = context.owner
+        self._tables = context.tables
         self._proofs = proofs
-        self._clock = clock
-        self._log = log
+        self._clock = context.clock
+        self._log = context.log
         self._superseded: deque[TargetLife] = deque(maxlen=MAX_SUPERSEDED)
         self._pending_replies: set[asyncio.Task[None]] = set()
 
     def handle(self, exchange: Exchange) -> None:
         """Answer a call of the local target."""
         call = self._adapter.decode_call(exchange.req)
-        if isinstance(call, TargetReport):
-            self._on_report(exchange, call)
-        elif isinstance(call, TargetLeave):
+        if isinstance(call, TargetLeave):
             self._on_leave(exchange, call)
+        elif call is None:
+            self._refuse(exchange, 'report_unreadable', 'malformed call')
+        elif call.service != self._settings.service:
+            reason = f'service: {call.service} does not run here'
+            self._refuse(exchange, 'report_foreign', reason)
+        elif self._settings.target not in {'', call.address}:
+            reason = f'address: {call.address} is not that of the local target'
+            self._refuse(exchange, 'report_foreign', reason)
         else:
-            self._log.warning('report_unreadable', bytes=len(exchange.req.body))
-            exchange.reply(HTTPStatus.BAD_REQUEST)
+            self._on_report(exchange, call)
+
+    def _refuse(self, exchange: Exchange, event: str, reason: str) -> None:
+        """Refuse a call of another writer; it changes nothing."""
+        self.refused_count += 1
+        if self._owner.may_log():
+            self._log.warning(
+                event, reason=reason, bytes=len(exchange.req.body)
+            )
+        exchange.reply(
+            HTTPStatus.BAD_REQUEST,
+            b'content-type: text/plain\r\n',
+            reason.encode(),
+        )
 
     def _on_report(self, exchange: Exchange, report: TargetReport) -> None:
         if self._is_outdated(report):
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -156,10 +156,7 @@
 
     def _head(self, http: HttpRequest) -> bytes:
         """Return the header lines to forward to the target."""
-        report = self._context.owner.report
         caller = self._context.settings.service
-        if report is not None:
-            caller = report.service
         dropped = self._excluded_headers | _connection_options(
             http.header(b'connection')
         )
--- a/src/savoryhold/mesh/settings.py
+++ b/src/savoryhold/mesh/settings.py
@@ -47,6 +47,8 @@
         Further retries allowed per window, over all nodes.
     retry_window_ms : int
         Length of the sliding window.
+    target : str
+        Address of the local target; if empty, the one that it reports.
     """
 
     node: NodeId
@@ -67,6 +69,7 @@
     retry_ratio: float
     retry_slack: float
     retry_window_ms: int
+    target: str = ''
 
 
 def _text(field: str, given: Any) -> str:
@@ -126,6 +129,7 @@
     'retry_ratio': _number,
     'retry_slack': _number,
     'retry_window_ms': _millis,
+    'target': _address_or_none,
 }
 
 
@@ -148,6 +152,7 @@
     except (tomllib.TOMLDecodeError, RecursionError) as exc:
         raise ConfigurationError(f'settings are not TOML: {exc}') from exc
     given.setdefault('advertised', given.get('peers'))
+    given.setdefault('target', '')
     found = {}
     for field, read in _READERS.items():
         if field not in given:
--- a/src/savoryhold/mesh/table_proofs.py
+++ b/src/savoryhold/mesh/table_proofs.py
@@ -66,7 +66,6 @@
         self._service = context.settings.service
         self._tables = context.tables
         self._members = context.members
-        self._owner = context.owner
         self._pool = context.pool
         self._clock = context.clock
         self._log = context.log
@@ -76,10 +75,8 @@
         """Renew the proof until cancelled."""
         while True:
             await asyncio.sleep(PROOF_INTERVAL_MS * _jitter() / MS_PER_SECOND)
-            report = self._owner.report
-            service = self._service if report is None else report.service
-            if service in self._tables.keyed_services():
-                await self._renew_proof(service)
+            if self._service in self._tables.keyed_services():
+                await self._renew_proof(self._service)
 
     async def prepare_reply(self, service: ServiceName) -> None:
         """Obtain what the reply to a report needs, or time out.
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -480,6 +480,7 @@
     service: str,
     grace_ms: int = 2000,
     advertised: str = '127.0.0.1:1',
+    target: str = '',
 ) -> MeshSettings:
     """Return the settings of a node that listens nowhere."""
     return MeshSettings(
@@ -501,4 +502,5 @@
         retry_ratio=RETRY_RATIO,
         retry_slack=RETRY_SLACK,
         retry_window_ms=RETRY_WINDOW_MS,
+        target=target,
     )
--- a/src/savoryhold/mesh/tests/test_target_restarts.py
+++ b/src/savoryhold/mesh/tests/test_target_restarts.py
@@ -29,6 +29,7 @@
     RelayedRequest,
     TargetDownError,
 )
+from savoryhold.mesh.tests.fleet import mesh_settings
 from savoryhold.ranges import Report, TargetLife
 from savoryhold.wire import Exchange, HeaderNames, HttpServer
 
@@ -82,12 +83,18 @@
                     encode_reply=lambda reply: b'',
                 ),
             ),
-            self.owner,
-            cast(Any, SimpleNamespace(keyed_services=frozenset)),
+            cast(
+                Any,
+                SimpleNamespace(
+                    settings=mesh_settings(NODE, FILES),
+                    configs=SimpleNamespace(loaded=asyncio.Event()),
+                    owner=self.owner,
+                    tables=SimpleNamespace(keyed_services=frozenset),
+                    clock=self.clock,
+                    log=log,
+                ),
+            ),
             cast(Any, None),
-            asyncio.Event(),
-            self.clock,
-            log,
         )
 
     # During a pause of the target, a late report of its previous incarnation
