A report of another incarnation does not show that the former has ended

Cause: GrantMachine took another incarnation, or a report of another service, as proof that the process which held keys had ended, dropped its holds and let its keys be handed over and confirmed as released; the report handler let any later `born` replace a target that was reporting.

Change: an incarnation that reports is replaced only if it has left, its port refuses, or its last connection was closed by the other end; a report before that is answered 503. Without such evidence, nothing that the former may hold is granted, handed over or confirmed before its last grant ends.

Tests that changed: the former incarnation now falls silent, or has ended, before its successor reports (two tests and the simulation of ownership, where a crash closes all connections); their assertions are the same.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -93,6 +93,7 @@
         self.reported_at = 0
         self.leaving_since: int | None = None
         self.dead = False
+        self._former_ended = False
         self._runs = RunTracker()
         self.queue = TargetQueue(1)
         self.heat = KeyHeat()
@@ -129,6 +130,24 @@
             and self.leaving_since is None
         )
 
+    def has_target_ended(self) -> bool:
+        """Return whether the process that reported last is known to have ended.
+
+        Notes
+        -----
+        When a process ends, its port refuses connections, and all connections
+        that it had are closed.
+        """
+        if self.dead:
+            return True
+        emptied_at = None if self.pool is None else self.pool.emptied_at
+        return emptied_at is not None and emptied_at >= self.reported_at
+
+    @property
+    def former_ended(self) -> bool:
+        """Return whether the incarnation before this one surely has ended."""
+        return self._former_ended
+
     def serves(self, service: ServiceName) -> bool:
         """Return whether the local target runs a service."""
         return self.report is not None and self.report.service == service
@@ -543,6 +562,7 @@
             slots=report.slots,
         )
         self._strike_interrupted()
+        self._former_ended = self.has_target_ended()
         if self.pool is not None:
             # Running requests may still complete, and the report may be wrong.
             self.pool.retire()
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -20,7 +20,8 @@
 MS_PER_SECOND = 1000
 CONFIG_WAIT_MS = 400  # the target ignores a reply after one second
 # The current incarnation counts as running for this long after its report, so
-# that a delayed report of an earlier one does not replace it.
+# that neither a delayed report of an earlier one nor a report of another writer
+# replaces it.
 RECENT_REPORT_MS = 1500
 # The same, against an incarnation that it is known to have replaced.
 SUPERSEDED_SILENCE_MS = 5000
@@ -94,6 +95,16 @@
             )
             self._reply(exchange, None)
             return
+        if self._is_premature(report):
+            self._log.warning(
+                'report_early',
+                target=report.keys.life.target,
+                born=report.keys.life.born,
+                silent_ms=self._clock.now() - self._owner.reported_at,
+            )
+            # The sender reports again, if it is the next target.
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
         self._record_superseded(report)
         self._owner.on_report(report)
         if self._config_loaded.is_set():
@@ -115,7 +126,9 @@
             self._reply(exchange, None)
             return
         machine = self._tables.machine(report.service)
-        machine.record_report(report.keys)
+        machine.record_report(
+            report.keys, former_ended=self._owner.former_ended
+        )
         now = self._clock.now()
         if machine.can_reply(now):
             self._reply(exchange, machine.reply(now))
@@ -176,3 +189,18 @@
         if life in self._superseded:
             return silent < SUPERSEDED_SILENCE_MS
         return silent < RECENT_REPORT_MS and life.born < newer.born
+
+    def _is_premature(self, report: TargetReport) -> bool:
+        """Return whether the current incarnation seems to be still running.
+
+        Notes
+        -----
+        Otherwise one report of another writer would take its place.
+        """
+        life = self._owner.target_life()
+        if life in {None, report.keys.life} or self._owner.has_target_ended():
+            return False
+        if self._owner.leaving_since is not None:
+            return False
+        silent = self._clock.now() - self._owner.reported_at
+        return silent < RECENT_REPORT_MS
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -147,6 +147,7 @@
         self.nested_call_rate = 0.0
         self.dial_ms = 0
         self.refused = 0
+        self.emptied_at: int | None = None
         self.node: Node | None = None
         self._fleet = fleet
 
--- a/src/savoryhold/mesh/tests/test_target_restarts.py
+++ b/src/savoryhold/mesh/tests/test_target_restarts.py
@@ -75,6 +75,7 @@
         log = get_log(node=NODE)
         self.owner = OwnerTask(NODE, NAMES, self.clock, log, 1000, 1000)
         self.calls: list[TargetReport | TargetLeave] = []
+        self.statuses: list[int] = []
         self.handler = ReportHandler(
             cast(
                 Any,
@@ -102,6 +103,7 @@
     async def test_former_incarnation_does_not_return_in_a_pause(self) -> None:
         """An incarnation that replaced another survives a pause in reports."""
         self.report(FORMER)
+        self.clock.time_ms += RECENT_REPORT_MS
         self.report(CURRENT)
         self.clock.time_ms += RECENT_REPORT_MS
         self.report(FORMER)
@@ -110,6 +112,25 @@
         self.report(FORMER)
         self.assertEqual(self.incarnation(), FORMER)
 
+    # One well-formed report of another writer replaced the running target.
+    async def test_running_incarnation_is_not_replaced(self) -> None:
+        """Another one is accepted once the current is silent or has ended."""
+        self.report(FORMER)
+        self.report(CURRENT)
+        self.assertEqual(self.incarnation(), FORMER)
+        self.assertEqual(self.statuses[-1], 503)
+        pool = self.owner.pool
+        assert pool is not None
+        self.clock.time_ms += 1
+        pool.emptied_at = self.clock.time_ms
+        self.report(CURRENT)
+        self.assertEqual(self.incarnation(), CURRENT)
+        self.assertTrue(self.owner.former_ended)
+        self.clock.time_ms += RECENT_REPORT_MS
+        self.report(CURRENT + 1)
+        self.assertEqual(self.incarnation(), CURRENT + 1)
+        self.assertFalse(self.owner.former_ended)
+
     async def test_incarnation_with_an_earlier_clock_is_accepted(self) -> None:
         """A clock that was set back makes a new incarnation look older."""
         self.report(CURRENT)
@@ -169,7 +190,9 @@
     def handle(self, call: TargetReport | TargetLeave) -> None:
         """Receive a call of the target."""
         self.calls.append(call)
-        exchange = SimpleNamespace(req=None, reply=lambda *args: None)
+        exchange = SimpleNamespace(
+            req=None, reply=lambda status, *rest: self.statuses.append(status)
+        )
         self.handler.handle(cast(Any, exchange))
 
 
--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -78,6 +78,8 @@
         self.hold_until = (
             now + round(self._hold_limit_ms * CLOCK_DRIFT) + MARGIN_MS
         )
+        # An earlier incarnation of the target may hold keys until then.
+        self._former_until = 0
         self.no_target = False
         # Number of the target's incarnation, as contained in fencing tokens.
         self._life_number = 0
@@ -220,8 +222,13 @@
         ]
 
     def mark_no_target(self) -> None:
-        """Record that this node has no local target of the service."""
-        self.drop_holds()
+        """Record that this node has no local target of the service.
+
+        Notes
+        -----
+        A process that the node has heard of may still run, so that its grants
+        end by time only.
+        """
         self.no_target = True
 
     def stale_rows(self) -> list[Row]:
@@ -250,7 +257,9 @@
             parts = [rest for part in parts for rest in part.without(span)]
         return not parts
 
-    def on_report(self, report: Report, now: int) -> GrantReply | None:
+    def on_report(
+        self, report: Report, now: int, *, former_ended: bool = False
+    ) -> GrantReply | None:
         """Record a report and return the reply to it.
 
         Returns
@@ -258,13 +267,24 @@
         GrantReply or None
             None if nothing may be granted or extended at present.
         """
-        self.record_report(report)
+        self.record_report(report, former_ended=former_ended)
         return self.reply(now)
 
-    def record_report(self, report: Report) -> None:
-        """Record which spans the target holds and has released."""
+    def record_report(
+        self, report: Report, *, former_ended: bool = False
+    ) -> None:
+        """Record which spans the target holds and has released.
+
+        Parameters
+        ----------
+        report : Report
+            The target's report.
+        former_ended : bool
+            Whether the incarnation that reported before is known to have
+            ended, if this is another one.
+        """
         self.no_target = False
-        self._update_life(report)
+        self._update_life(report, former_ended=former_ended)
         self.held = report.held
         self._own_releases.extend(report.released)
         del self._own_releases[:-MAX_TOKENS]
@@ -280,6 +300,8 @@
         hold = self.hold_ms(now)
         if self.table is None or hold < MIN_HOLD_MS:
             return None
+        if now < self._former_until:
+            return None
         grants = self._grants()
         self._granted = [grant.span for grant in grants]
         self._withheld = set(self.handovers)
@@ -373,6 +395,8 @@
         rows = list(self.table.overlapping(span))
         if any(row.owner == self.node or row.epoch < epoch for row in rows):
             return None
+        if now < self._former_until:
+            return None
         if now < self.hold_until and self._may_hold(span):
             return None
         releases = [
@@ -395,16 +419,31 @@
                 return first_seen
         return now
 
-    def _update_life(self, report: Report) -> None:
+    def _update_life(self, report: Report, *, former_ended: bool) -> None:
         if self.life == report.life:
             return
         if self.life is None:
             self._adopt(report)
         else:
             self._life_number += 1
-            self.drop_holds()
+            if former_ended:
+                self.drop_holds()
+            else:
+                self._outwait_former()
         self.life = report.life
 
+    def _outwait_former(self) -> None:
+        """Grant nothing until all grants of the former incarnation end.
+
+        Notes
+        -----
+        A report of another incarnation does not show that the former one has
+        ended: it may be of another writer.
+        """
+        self._former_until = self.hold_until
+        self._granted = []
+        self._withheld = set()
+
     def _adopt(self, report: Report) -> None:
         """Adopt the grants that the previous process of this node made."""
         for held in report.held:
--- a/src/savoryhold/ranges/tests/ownership_simulation.py
+++ b/src/savoryhold/ranges/tests/ownership_simulation.py
@@ -366,7 +366,11 @@
         """Deliver a report to its node and send the reply."""
         if target is not self.targets[node]:
             return
-        reply = self.machines[node].on_report(report, self.now)
+        # A crash closes all connections, which shows the node that the former
+        # incarnation has ended.
+        reply = self.machines[node].on_report(
+            report, self.now, former_ended=True
+        )
         delay = self.rng.randrange(1, 10)
         if self.faults_enabled and self.chance(0.1):
             delay = self.rng.randrange(900)
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -185,7 +185,9 @@
         self.learn(table(1, row(LOW, OTHER, 1), row(HIGH, OTHER, 1)), 0)
         self.learn(table(2, row(LOW, ME, 2), row(HIGH, OTHER, 1)), 1)
         first = self.machine.on_report(report(LIFE), 10)
-        second = self.machine.on_report(report(SECOND_LIFE), 20)
+        second = self.machine.on_report(
+            report(SECOND_LIFE), 20, former_ended=True
+        )
         assert first is not None
         assert second is not None
         self.assertGreater(second.grants[0].fence, first.grants[0].fence)
@@ -350,3 +352,60 @@
         self.machine.drop_holds()
         self.machine.start_handover(LOW, OTHER)
         self.assertEqual(self.machine.completed_handovers(5), {LOW: OTHER})
+
+
+class TestSuccession(GrantCase):
+    """A report of another incarnation than the one that holds keys."""
+
+    def setUp(self) -> None:
+        """Let the first incarnation hold all keys, and hand some over."""
+        super().setUp()
+        self.learn(table(1, row(ALL, ME, 1)), 0)
+        self.machine.learn(table(2, row(ALL, ME, 2)), 0)
+        self.machine.record_proof(2, 0)
+        self.machine.on_report(report(LIFE), 0)
+        self.assertTrue(self.machine.may_send(0, 10))
+        self.ends_at = self.machine.hold_until
+
+    # A report of another incarnation counted as proof that the former had
+    # ended, so that its keys were confirmed as released while it held them.
+    def test_former_incarnation_keeps_its_keys_until_their_end(self) -> None:
+        """Nothing is granted, handed over or confirmed before."""
+        self.machine.start_handover(LOW, OTHER)
+        self.machine.record_report(report(SECOND_LIFE))
+        for now, over in ((20, False), (self.ends_at, True)):
+            with self.subTest(now=now):
+                self.machine.record_proof(2, now)
+                reply = self.machine.reply(now)
+                self.assertEqual(reply is not None, over)
+                completed = self.machine.completed_handovers(now)
+                self.assertEqual(bool(completed), over)
+        reply = self.machine.reply(self.ends_at)
+        self.assertEqual(self.spans(reply), [HIGH])
+
+    def test_keys_of_the_former_are_not_confirmed_as_released(self) -> None:
+        """The next owner waits until the grants of the former end."""
+        self.machine.record_report(report(SECOND_LIFE))
+        self.learn(table(3, row(ALL, OTHER, 3, ME)), 20)
+        for now, over in ((20, False), (self.ends_at, True)):
+            found = self.machine.release_confirmation(ALL, Epoch(3), now)
+            self.assertEqual(found is not None, over)
+
+    # A report of another service had the same effect.
+    def test_keys_are_held_on_without_a_target_of_the_service(self) -> None:
+        """Grants end by time, as the process that has them may still run."""
+        self.machine.mark_no_target()
+        self.learn(table(3, row(ALL, OTHER, 3, ME)), 20)
+        for now, over in ((20, False), (self.ends_at, True)):
+            found = self.machine.release_confirmation(ALL, Epoch(3), now)
+            self.assertEqual(found is not None, over)
+
+    def test_incarnation_that_has_ended_holds_nothing(self) -> None:
+        """Its successor gets the keys at once, with a higher fence."""
+        first = self.machine.on_report(report(LIFE), 15)
+        assert first is not None
+        self.machine.record_report(report(SECOND_LIFE), former_ended=True)
+        reply = self.machine.reply(20)
+        self.assertEqual(self.spans(reply), [ALL])
+        assert reply is not None
+        self.assertGreater(reply.grants[0].fence, first.grants[0].fence)
--- a/src/savoryhold/ranges/tests/test_ownership_simulation.py
+++ b/src/savoryhold/ranges/tests/test_ownership_simulation.py
@@ -52,13 +52,15 @@
 class IgnoresEarlierProcess(GrantMachine):
     """Ignores that an earlier process of the node made grants."""
 
-    def on_report(self, report: Report, now: int) -> GrantReply | None:
+    def on_report(
+        self, report: Report, now: int, *, former_ended: bool = False
+    ) -> GrantReply | None:
         """Grant inherited rows as if no earlier process had done so."""
         self._inherited.clear()
         for row in self._first_seen:
             if row.settled:
                 self._mark_grantable(row.span, row.epoch)
-        return super().on_report(report, now)
+        return super().on_report(report, now, former_ended=former_ended)
 
 
 class HandsOverTooEarly(GrantMachine):
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -75,6 +75,7 @@
         self.idle_since = 0
         self.idle_ms = IDLE_MS
         self.closed = False
+        self.closed_here = False
         self.received = False
         self.size = 0
         self._transport: asyncio.Transport | None = None
@@ -93,6 +94,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the TCP timeouts."""
         self._transport = cast(asyncio.Transport, transport)
+        self.pool.open_count += 1
         sock = transport.get_extra_info('socket')
         for level, option, setting in _SOCKET_OPTIONS:
             sock.setsockopt(level, option, setting)
@@ -243,6 +245,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self.closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -302,6 +305,9 @@
         self.bytes_held = 0
         self.stray_answers = 0
         self.refused = 0
+        self.open_count = 0
+        # When the server closed the last open connection, in ms.
+        self.emptied_at: int | None = None
         self._now = now
         self._idle: list[_Connection] = []
         self._busy: set[_Connection] = set()
@@ -362,6 +368,9 @@
 
     def remove(self, conn: _Connection) -> None:
         """Remove a closed connection from the pool."""
+        self.open_count -= 1
+        if not self.open_count and not conn.closed_here:
+            self.emptied_at = self._now()
         if conn in self._idle:
             self._idle.remove(conn)
 
