A log call neither raises nor stays half done, whatever it is given

Callers saw: after one report with text that UTF-8 cannot hold, requests were answered 504 with nothing wrong at any target, and at SIGTERM the node exited with status 1 and cut eight bookings that targets were running.

Cause: the buffer encoded all its lines at each flush and cleared them only afterwards, so that one such line made each later log call of the process raise; and the end of a task was logged before it was acted on.

Change: values are made printable and bounded before a line is built, lines are encoded with escapes as they are buffered, tasks' ends are acted on first, and labels of metrics are escaped. The native daemon uses the same buffer in place of blocking writes, and checks the service that its target announces.

--- a/src/savoryhold/daemon/main.py
+++ b/src/savoryhold/daemon/main.py
@@ -200,8 +200,8 @@
         if task.cancelled() or task.exception() is None:
             return
         self._failed = True
-        self.node.log.error('task_failed', error=repr(task.exception()))
         self.service.leave_requested.set()
+        self.node.log.error('task_failed', error=repr(task.exception()))
 
     async def _on_peer(
         self, call: LinkStream, message: messages.Message
@@ -270,8 +270,11 @@
     if options.check_settings:
         sys.stdout.write(f'{options.settings}: settings are valid\n')
         sys.exit(EXIT_OK)
-    set_up_logs(getattr(logging, options.log_level.upper()))
-    sys.exit(_run(settings))
+    level = getattr(logging, options.log_level.upper())
+    lines = set_up_logs(sys.stderr.fileno(), level)
+    status = _run(settings)
+    lines.flush()
+    sys.exit(status)
 
 
 def _run(settings: Settings) -> int:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -14,7 +14,7 @@
 from savoryhold.core.decoding import UNREADABLE, host_port
 from savoryhold.core.errors import ConfigurationError, PlatformError
 from savoryhold.core.ids import NodeId, Region, Zone
-from savoryhold.daemon.logs import get_log
+from savoryhold.daemon.logs import LineBuffer, get_log
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
@@ -29,7 +29,7 @@
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.table_proofs import TableProofTask
 from savoryhold.mesh.tables import TableTask
-from savoryhold.mesh.telemetry import LineBuffer, Telemetry
+from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import Link, LinkStream, PeerPool, messages
 from savoryhold.wire import Exchange, HttpServer
 
@@ -410,9 +410,9 @@
         if task.cancelled() or task.exception() is None:
             return
         exc = task.exception()
-        self.log.error('task_failed', error=repr(exc), at=_format_frames(exc))
         self._failure = f'{exc!r} at {_format_frames(exc)}'
         self._leave_requested.set()
+        self.log.error('task_failed', error=repr(exc), at=_format_frames(exc))
 
     async def _flush(self) -> None:
         while True:
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -1,11 +1,6 @@
 """Telemetry of requests: log lines, counters and latency histograms."""
 
-import os
-from collections import Counter, deque
-from functools import partial
-from typing import TextIO, cast
-
-import structlog
+from collections import Counter
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import RequestError
@@ -14,85 +9,16 @@
 from savoryhold.traffic import RetryDecision
 from savoryhold.wire import HeaderNames, HttpRequest
 
-__all__ = ['LineBuffer', 'Telemetry', 'set_up_mesh_logs']
+__all__ = ['Telemetry']
 
 # One in so many answers is logged even if it is neither failed nor late.
 SAMPLE_EVERY = 64
-MAX_LINES = 2000  # buffered lines; further ones are dropped and counted
 LINES_PER_SECOND = 200  # limits the lines on requests in a burst
 BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1000, 2500)
 SERVER_ERROR = 500
 MS_PER_SECOND = 1000
 
 
-class LineBuffer:
-    """Buffer of log lines, written to a file without blocking."""
-
-    def __init__(self, fileno: int) -> None:
-        self.lost_count = 0
-        self._fileno = fileno
-        self._lines: deque[str] = deque()
-        os.set_blocking(fileno, False)
-
-    def write(self, line: str) -> None:
-        """Buffer a line, or drop and count it if the buffer is full."""
-        if len(self._lines) >= MAX_LINES:
-            self.lost_count += 1
-        else:
-            self._lines.append(line)
-
-    def flush(self) -> None:
-        """Write as much as the file accepts without blocking."""
-        if not self._lines:
-            return
-        packed = ''.join(self._lines).encode()
-        try:
-            written = os.write(self._fileno, packed)
-        except BlockingIOError:
-            return
-        except OSError:
-            # The reader has closed the log.
-            self.lost_count += len(self._lines)
-            self._lines.clear()
-            return
-        self._lines.clear()
-        if written < len(packed):
-            self._lines.append(packed[written:].decode(errors='replace'))
-
-
-def set_up_mesh_logs(fileno: int) -> LineBuffer:
-    """Configure logging to a buffer.
-
-    Parameters
-    ----------
-    fileno : int
-        Open file to which the buffer is flushed.
-
-    Returns
-    -------
-    LineBuffer
-        The buffer, which the caller flushes regularly.
-    """
-    lines = LineBuffer(fileno)
-    structlog.configure(
-        processors=[
-            structlog.processors.TimeStamper(fmt='iso', utc=True),
-            structlog.processors.add_log_level,
-            structlog.processors.LogfmtRenderer(
-                key_order=['timestamp', 'level', 'event'],
-                bool_as_flag=False,
-            ),
-        ],
-        logger_factory=partial(_make_logger, lines),
-        cache_logger_on_first_use=True,
-    )
-    return lines
-
-
-def _make_logger(lines: LineBuffer, *names: str) -> structlog.WriteLogger:
-    return structlog.WriteLogger(cast(TextIO, lines))
-
-
 class Telemetry:
     """Counts requests by outcome; logs failed, late and sampled ones.
 
@@ -205,13 +131,13 @@
         lines = ['# TYPE savoryhold_mesh_requests_total counter']
         for (what, outcome), count in sorted(self.outcomes.items()):
             lines.append(
-                f'savoryhold_mesh_requests_total{{what="{what}",'
+                f'savoryhold_mesh_requests_total{{what="{_label(what)}",'
                 f'outcome="{outcome}"}} {count}'
             )
         lines.append('# TYPE savoryhold_mesh_repeats_total counter')
         for (service, outcome), count in sorted(self.repeats.items()):
             lines.append(
-                f'savoryhold_mesh_repeats_total{{service="{service}",'
+                f'savoryhold_mesh_repeats_total{{service="{_label(service)}",'
                 f'outcome="{outcome}"}} {count}'
             )
         lines.append('# TYPE savoryhold_mesh_request_ms histogram')
@@ -220,24 +146,25 @@
         for name, level in sorted(gauges.items()):
             lines.append(f'savoryhold_mesh_{name} {level}')
         lines.append(f'savoryhold_mesh_lines_unlogged {self.unlogged_count}')
-        return '\n'.join([*lines, '']).encode()
+        return '\n'.join([*lines, '']).encode(errors='backslashreplace')
 
     def _histogram(self, route: str) -> list[str]:
         lines = []
+        name = _label(route)
         for bound in (*BUCKETS_MS, float('inf')):
             count = self.latency[(route, bound)]
             text = '+Inf' if bound == float('inf') else str(bound)
             lines.append(
-                f'savoryhold_mesh_request_ms_bucket{{route="{route}",'
+                f'savoryhold_mesh_request_ms_bucket{{route="{name}",'
                 f'le="{text}"}} {count}'
             )
         total = self.latency[(route, float('inf'))]
         lines.append(
-            f'savoryhold_mesh_request_ms_sum{{route="{route}"}} '
+            f'savoryhold_mesh_request_ms_sum{{route="{name}"}} '
             f'{self.latency_sum[route]}'
         )
         lines.append(
-            f'savoryhold_mesh_request_ms_count{{route="{route}"}} {total}'
+            f'savoryhold_mesh_request_ms_count{{route="{name}"}} {total}'
         )
         return lines
 
@@ -262,3 +189,9 @@
 
 def _request_id(http: HttpRequest, names: HeaderNames) -> str:
     return http.header(names.request_id.lower()).decode('latin-1')
+
+
+def _label(text: str) -> str:
+    """Escape a text for use as the value of a label."""
+    escaped = text.replace('\\', r'\\').replace('"', r'\"')
+    return escaped.replace('\n', r'\n')
--- a/src/savoryhold/mesh/tests/test_node_shutdown.py
+++ b/src/savoryhold/mesh/tests/test_node_shutdown.py
@@ -14,12 +14,12 @@
 from savoryhold.core.errors import ConfigurationError, LinkError
 from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.core.transit import TransitDelay
+from savoryhold.daemon.logs import set_up_logs
 from savoryhold.mesh.codec import relay_message
 from savoryhold.mesh.members import MemberTable, NodeStatus
 from savoryhold.mesh.node import MeshNode, linger_ms
 from savoryhold.mesh.requests import NO_KEY, RelayedAnswer, RelayedRequest
 from savoryhold.mesh.settings import MeshSettings
-from savoryhold.mesh.telemetry import set_up_mesh_logs
 from savoryhold.mesh.tests.fleet import (
     CONFIG,
     DESK,
@@ -99,7 +99,7 @@
             self.node = MeshNode(
                 self.settings,
                 cast(Any, adapter),
-                set_up_mesh_logs(os.open(os.devnull, os.O_WRONLY)),
+                set_up_logs(os.open(os.devnull, os.O_WRONLY)),
                 lambda: self.settings,
             )
         self.drained_at = -1
@@ -452,3 +452,20 @@
             2, leaver.name, leaver.address
         )
         self.assertTrue(tables.schedule_pull.called)
+
+
+class TestFailedTask(ShutdownCase):
+    """A background task that ends with an exception."""
+
+    # The end of a task was logged before it was acted on: as long as log calls
+    # raised, the node lived on without the task.
+    async def test_node_leaves_even_if_the_log_fails(self) -> None:
+        """The node stops, and knows why."""
+        task = asyncio.ensure_future(asyncio.wait_for(asyncio.sleep(1), 0))
+        await asyncio.wait([task])
+        log = SimpleNamespace(error=mock.Mock(side_effect=UnicodeError))
+        self.node.log = cast(Any, log)
+        with self.assertRaises(UnicodeError):
+            self.node._on_task_end(task)
+        self.assertTrue(self.node._leave_requested.is_set())
+        self.assertIn('TimeoutError', self.node._failure)
--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -12,6 +12,7 @@
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import ConfigurationError
 from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
+from savoryhold.daemon.logs import set_up_logs
 from savoryhold.mesh import (
     MeshSettings,
     TargetLeave,
@@ -24,7 +25,6 @@
     leave_ms,
     linger_ms,
 )
-from savoryhold.mesh.telemetry import set_up_mesh_logs
 from savoryhold.ranges import GrantReply
 from savoryhold.standins.fleet import PortReservation
 from savoryhold.wire import ClientPool, HttpRequest
@@ -114,7 +114,7 @@
         self.node = MeshNode(
             settings,
             adapter,
-            set_up_mesh_logs(os.open(os.devnull, os.O_WRONLY)),
+            set_up_logs(os.open(os.devnull, os.O_WRONLY)),
             lambda: settings,
         )
 
@@ -365,7 +365,7 @@
             '            loop.add_signal_handler(signum, print)\n'
             '        return 0\n'
             'run.MeshNode = Node\n'
-            'run.PlatformAdapter = run.set_up_mesh_logs = lambda *given: None\n'
+            'run.PlatformAdapter = run.set_up_logs = lambda *given: None\n'
             'run._load = lambda: types.SimpleNamespace(store="")\n'
             'class Late:\n'
             '    def __del__(self, kill=os.kill, pid=os.getpid()):\n'
--- a/src/savoryhold/target/tracker.py
+++ b/src/savoryhold/target/tracker.py
@@ -5,7 +5,7 @@
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field
 
 from savoryhold.core.clock import Clock
-from savoryhold.core.decoding import host_port
+from savoryhold.core.decoding import host_port, plain_text
 
 __all__ = ['Announcement', 'TargetTracker']
 
@@ -18,7 +18,7 @@
 
     model_config = ConfigDict(extra='ignore', frozen=True)
 
-    service: str
+    service: Annotated[str, AfterValidator(plain_text)]
     address: Annotated[str, AfterValidator(host_port)]
     slots: int = Field(gt=0)
     connections: int = Field(DEFAULT_CONNECTIONS, gt=0)
