A change of the configuration is found although all watches are lost

Cause: two nodes a region watch the store, the others rely on them. A watch whose answer is lost looks like one without changes for 31.5 s, and all nodes that watch can lose theirs at once.

Change: statuses say when a node last knew that its version was the newest. A failed check, or a change that a watch does not bring, gives up the watch; idle connections to the store are closed after a time-out; reads go on from the revision of the list, since that of the object may be older than the store's history.

--- a/src/savoryhold/daemon/watcher.py
+++ b/src/savoryhold/daemon/watcher.py
@@ -9,7 +9,8 @@
 
 __all__ = ['WatcherTask']
 
-WATCH_MS = 10_000
+# A watch whose answer is lost looks like one without changes until it ends.
+WATCH_MS = 1000
 IDLE_MS = 500
 RETRY_MS = 500
 
--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -72,6 +72,8 @@
             (ServiceName(entry.service_name), Version(entry.version))
             for entry in message.tables or ()
         ),
+        message.config_at or 0,
+        message.config_age_ms or 0,
     )
 
 
--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -2,10 +2,12 @@
 
 A few nodes of each region watch the store.  They send the others what has
 changed; a node that lacks the version from which it has changed, or that only
-learns from a status of a newer one, fetches it (`ConfigFollower`).
+learns from a status of a newer one, fetches it (`ConfigFollower`).  In case
+the answers to all watches are lost, one node checks (`ConfigCheckTask`).
 """
 
 import asyncio
+import dataclasses
 import functools
 import json
 import random
@@ -16,6 +18,7 @@
 from savoryhold.core.decoding import parse_json
 from savoryhold.core.errors import (
     ConfigurationError,
+    HistoryLostError,
     LinkError,
     MalformedMessageError,
     PlatformError,
@@ -28,15 +31,16 @@
     make_delta,
 )
 from savoryhold.mesh.config_follower import ConfigFollower, ConfigSources
-from savoryhold.mesh.interface import Adapter, StoredObject
+from savoryhold.mesh.interface import Adapter, Listing
 from savoryhold.peer import PeerPool, messages
 from savoryhold.peer.packing import pack, unpack
 from savoryhold.traffic import CallerLimits, RouteTable
 
-__all__ = ['ConfigTask']
+__all__ = ['ConfigCheck', 'ConfigTask']
 
 MS_PER_SECOND = 1000
 WATCH_MS = 30_000  # longest wait that the store allows
+WATCH_LAG_MS = 1000  # after which a watch without a change in force is lost
 IDLE_POLL_MS = 500  # after which a node checks again whether to watch
 RETRY_MS = 400
 LONG_RETRY_MS = 2000  # if a peer reaches the store and announces changes
@@ -49,6 +53,22 @@
 DEFAULT_LIMITS = CallerLimits()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigCheck:
+    """Proof that the version in force was the newest.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the store, 0 if unknown.
+    at : int
+        Time in ms.
+    """
+
+    revision: int
+    at: int
+
+
 class ConfigTask:
     """Owns the configuration in force, whose version never decreases.
 
@@ -70,7 +90,10 @@
         self.routes: RouteTable | None = None
         self.version = 0
         self.failed_pulls = 0
+        self.checked = ConfigCheck(0, clock.now())
         self.on_change: Callable[[], None] = lambda: None
+        # Done once the watch under way is considered lost.
+        self._doubt: asyncio.Future[None] | None = None
         self._adapter = adapter
         self._pool = pool
         self._clock = clock
@@ -142,8 +165,30 @@
         self._spec = spec
         self._updates.clear()
         self.loaded.set()
+        if self._doubt is not None:
+            self._doubt.get_loop().call_later(
+                WATCH_LAG_MS / MS_PER_SECOND, _resolve, self._doubt
+            )
         return True
 
+    async def check(self, revision: int) -> None:
+        """Accept what was stored after a revision, and record the check.
+
+        Raises
+        ------
+        PlatformError
+            If the store does not answer; the watch under way is then
+            considered lost.
+        """
+        sent_at = self._clock.now()
+        try:
+            listing = await self._changes_since(revision)
+        except PlatformError:
+            if self._doubt is not None:
+                _resolve(self._doubt)
+            raise
+        self._accept_listing(listing, 'check', sent_at)
+
     def update_message(self, base: int) -> messages.Message:
         """Return the message with the configuration in force.
 
@@ -238,7 +283,7 @@
         """Read the store; return the version found, None on failure."""
         began = self._clock.now()
         try:
-            stored = await self._adapter.read_config()
+            listing = await self._adapter.list_config()
         except PlatformError as exc:
             self._log.info(
                 'config_not_read',
@@ -246,10 +291,21 @@
                 took_ms=self._clock.now() - began,
             )
             return None
-        if stored is not None:
-            self._accept_and_announce(stored, 'store')
+        self._accept_listing(listing, 'store', began)
         return self.version
 
+    async def _changes_since(self, revision: int) -> Listing:
+        if not revision:
+            return await self._adapter.list_config()
+        try:
+            listing = await self._adapter.check_config(revision)
+        except HistoryLostError:
+            return await self._adapter.list_config()
+        if listing.unreadable:
+            # One of the changes may have been of the configuration.
+            return await self._adapter.list_config()
+        return listing
+
     async def _watch_store(self) -> None:
         """Read and watch the stored configuration until cancelled."""
         revision: int | None = None
@@ -276,16 +332,18 @@
         return await self._watch(revision)
 
     async def _read(self) -> int | None:
-        stored = await self._adapter.read_config()
-        if stored is None:
+        sent_at = self._clock.now()
+        listing = await self._adapter.list_config()
+        if not listing.objects:
             await asyncio.sleep(ABSENT_MS / MS_PER_SECOND)
             return None
-        self._accept_and_announce(stored, 'store')
-        return stored.version
+        self._accept_listing(listing, 'store', sent_at)
+        # The revision of the object may be older than the store's history.
+        return listing.at
 
     async def _watch(self, revision: int) -> int | None:
         try:
-            listing = await self._adapter.watch_config(revision, WATCH_MS)
+            listing = await self._watch_or_doubt(revision)
         except PlatformError as exc:
             # The store cuts off watches and drops its history at any time.
             # The version of now is read instead; if that fails, it is lost.
@@ -293,9 +351,9 @@
             pause = REREAD_MS * (0.5 + random.random())
             await asyncio.sleep(pause / MS_PER_SECOND)
             return None
-        if listing.objects:
-            self._accept_and_announce(listing.objects[-1], 'watch')
-        elif not listing.unreadable:
+        if not listing.unreadable:
+            self._accept_listing(listing, 'watch', self._clock.now())
+        if not listing.objects and not listing.unreadable:
             return listing.at
         previous, self._changed_at = self._changed_at, self._clock.now()
         if self._changed_at - previous > STORM_MS and not listing.unreadable:
@@ -305,10 +363,31 @@
         await asyncio.sleep(STORM_PAUSE_MS / MS_PER_SECOND)
         return None
 
-    def _accept_and_announce(self, stored: StoredObject, source: str) -> None:
-        """Accept a stored configuration and announce it to the other nodes."""
-        if self.accept(stored.spec, source):
+    async def _watch_or_doubt(self, revision: int) -> Listing:
+        """Watch until the store answers, or until the watch seems lost."""
+        watch = asyncio.ensure_future(
+            self._adapter.watch_config(revision, WATCH_MS)
+        )
+        self._doubt = asyncio.get_running_loop().create_future()
+        try:
+            await asyncio.wait(
+                (watch, self._doubt), return_when=asyncio.FIRST_COMPLETED
+            )
+            if watch.done():
+                return watch.result()
+        finally:
+            self._doubt = None
+            watch.cancel()
+        raise PlatformError('no answer, though the configuration has changed')
+
+    def _accept_listing(
+        self, listing: Listing, source: str, asked_at: int
+    ) -> None:
+        """Accept and announce what is stored; it was the newest when asked."""
+        stored = listing.objects
+        if stored and self.accept(stored[-1].spec, source):
             self.on_change()
+        self.checked = ConfigCheck(listing.at, asked_at)
 
     def _log_store_lost(self, error: str) -> None:
         if self.store_reachable:
@@ -321,5 +400,10 @@
             self._log.info('store_back')
 
 
+def _resolve(fut: 'asyncio.Future[None]') -> None:
+    if not fut.done():
+        fut.set_result(None)
+
+
 def _to_json(fields: Any) -> bytes:
     return json.dumps(fields, separators=(',', ':')).encode()
--- a/src/savoryhold/mesh/digests.py
+++ b/src/savoryhold/mesh/digests.py
@@ -130,4 +130,6 @@
     'sent_at': whole_number,
     'config_version': whole_number,
     'tables': _versions,
+    'config_at': whole_number,
+    'config_age_ms': whole_number,
 }
--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -136,11 +136,14 @@
     def store(self) -> MeshStore:
         """Return the client of the object API."""
 
-    async def read_config(self) -> StoredObject | None:
-        """Return the stored configuration, None if there is none yet."""
+    async def list_config(self) -> Listing:
+        """Return the stored configuration, no object if there is none yet."""
 
     async def watch_config(self, at: int, wait_ms: int) -> Listing:
-        """Return versions of the configuration after a revision."""
+        """Wait for versions of the configuration after a revision."""
+
+    async def check_config(self, at: int) -> Listing:
+        """Return versions after a revision, if any, without waiting."""
 
     def decode_config(self, spec: Any) -> MeshConfig:
         """Decode a configuration; raise `ConfigurationError` if invalid."""
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -70,6 +70,11 @@
         Version of the configuration in force at the node.
     tables : tuple of (ServiceName, Version)
         Versions of its key range tables.
+    config_at : int
+        Revision of the store at which it last knew that its version of the
+        configuration was the newest, 0 if it never did.
+    config_age_ms : int
+        Age of that knowledge when the status was sent.
     """
 
     node: NodeId
@@ -90,6 +95,8 @@
     sent_at: int = 0
     config_version: int = 0
     tables: tuple[tuple[ServiceName, Version], ...] = ()
+    config_at: int = 0
+    config_age_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -16,6 +16,7 @@
 from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.daemon.logs import LineBuffer, get_log
 from savoryhold.mesh.config import ConfigTask
+from savoryhold.mesh.config_checks import ConfigCheckTask
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
 from savoryhold.mesh.interface import Adapter, StoreConflictError
@@ -128,6 +129,7 @@
         )
         self.peers = PeerTask(context)
         self._placement = PlacementTask(context)
+        self._config_checks = ConfigCheckTask(context)
         self._proofs = TableProofTask(context)
         self.telemetry = Telemetry(clock, self.log)
         self.ingress = IngressTask(context, adapter.names, self.telemetry)
@@ -212,6 +214,7 @@
     def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
         return [
             self.configs.run(),
+            self._config_checks.run(),
             self._register(),
             self.peers.run(),
             self.peers.digests.run(),
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -178,6 +178,8 @@
             silent_zones=sorted(self._losses.silent_zones(now)),
             sent_at=now,
             store_lost=not self._configs.store_reachable,
+            config_at=self._configs.checked.revision,
+            config_age_ms=now - self._configs.checked.at,
         )
 
     def _send_due_statuses(self) -> None:
--- a/src/savoryhold/mesh/tests/fleet_model.py
+++ b/src/savoryhold/mesh/tests/fleet_model.py
@@ -13,6 +13,7 @@
 
 from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.core.transit import TransitDelay
+from savoryhold.mesh.config import ConfigCheck, ConfigTask
 from savoryhold.mesh.losses import LossDetector
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.node_context import NodeContext
@@ -79,22 +80,17 @@
         tables = SimpleNamespace(
             life=hash(name) & 0xFFFF, tables={}, owned_key_count=lambda: 555
         )
-        configs = SimpleNamespace(
-            version=1,
-            store_reachable=True,
-            follower=SimpleNamespace(on_announced=lambda *given: None),
-        )
-        context = NodeContext(
+        self.context = NodeContext(
             settings,
             self.members,
             cast(Any, owner),
             cast(Any, tables),
-            cast(Any, configs),
+            model.make_configs(name),
             cast(Any, None),
             clock,
             cast(Any, SilentLog()),
         )
-        self.peers = ModelPeerTask(context)
+        self.peers = ModelPeerTask(self.context)
         self.peers.model = model
         self.tasks: list[asyncio.Task[None]] = []
         self._calls: dict[NodeId, Any] = {}
@@ -144,6 +140,16 @@
             self.nodes[node.name] = node
         self._by_address = {one.address: one for one in self.nodes.values()}
 
+    def make_configs(self, name: NodeId) -> ConfigTask:
+        """Return what a node knows of the configuration."""
+        stub = SimpleNamespace(
+            version=1,
+            store_reachable=True,
+            checked=ConfigCheck(0, self.clock.now()),
+            follower=SimpleNamespace(on_announced=lambda *given: None),
+        )
+        return cast(ConfigTask, stub)
+
     async def start(self) -> None:
         """Start all nodes within a moment, each knowing those before it."""
         started: list[ModelNode] = []
--- a/src/savoryhold/mesh/tests/test_config_delivery.py
+++ b/src/savoryhold/mesh/tests/test_config_delivery.py
@@ -64,14 +64,14 @@
         self.reads = 0
         self.watch_cut = asyncio.Event()
 
-    async def read_config(self) -> StoredObject | None:
+    async def list_config(self) -> Listing:
         """Return the stored configuration."""
         self.reads += 1
         if self.is_silent:
             await asyncio.sleep(STORE_TIMEOUT_S)
             raise PlatformError('no answer in time')
         await asyncio.sleep(ROUND_TRIP_S)
-        return self._stored()
+        return Listing(self.version, (self._stored(),))
 
     async def watch_config(self, at: int, wait_ms: int) -> Listing:
         """Wait until the test cuts the watch off."""
--- a/src/savoryhold/mesh/tests/test_config_storm.py
+++ b/src/savoryhold/mesh/tests/test_config_storm.py
@@ -33,12 +33,12 @@
         self.rejects_calls = False
         self.version = 1
 
-    async def read_config(self) -> StoredObject | None:
+    async def list_config(self) -> Listing:
         """Return the current version."""
         self.calls['read'] += 1
         if self.rejects_calls:
             raise PlatformError('call rejected')
-        return self._stored()
+        return Listing(self.version, (self._stored(),))
 
     async def watch_config(self, at: int, wait_ms: int) -> Listing:
         """Return a change at once, until there are no more."""
--- a/src/savoryhold/mesh/tests/test_odd_entries.py
+++ b/src/savoryhold/mesh/tests/test_odd_entries.py
@@ -237,8 +237,10 @@
         adapter = SimpleNamespace(
             decode_config=decode_config,
             watch_config=mock.AsyncMock(return_value=Listing(9, (), (), 1)),
-            read_config=mock.AsyncMock(
-                return_value=StoredObject('main', Version(8), spec)
+            list_config=mock.AsyncMock(
+                return_value=Listing(
+                    9, (StoredObject('main', Version(8), spec),)
+                )
             ),
         )
         pool = cast(PeerPool, mock.Mock())
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -178,6 +178,8 @@
   16: i64 sent_at,
   17: bool store_lost,
   18: list<string> silent_zones,
+  19: i64 config_at,
+  20: i64 config_age_ms,
 }
 
 // Statuses of many nodes, as compressed JSON.  `forwarded` within a zone only.
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -383,6 +383,10 @@
     def retire(self) -> None:
         """Send no further requests; close each connection after its answer."""
         self._retired = True
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections without a request under way."""
         for conn in self._idle:
             conn.close()
         self._idle.clear()
