--- a/src/savoryhold/mesh/tests/test_node_shutdown.py
+++ b/src/savoryhold/mesh/tests/test_node_shutdown.py
@@ -16,6 +16,7 @@
 from savoryhold.core.transit import TransitDelay
 from savoryhold.daemon.logs import set_up_logs
 from savoryhold.mesh.codec import relay_message
+from savoryhold.mesh.config import ConfigCheck
 from savoryhold.mesh.members import MemberTable, NodeStatus
 from savoryhold.mesh.node import MeshNode, linger_ms
 from savoryhold.mesh.requests import NO_KEY, RelayedAnswer, RelayedRequest
@@ -434,7 +435,9 @@
         make_message = leaver.peers.status_message
         with mock.patch.multiple(
             leaver.peers,
-            _configs=mock.Mock(version=2, store_reachable=True),
+            _configs=mock.Mock(
+                version=2, store_reachable=True, checked=ConfigCheck(0, 0)
+            ),
             _tables=mock.Mock(
                 tables={'desk': mock.Mock(service='desk', version=5)},
                 life=1,
