A target that has left is not used again after its node's restart

Cause: the leave was kept in the memory of one process, and any report counted while no other was known.

Change: the incarnation that leaves is stored with the node's entry in the registry before its leave, or its first draining report, is confirmed: two calls a leave, none at a start. A process that starts reads the entry before it uses a target. If the store does not answer, an announcement is not confirmed, and a target is used once a second report of it has come.

--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -11,6 +11,7 @@
 from savoryhold.wire import HeaderNames, HttpRequest
 
 __all__ = [
+    'NODE_KIND',
     'Adapter',
     'Listing',
     'MeshStore',
@@ -20,6 +21,8 @@
     'TargetReport',
 ]
 
+NODE_KIND = 'savoryhold-nodes'  # of the entries of nodes in the registry
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -17,9 +17,14 @@
 from savoryhold.daemon.logs import LineBuffer, get_log
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.config_checks import ConfigCheckTask
+from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
-from savoryhold.mesh.interface import Adapter, StoreConflictError
+from savoryhold.mesh.interface import (
+    NODE_KIND,
+    Adapter,
+    StoreConflictError,
+)
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.owner import OwnerTask
@@ -35,14 +40,12 @@
 from savoryhold.wire import Exchange, HttpServer
 
 __all__ = [
-    'NODE_KIND',
     'MeshNode',
     'last_answer_ms',
     'leave_ms',
     'linger_ms',
 ]
 
-NODE_KIND = 'savoryhold-nodes'
 SECRET = b'savoryhold-mesh'
 MS_PER_SECOND = 1000
 BACKLOG = 1024
@@ -130,10 +133,13 @@
         self.peers = PeerTask(context)
         self._placement = PlacementTask(context)
         self._config_checks = ConfigCheckTask(context)
+        self.departures = Departures(settings.node, adapter.store, self.log)
         self._proofs = TableProofTask(context)
         self.telemetry = Telemetry(clock, self.log)
         self.ingress = IngressTask(context, adapter.names, self.telemetry)
-        self._reports = ReportHandler(adapter, context, self._proofs)
+        self._reports = ReportHandler(
+            adapter, context, self._proofs, self.departures
+        )
         self.caller_server = HttpServer(
             self.ingress.handle, clock.now, self.configs.limits
         )
@@ -272,7 +278,12 @@
         # Read after the write, so that at least one of two nodes that start
         # together finds the other.
         specs = await self._read_registry()
-        if specs.get(cfg.node) != spec:
+        stored = specs.get(cfg.node)
+        if stored is not None:
+            self.departures.restore(stored)
+        self.departures.loaded.set()
+        spec = self.departures.add_to(spec)
+        if stored != spec:
             await store.replace(NODE_KIND, cfg.node, spec, None)
         self.log.info('registered', members=len(self.members.addresses))
         self.peers.introduce()
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -180,10 +180,10 @@
         loop = asyncio.get_running_loop()
         loop.call_later(REPLY_READ_MS / MS_PER_SECOND, self.wake)
 
-    def begin_leave(self, reason: str) -> None:
-        """Record that the target has announced that it leaves."""
+    def begin_leave(self, reason: str, *, ago_ms: int = 0) -> None:
+        """Record that the target announced some time ago that it leaves."""
         if self.leaving_since is None:
-            self.leaving_since = self.clock.now()
+            self.leaving_since = self.clock.now() - ago_ms
             self.log.info('target_leaving', reason=reason)
 
     def wake(self) -> None:
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from savoryhold.core.ids import ServiceName
+from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.interface import Adapter, TargetLeave, TargetReport
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.table_proofs import TableProofTask
@@ -18,7 +19,7 @@
 
 JSON_HEAD = b'content-type: application/json\r\n'
 MS_PER_SECOND = 1000
-CONFIG_WAIT_MS = 400  # the target ignores a reply after one second
+START_WAIT_MS = 400  # the target ignores a reply after one second
 # The current incarnation counts as running for this long after its report, so
 # that neither a delayed report of an earlier one nor a report of another writer
 # replaces it.
@@ -39,10 +40,16 @@
         Dependencies of the node's tasks.
     proofs : TableProofTask
         Renews the proof of the local target's table.
+    departures : Departures
+        Incarnations of the target that have announced their leave.
     """
 
     def __init__(
-        self, adapter: Adapter, context: NodeContext, proofs: TableProofTask
+        self,
+        adapter: Adapter,
+        context: NodeContext,
+        proofs: TableProofTask,
+        departures: Departures,
     ) -> None:
         self.refused_count = 0
         self._settings = context.settings
@@ -51,6 +58,9 @@
         self._owner = context.owner
         self._tables = context.tables
         self._proofs = proofs
+        self._departures = departures
+        # First report of a target of which nothing is known, and its time.
+        self._unproved: tuple[TargetReport, int] | None = None
         self._clock = context.clock
         self._log = context.log
         self._superseded: deque[TargetLife] = deque(maxlen=MAX_SUPERSEDED)
@@ -63,14 +73,49 @@
             self._on_leave(exchange, call)
         elif call is None:
             self._refuse(exchange, 'report_unreadable', 'malformed call')
-        elif call.service != self._settings.service:
-            reason = f'service: {call.service} does not run here'
+        else:
+            self._check_report(exchange, call)
+
+    def _check_report(self, exchange: Exchange, report: TargetReport) -> None:
+        """Refuse a report that is not about the local target."""
+        if report.service != self._settings.service:
+            reason = f'service: {report.service} does not run here'
             self._refuse(exchange, 'report_foreign', reason)
-        elif self._settings.target not in {'', call.address}:
-            reason = f'address: {call.address} is not that of the local target'
+        elif self._settings.target not in {'', report.address}:
+            reason = f'address: {report.address} is not that of the target'
             self._refuse(exchange, 'report_foreign', reason)
+        elif self._owner.report or self._departures.loaded.is_set():
+            self._on_report(exchange, report)
         else:
-            self._on_report(exchange, call)
+            self._spawn(self._on_first_report(exchange, report))
+
+    async def _on_first_report(
+        self, exchange: Exchange, report: TargetReport
+    ) -> None:
+        """Process a report that arrives before departures are known."""
+        await _wait_briefly(self._departures.loaded)
+        if self._departures.loaded.is_set() or self._goes_on(report):
+            self._on_report(exchange, report)
+        else:
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _goes_on(self, report: TargetReport) -> bool:
+        """Return whether a target has reported before, and goes on reporting.
+
+        Notes
+        -----
+        A target that has left sends no further reports, but a delayed one may
+        arrive.
+        """
+        now = self._clock.now()
+        if self._unproved is None or (
+            self._unproved[0].keys.life != report.keys.life
+        ):
+            self._unproved = (report, now)
+            return False
+        first, arrived_at = self._unproved
+        has_waited = now - arrived_at >= self._settings.report_ms // 2
+        return has_waited and report.sequence > first.sequence
 
     def _refuse(self, exchange: Exchange, event: str, reason: str) -> None:
         """Refuse a call of another writer; it changes nothing."""
@@ -107,18 +152,26 @@
             return
         self._record_superseded(report)
         self._owner.on_report(report)
-        if self._config_loaded.is_set():
+        life = report.keys.life
+        if self._departures.has(life):
+            self._owner.begin_leave('departed', ago_ms=self._settings.drain_ms)
+        is_announced = report.draining and not self._departures.is_stored(life)
+        if self._config_loaded.is_set() and not is_announced:
             self._answer_report(exchange, report)
             return
-        # Without a configuration it is not known whether the service has keys.
-        self._spawn(self._answer_when_configured(exchange, report))
+        self._spawn(self._answer_when_known(exchange, report))
 
-    async def _answer_when_configured(
+    async def _answer_when_known(
         self, exchange: Exchange, report: TargetReport
     ) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CONFIG_WAIT_MS / MS_PER_SECOND):
-                await self._config_loaded.wait()
+        """Answer once a leave is stored and a configuration is in force."""
+        if report.draining and not (
+            await self._departures.record(report.keys.life)
+        ):
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        # Without a configuration it is not known whether the service has keys.
+        await _wait_briefly(self._config_loaded)
         self._answer_report(exchange, report)
 
     def _answer_report(self, exchange: Exchange, report: TargetReport) -> None:
@@ -165,11 +218,26 @@
 
     def _on_leave(self, exchange: Exchange, call: TargetLeave) -> None:
         life = self._owner.target_life()
-        if life is not None and life.target == call.target:
-            # A notice of an earlier incarnation does not concern this one.
-            if call.born is None or call.born >= life.born:
-                self._owner.begin_leave('left')
-        exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
+        if life is None and call.born is not None:
+            # The target may report to this process after its leave.
+            life = TargetLife(call.target, call.born)
+        if life is None or life.target != call.target:
+            exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
+            return
+        # A notice of an earlier incarnation does not concern this one.
+        if call.born is None or call.born >= life.born:
+            self._owner.begin_leave('left')
+            self._spawn(self._confirm_leave(exchange, life))
+        else:
+            exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
+
+    async def _confirm_leave(
+        self, exchange: Exchange, life: TargetLife
+    ) -> None:
+        if await self._departures.record(life):
+            exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
+        else:
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _record_superseded(self, report: TargetReport) -> None:
         """Remember the incarnation that the reporting one has replaced."""
@@ -204,3 +272,10 @@
             return False
         silent = self._clock.now() - self._owner.reported_at
         return silent < RECENT_REPORT_MS
+
+
+async def _wait_briefly(event: asyncio.Event) -> None:
+    """Wait for an event of the start of this process."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(START_WAIT_MS / MS_PER_SECOND):
+            await event.wait()
--- /dev/null
+++ b/src/savoryhold/mesh/tests/test_departures.py
@@ -0,0 +1,239 @@
+"""Restarts of a node whose target has announced that it leaves."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any, cast
+from unittest import mock
+
+from savoryhold.core.errors import PlatformError, VersionConflictError
+from savoryhold.core.ids import NodeId, ServiceName, Version
+from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.departures import Departures
+from savoryhold.mesh.interface import StoredObject, TargetLeave, TargetReport
+from savoryhold.mesh.node import MeshNode
+from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.reports import ReportHandler
+from savoryhold.mesh.tests.fleet import LoopClock, mesh_settings
+from savoryhold.mesh.tests.virtual_time import VirtualTimeCase
+from savoryhold.ranges import Report, TargetLife
+from savoryhold.wire import HeaderNames
+
+NODE = NodeId('n0')
+FILES = ServiceName('files')
+ADDRESS = '127.0.0.1:1'
+CALL_S = 1.0
+ANSWER_S = 0.9  # the target ignores later answers
+LIFE = TargetLife('t', 7)
+
+
+class Registry:
+    """The store with this node's entry; it may give no answers."""
+
+    def __init__(self) -> None:
+        self.spec: dict[str, Any] = {'address': ADDRESS}
+        self.version = 1
+        self.is_silent = False
+
+    async def read(self, kind: str, name: str) -> StoredObject:
+        """Return the entry."""
+        await self._answer()
+        return StoredObject(name, Version(self.version), dict(self.spec))
+
+    async def replace(
+        self, kind: str, name: str, spec: Any, version: Version | None
+    ) -> StoredObject:
+        """Replace the entry, on condition of its version."""
+        await self._answer()
+        if version not in {None, self.version}:
+            raise VersionConflictError('another version is stored')
+        self.spec, self.version = spec, self.version + 1
+        return StoredObject(name, Version(self.version), spec)
+
+    async def _answer(self) -> None:
+        if self.is_silent:
+            await asyncio.sleep(CALL_S)
+            raise PlatformError('no answer')
+        await asyncio.sleep(0)
+
+
+class DepartureCase(VirtualTimeCase):
+    """The handler of reports of a node that is started several times."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the node for the first time."""
+        self.clock = LoopClock()
+        self.registry = Registry()
+        self.call: Any = None
+        self.start()
+        self.sequence = 0
+
+    def start(self) -> None:
+        """Start a process of the node with no memory of the last one."""
+        log = get_log(node=NODE)
+        self.owner = OwnerTask(NODE, HeaderNames(), self.clock, log, 1000, 1000)
+        self.departures = Departures(NODE, cast(Any, self.registry), log)
+        if not self.registry.is_silent:
+            self.departures.restore(self.registry.spec)
+            self.departures.loaded.set()
+        context = SimpleNamespace(
+            settings=mesh_settings(NODE, FILES),
+            configs=SimpleNamespace(loaded=asyncio.Event()),
+            owner=self.owner,
+            tables=SimpleNamespace(keyed_services=set),
+            clock=self.clock,
+            log=log,
+        )
+        context.configs.loaded.set()
+        adapter = SimpleNamespace(
+            decode_call=lambda req: self.call, encode_reply=lambda reply: b''
+        )
+        self.handler = ReportHandler(
+            cast(Any, adapter),
+            cast(Any, context),
+            cast(Any, None),
+            self.departures,
+        )
+
+    async def handle(self, call: TargetReport | TargetLeave) -> int:
+        """Return the status of the answer to a call, 0 if it is too late."""
+        statuses: list[int] = []
+        self.call = call
+        exchange = SimpleNamespace(
+            req=None, reply=lambda status, *rest: statuses.append(status)
+        )
+        self.handler.handle(cast(Any, exchange))
+        await asyncio.sleep(ANSWER_S)
+        return statuses[0] if statuses else 0
+
+    async def report(self, *, draining: bool = False, late: int = 0) -> int:
+        """Pass a report of the target, or a delayed one of before."""
+        self.sequence += 1
+        report = TargetReport(
+            Report(LIFE, (), ()),
+            FILES,
+            ADDRESS,
+            4,
+            draining=draining,
+            sequence=self.sequence - late,
+        )
+        return await self.handle(report)
+
+    async def leave(self) -> int:
+        """Pass the target's notice that it leaves."""
+        return await self.handle(TargetLeave(LIFE.target, LIFE.born))
+
+    def assert_unused(self) -> None:
+        """Check that the target gets no request."""
+        self.assertFalse(self.owner.is_ready())
+        self.assertFalse(self.owner.may_send())
+
+
+class TestRestart(DepartureCase):
+    """A late report after a leave that was confirmed."""
+
+    # The leave was known to the process only: after a restart of the node, a
+    # late report made it a target that takes requests.
+    async def test_target_that_has_left_is_not_used_again(self) -> None:
+        """Neither after one restart, nor after two."""
+        self.assertEqual(await self.report(), 200)
+        self.assertTrue(self.owner.may_send())
+        self.assertEqual(await self.leave(), 200)
+        for _ in range(2):
+            self.start()
+            await self.report(late=2)
+            self.assert_unused()
+
+    async def test_draining_target_is_not_used_again(self) -> None:
+        """A report of before is late; the next one is draining again."""
+        await self.report()
+        self.assertEqual(await self.report(draining=True), 200)
+        self.start()
+        await self.report(late=2)
+        self.assert_unused()
+        self.assertEqual(await self.report(draining=True), 200)
+        self.assert_unused()
+
+    async def test_leave_before_the_first_report_of_a_process(self) -> None:
+        """A late report after it changes nothing."""
+        self.assertEqual(await self.leave(), 200)
+        await self.report()
+        self.assert_unused()
+        self.start()
+        await self.report()
+        self.assert_unused()
+
+    async def test_next_incarnation_is_used(self) -> None:
+        """Departures are of one incarnation."""
+        await self.report()
+        await self.leave()
+        self.start()
+        next_life = TargetLife(LIFE.target, LIFE.born + 1)
+        report = TargetReport(
+            Report(next_life, (), ()), FILES, ADDRESS, 4, False, 1
+        )
+        self.assertEqual(await self.handle(report), 200)
+        self.assertTrue(self.owner.may_send())
+
+
+class TestStoreAway(DepartureCase):
+    """Announcements and restarts while the store gives no answer."""
+
+    async def test_leave_is_confirmed_once_it_is_stored(self) -> None:
+        """Until then the target is not used, and announces it again."""
+        await self.report()
+        self.registry.is_silent = True
+        self.assertEqual(await self.leave(), 503)
+        self.assertEqual(await self.report(draining=True), 503)
+        self.assertFalse(self.owner.is_ready())
+        self.registry.is_silent = False
+        self.assertEqual(await self.report(draining=True), 200)
+        self.assertEqual(self.registry.spec['departed'], [['t', 7]])
+
+    async def test_restarted_node_uses_a_target_that_goes_on_reporting(
+        self,
+    ) -> None:
+        """A single report may be a late one of a target that has left."""
+        self.registry.is_silent = True
+        self.start()
+        self.assertEqual(await self.report(), 503)
+        self.assertIsNone(self.owner.report)
+        self.assertEqual(await self.report(), 200)
+        self.assertTrue(self.owner.may_send())
+
+
+class TestEntry(DepartureCase):
+    """This node's entry in the registry."""
+
+    async def test_odd_departures_are_ignored(self) -> None:
+        """Another writer may have written the entry."""
+        for odd in (7, [7], [['t']], [['\ud800', 1]], [['t', '1']], None):
+            with self.subTest(odd=odd):
+                self.departures.restore({'departed': odd})
+                self.assertFalse(self.departures.has(LIFE))
+
+    async def test_entry_keeps_departures_at_a_start(self) -> None:
+        """The entry is written only if it has changed."""
+        await self.report()
+        await self.leave()
+        entry = self.registry.spec
+        store = mock.AsyncMock()
+        store.create.side_effect = VersionConflictError('exists')
+        node = SimpleNamespace(
+            settings=mesh_settings(NODE, FILES),
+            adapter=SimpleNamespace(store=store),
+            departures=Departures(NODE, store, get_log(node=NODE)),
+            log=get_log(node=NODE),
+            members=SimpleNamespace(addresses={}, by_zone=False),
+            peers=mock.Mock(),
+            _read_registry=mock.AsyncMock(
+                return_value={
+                    NODE: entry | {'zone': 'z', 'region': 'r'},
+                }
+            ),
+        )
+        with mock.patch(
+            'savoryhold.mesh.node.StoreConflictError', VersionConflictError
+        ):
+            await MeshNode._register_once(cast(Any, node))
+        store.replace.assert_not_called()
+        self.assertTrue(node.departures.is_stored(LIFE))
--- a/src/savoryhold/mesh/tests/test_foreign_reports.py
+++ b/src/savoryhold/mesh/tests/test_foreign_reports.py
@@ -6,9 +6,11 @@
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest import mock
 
 from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.tests.fleet import LoopClock, mesh_settings
@@ -107,7 +109,13 @@
             log=log,
         )
         adapter = PlatformAdapter('127.0.0.1:1', clock.now)
-        self.handler = ReportHandler(adapter, cast(Any, context), cast(Any, 0))
+        store = mock.AsyncMock()
+        store.read.return_value = None
+        departures = Departures(NODE, store, log)
+        departures.loaded.set()
+        self.handler = ReportHandler(
+            adapter, cast(Any, context), cast(Any, 0), departures
+        )
 
     def handle(self, fields: dict[str, Any], target: str = 't') -> int:
         """Pass a report to the handler; return the status of the answer."""
--- a/src/savoryhold/mesh/tests/test_target_restarts.py
+++ b/src/savoryhold/mesh/tests/test_target_restarts.py
@@ -9,12 +9,14 @@
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
+from unittest import mock
 
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import LinkError
 from savoryhold.core.ids import NodeId, RequestId, ServiceName
 from savoryhold.core.poison import Fingerprint, PoisonGuard, Strike
 from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.interface import TargetLeave, TargetReport
 from savoryhold.mesh.owner import MAX_REPORT_DELAY_MS, OwnerTask
 from savoryhold.mesh.reports import (
@@ -76,6 +78,10 @@
         self.owner = OwnerTask(NODE, NAMES, self.clock, log, 1000, 1000)
         self.calls: list[TargetReport | TargetLeave] = []
         self.statuses: list[int] = []
+        store = mock.AsyncMock()
+        store.read.return_value = None
+        departures = Departures(NODE, store, log)
+        departures.loaded.set()
         self.handler = ReportHandler(
             cast(
                 Any,
@@ -96,6 +102,7 @@
                 ),
             ),
             cast(Any, None),
+            departures,
         )
 
     # During a pause of the target, a late report of its previous incarnation
