A name in the registry that cannot be encoded ends no node

Seen by the review: with one such entry in the store, three of four nodes ended soon after their start.

Cause: names, zones and regions of entries were taken with str() and are listed in statuses, whose frames cannot hold half of a surrogate pair.

Change: they are checked as all texts of other writers; an entry with another is counted as unreadable.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -11,7 +11,7 @@
 
 from savoryhold import __version__
 from savoryhold.core.clock import BootClock
-from savoryhold.core.decoding import UNREADABLE, host_port
+from savoryhold.core.decoding import UNREADABLE, host_port, plain_text
 from savoryhold.core.errors import ConfigurationError, PlatformError
 from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.daemon.logs import LineBuffer, get_log
@@ -512,7 +512,8 @@
 def _place_of(spec: dict[str, Any]) -> Place:
     """Return the place that a node has registered."""
     return Place(
-        Zone(str(spec.get('zone', ''))), Region(str(spec.get('region', '')))
+        Zone(plain_text(spec.get('zone', ''), least=0)),
+        Region(plain_text(spec.get('region', ''), least=0)),
     )
 
 
--- a/src/savoryhold/mesh/tests/test_odd_entries.py
+++ b/src/savoryhold/mesh/tests/test_odd_entries.py
@@ -115,6 +115,9 @@
     '{"metadata":7}',
     '{"metadata":{"name":"x","revision":1e999}}',
     '{"metadata":{"name":"x","revision":"x"}}',
+    # Such a name ended the nodes that told others of it.
+    r'{"metadata":{"name":"\ud800","revision":1},"spec":{}}',
+    '{"metadata":{"name":7,"revision":1},"spec":{}}',
     DEEP_LIST,
     f'{{"metadata":{DEEP_LIST}}}',
 )
@@ -207,7 +210,13 @@
             for name, address in (*bad, *good)
         ]
         entries.extend(
-            StoredObject('d', Version(1), odd) for odd in (7, {'address': 7})
+            StoredObject('d', Version(1), odd)
+            for odd in (
+                7,
+                {'address': 7},
+                {'address': good[0][1], 'zone': '\ud800'},
+                {'address': good[0][1], 'region': ['r']},
+            )
         )
         node = SimpleNamespace(
             adapter=SimpleNamespace(
