Test of a whole node that another writer sends odd reports

Operators saw, on their own machines: processes that ended by themselves, requests cut, 404 for routes that had been added, and work with a caller service that no machine runs.

The task that follows the configuration ended at its own log line.

That "the system didn't start" has no other cause is not shown.

--- a/src/savoryhold/mesh/tests/test_foreign_reports.py
+++ b/src/savoryhold/mesh/tests/test_foreign_reports.py
@@ -1,21 +1,26 @@
 """Reports of another writer at the address for the local target's reports."""
 
+import asyncio
+import contextlib
 import json
 import pathlib
 import sys
 import unittest
+from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest import mock
 
+from savoryhold.core.clock import BootClock
 from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.tests.fleet import LoopClock, mesh_settings
+from savoryhold.mesh.tests.test_platform import CONFIG, Host, MeshCase
 from savoryhold.mesh.tests.virtual_time import VirtualTimeCase
-from savoryhold.wire import HeaderNames, HttpRequest
+from savoryhold.wire import ClientPool, HeaderNames, HttpRequest
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[4] / 'platform'))
 
@@ -26,6 +31,9 @@
 NODE = NodeId('n0')
 SERVICE = 'desk'
 TARGET_ADDRESS = '127.0.0.1:80'
+ANSWER_MS = 300
+LIMIT_S = 10
+LATER = 2**41  # ms, after the start of any target here
 ODD_TEXTS: tuple[Any, ...] = (
     7,
     None,
@@ -143,3 +151,41 @@
                 self.assertEqual(self.handle(fields, 'other'), 400)
                 self.assertIs(self.owner.report, known)
         self.assertEqual(self.handler.refused_count, len(odd))
+
+
+class TestNode(MeshCase):
+    """A whole node that another writer sends odd reports from its start on."""
+
+    # After one of them the node served no further version of the configuration,
+    # answered 404 for its routes, and ended with status 1.
+    async def test_odd_reports_end_no_task(self) -> None:
+        """Each version is put in force, and the node stops as usual."""
+        host = self.hosts[0]
+        for number, odd in enumerate(ODD_TEXTS):
+            fields = heartbeat(odd) | {'born': LATER + number}
+            await self.send_report(host.node.settings.reports, fields)
+        for version in (8, 9):
+            newer = dict(CONFIG, version=version)
+            self.api.put('config', 'main', newer)
+            await self.until(partial(self.has_version, host, version))
+        found = await self.ask(host, '/desk/x', 1, 0)
+        self.assertEqual(found[0], 200)
+        host.node._unready_answers = 2
+        host.node._leave_requested.set()
+        self.assertEqual(await asyncio.wait_for(self.tasks[0], LIMIT_S), 0)
+
+    def has_version(self, host: Host, version: int) -> bool:
+        """Return whether a version is in force at a node."""
+        return host.node.configs.version == version
+
+    async def send_report(self, address: str, fields: dict[str, Any]) -> None:
+        """Send a report of another target; its answer may be missing."""
+        req = call(fields, 'odd')
+        head = (
+            f'POST {req.target.decode()} HTTP/1.1\r\nHost: n\r\n'
+            f'Content-Length: {len(req.body)}\r\n\r\n'
+        )
+        pool = ClientPool(address, BootClock().now)
+        with contextlib.suppress(TimeoutError):
+            await pool.ask(head.encode() + req.body, ANSWER_MS)
+        pool.close()
