All answers under way in a process share one bound of their bytes

Operators saw: a target that sent a body without end to 16 requests took its node from 38 to 1,219 MB (limit: 300), and nothing was given back afterwards.

Cause: what an aborted answer had brought was kept until a collection of garbage, since connection and parser refer to each other; trailers and extensions of chunks counted as body, and the parser copied a long one with each piece; each target had a bound of its own.

Change: one bound of 40 MB for all answers of a process; the longest ends as an error of its request alone. Bytes are dropped when an answer is aborted, bodies are one array, and trailers and extensions are bounded like heads. Two tests of the bound follow the new name of the constant and look at the shared count; their assertions are the same, on a lower bound.

--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -16,7 +16,7 @@
 from savoryhold.core.errors import LinkError
 from savoryhold.receive_buffer import has_unread_input
 
-__all__ = ['AnswerMatcher', 'ClientAnswer', 'ClientPool']
+__all__ = ['AnswerBudget', 'AnswerMatcher', 'ClientAnswer', 'ClientPool']
 
 MS_PER_SECOND = 1000
 CONNECT_MS = 1000
@@ -29,7 +29,8 @@
 MAX_ANSWER_BYTES = 32_000_000
 MAX_HEAD_BYTES = 65_536  # of one answer; servers usually stay below 8 KiB
 MAX_SKIPPED = 16  # interim and stray answers before the awaited one
-MAX_POOL_BYTES = 64_000_000  # of all answers under way from one target
+MAX_TOTAL_BYTES = 40_000_000  # of all answers under way in this process
+MAX_FRAMING = 8  # bytes a byte of body; chunks of one byte take five
 FIRST_FINAL_STATUS = 200  # lower ones are interim answers
 FIRST_FAILED_STATUS = 400
 MAX_FAILED_IDS = 64  # kept of a connection
@@ -64,6 +65,32 @@
         return self.fields.get(name, b'')
 
 
+class AnswerBudget:
+    """Bound on the bytes of all answers that are under way in a process."""
+
+    def __init__(self) -> None:
+        self.held = 0
+        self._conns: set[_Connection] = set()
+
+    def take(self, conn: '_Connection', count: int) -> None:
+        """Count bytes of an answer; abort the longest one beyond the limit."""
+        self._conns.add(conn)
+        conn.size += count
+        self.held += count
+        if self.held > MAX_TOTAL_BYTES:
+            longest = max(self._conns, key=attrgetter('size'))
+            longest.abort('all answers together are too large')
+
+    def release(self, conn: '_Connection') -> None:
+        """Count the bytes of an answer no longer, as it has ended."""
+        self._conns.discard(conn)
+        self.held -= conn.size
+        conn.size = 0
+
+
+_SHARED_BUDGET = AnswerBudget()
+
+
 class _Connection(asyncio.Protocol):
     """One connection, with at most one request under way."""
 
@@ -82,8 +109,12 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
         self._fields: dict[bytes, bytes] = {}
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._head_bytes = 0
+        self._framing_bytes = 0
+        # Bytes of all bodies of the connection, and those before this answer.
+        self._delivered = 0
+        self._delivered_before = 0
         self._skipped = 0
         self._bodiless = False
         self._is_in_answer = False
@@ -101,18 +132,19 @@
 
     def data_received(self, received: bytes) -> None:
         """Parse bytes; close the connection if no request is under way."""
-        if self.fut is None:
+        if self.fut is None or self.fut.done():
             self.reusable = False
             self.close()
             return
         self.received = True
+        delivered = self._delivered
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserError as exc:
             self.abort(f'malformed answer: {exc}')
         except httptools.HttpParserUpgrade:
             self.abort('answer switches protocols')
-        self._check_size(len(received))
+        self._check_size(len(received), self._delivered - delivered)
 
     def eof_received(self) -> bool:
         """Complete an answer whose body is delimited by the close."""
@@ -135,8 +167,10 @@
         """Start parsing an answer."""
         self._headers = []
         self._fields = {}
-        self._body = []
+        self._body = bytearray()
         self._head_bytes = 0
+        self._framing_bytes = 0
+        self._delivered_before = self._delivered
         self._is_in_answer = True
         self._in_head = True
 
@@ -156,7 +190,9 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(body)
+        self._delivered += len(body)
+        if not self.closed_here:
+            self._body += body
 
     def on_message_complete(self) -> None:
         """Return the answer to the request, if it is the matching one."""
@@ -176,8 +212,9 @@
             return
         self._update_keep_alive()
         answer = ClientAnswer(
-            status, self._headers, self._fields, b''.join(self._body)
+            status, self._headers, self._fields, bytes(self._body)
         )
+        self._body = bytearray()
         if status >= FIRST_FAILED_STATUS and self._request_id:
             self._failed_ids.add(self._request_id)
         if not self.fut.done():
@@ -212,11 +249,6 @@
             self._allow_slow_reading()
         self._transport.write(request)
 
-    def release_bytes(self) -> None:
-        """Subtract the bytes of the finished answer from the pool's total."""
-        self.pool.bytes_held -= self.size
-        self.size = 0
-
     @property
     def can_take_request(self) -> bool:
         """Return whether the connection is fit for another request."""
@@ -238,6 +270,10 @@
     def abort(self, reason: str) -> None:
         """Fail the request under way and close the connection."""
         self.reusable = False
+        # The parser refers back to the connection, so that its memory would be
+        # freed by the garbage collector only.
+        self._body = bytearray()
+        self._headers = []
         if self.fut is not None and not self.fut.done():
             self.fut.set_exception(LinkError(reason, sent=True))
         if not self.closed:
@@ -261,20 +297,32 @@
         sock = self._transport.get_extra_info('socket')
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
 
-    def _check_size(self, received: int) -> None:
-        """Abort if an answer, or what precedes it, exceeds a limit."""
-        self.size += received
-        self.pool.bytes_held += received
+    def _check_size(self, received: int, of_body: int) -> None:
+        """Abort if an answer, or what precedes it, exceeds a limit.
+
+        Parameters
+        ----------
+        received : int
+            Number of bytes received.
+        of_body : int
+            How many of them belong to the body; the others frame it.
+        """
         if self._in_head:
             self._head_bytes += received
+        else:
+            # Includes the head if it ends among these bytes.
+            self._framing_bytes += received - of_body
+        body_bytes = self._delivered - self._delivered_before
+        framing_limit = 2 * MAX_HEAD_BYTES + MAX_FRAMING * body_bytes
+        self.pool.budget.take(self, received)
         if self._head_bytes > MAX_HEAD_BYTES:
             self.abort('answer head is too large')
+        elif self._framing_bytes > framing_limit:
+            self.abort('chunk extensions or trailers are too large')
         elif self._skipped > MAX_SKIPPED:
             self.abort('too many interim or stray answers')
         elif self.size > MAX_ANSWER_BYTES:
             self.abort('answer is too large')
-        else:
-            self.pool.check_size()
 
     def _update_keep_alive(self) -> None:
         if not self._parser.should_keep_alive():
@@ -297,12 +345,19 @@
         ``host:port``.
     now : callable
         Returns the time in ms.
+    budget : AnswerBudget
+        Bound on the answers of several pools; by default, of all.
     """
 
-    def __init__(self, address: str, now: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        address: str,
+        now: Callable[[], int],
+        budget: AnswerBudget = _SHARED_BUDGET,
+    ) -> None:
         self.address = address
+        self.budget = budget
         self.opened = 0
-        self.bytes_held = 0
         self.stray_answers = 0
         self.refused = 0
         self.open_count = 0
@@ -374,12 +429,6 @@
         if conn in self._idle:
             self._idle.remove(conn)
 
-    def check_size(self) -> None:
-        """Abort the largest answer if all together exceed the limit."""
-        if self.bytes_held > MAX_POOL_BYTES:
-            largest = max(self._busy, key=attrgetter('size'))
-            largest.abort('all answers together are too large')
-
     def retire(self) -> None:
         """Send no further requests; close each connection after its answer."""
         self._retired = True
@@ -439,7 +488,7 @@
 
     def _give_back(self, conn: _Connection) -> None:
         self._busy.discard(conn)
-        conn.release_bytes()
+        self.budget.release(conn)
         conn.fut = None
         conn.answer_matches = None
         if conn.closed:
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import gc
 import select
 import socket
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -13,7 +15,7 @@
 from savoryhold.wire.client import (
     MAX_FAILED_IDS,
     MAX_HEAD_BYTES,
-    MAX_POOL_BYTES,
+    MAX_TOTAL_BYTES,
     MS_PER_SECOND,
     UNACKED_MS,
 )
@@ -25,6 +27,8 @@
 LONG_BYTES = 1_000_000
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole'
 REQUEST_COUNT = 4
+MANY_REQUESTS = 8
+TARGETS = 3
 BUFFERS_BYTES = 16_000_000  # in the kernel buffers of a connection
 
 
@@ -310,10 +314,61 @@
         """The total size of concurrent answers is bounded."""
         head = b'HTTP/1.1 200 OK\r\n\r\n'
         sent = await self.ask_endless(head, b'x', REQUEST_COUNT)
-        self.assertLess(sent, MAX_POOL_BYTES + REQUEST_COUNT * BUFFERS_BYTES)
+        self.assertLess(sent, MAX_TOTAL_BYTES + REQUEST_COUNT * BUFFERS_BYTES)
+
+    # Endless trailers were kept until the limit of a whole answer, and the
+    # parser copied them with each piece: other requests waited meanwhile.
+    async def test_endless_framing_is_aborted(self) -> None:
+        """Trailers and extensions of chunks are bounded like heads."""
+        head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        for first, then in (
+            (b'0\r\nx: ', b'y'),
+            (b'0\r\n', b'x: y\r\n'),
+            (b'5;', b'z'),
+        ):
+            with self.subTest(first=first):
+                sent = await self.ask_endless(head + first, then)
+                self.assertLess(sent, 4 * MAX_HEAD_BYTES + BUFFERS_BYTES)
+
+    # Each target had a bound of its own, and what an aborted answer had brought
+    # was kept until the next collection of garbage: 500 MB of one target.
+    async def test_memory_of_all_endless_answers_is_bounded(self) -> None:
+        """The bytes of aborted answers are freed at once."""
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        targets = (
+            self.ask_endless(head, b'x', MANY_REQUESTS) for _ in range(TARGETS)
+        )
+        await asyncio.gather(*targets)
+        kept, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak, 2 * MAX_TOTAL_BYTES)
+        self.assertLess(kept, MAX_TOTAL_BYTES / 4)
+
+    async def test_endless_answers_end_no_others(self) -> None:
+        """Whole answers beside them arrive."""
+        head = b'HTTP/1.1 200 OK\r\n\r\n'
+        body = sized_head(LONG_BYTES) + bytes(LONG_BYTES)
+        target = SizedTarget(*(body for _ in range(REQUEST_COUNT)))
+        server = await asyncio.start_server(target.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
+        endless = asyncio.ensure_future(
+            self.ask_endless(head, b'x', MANY_REQUESTS)
+        )
+        for _ in range(REQUEST_COUNT):
+            answer = await pool.ask(REQUEST, LIMIT_MS)
+            self.assertEqual(len(answer.body), LONG_BYTES)
+            # The target answers one request a connection.
+            pool.close_idle()
+        await endless
+        pool.close()
+        server.close()
 
     # The answer that exceeded the total was aborted, however short: 502.
-    @mock.patch('savoryhold.wire.client.MAX_POOL_BYTES', LONG_BYTES)
+    @mock.patch('savoryhold.wire.client.MAX_TOTAL_BYTES', LONG_BYTES)
     async def test_short_answer_outlives_a_long_one(self) -> None:
         """The answer that holds the most bytes is aborted."""
         held, brought = LONG_BYTES - 1000, LONG_BYTES // 2
@@ -326,7 +381,7 @@
         pool = ClientPool(f'127.0.0.1:{port}', BootClock().now)
         async with asyncio.timeout(LIMIT_S):
             long = asyncio.ensure_future(pool.ask(REQUEST, LIMIT_MS))
-            while pool.bytes_held < held:
+            while pool.budget.held < held:
                 await asyncio.sleep(0)
             answer = await pool.ask(REQUEST, LIMIT_MS)
             self.assertEqual(len(answer.body), brought)
