--- a/src/savoryhold/mesh/config_checks.py
+++ b/src/savoryhold/mesh/config_checks.py
@@ -52,7 +52,7 @@
 
     def is_due(self, now: int) -> bool:
         """Return whether it is this node's turn to check."""
-        if now < self._not_before:
+        if now < self._not_before or self._is_behind(now):
             return False
         return now - self.last_check(now).at >= self._wait_ms(now)
 
@@ -62,12 +62,24 @@
         for member in self._members.live_members(now):
             status = member.status
             if status.config_at and (
-                status.config_version >= self._configs.version
+                status.config_version == self._configs.version
             ):
                 at = member.received_at - status.config_age_ms
                 checks.append(ConfigCheck(status.config_at, at))
         return max(checks, key=lambda check: check.at)
 
+    def _is_behind(self, now: int) -> bool:
+        """Return whether a newer version is being fetched.
+
+        Notes
+        -----
+        The revision that its nodes tell of proves nothing of an older version.
+        """
+        return any(
+            member.status.config_version > self._configs.version
+            for member in self._members.live_members(now)
+        )
+
     def _wait_ms(self, now: int) -> int:
         """Return the age of the last check at which this node checks."""
         preceding = self._preceding_nodes(now)
--- a/src/savoryhold/mesh/tests/test_config_checks.py
+++ b/src/savoryhold/mesh/tests/test_config_checks.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import dataclasses
 from collections import Counter
 from functools import partial
 from typing import Any, cast
@@ -206,6 +207,28 @@
         self.assertLessEqual(calls, QUIET_S * CALLS_A_CHECK)
 
 
+class TestOldVersion(VirtualTimeCase):
+    """A node that has not fetched the version of another yet."""
+
+    # A check from the revision of a newer version finds no change, and would
+    # have told all nodes that the older one is the newest.
+    async def test_node_that_is_behind_does_not_check(self) -> None:
+        """What nodes with a newer version know is no check of an older one."""
+        fleet = ConfigFleet(2)
+        await fleet.start()
+        self.addCleanup(fleet.stop)
+        await asyncio.sleep(SETTLE_S)
+        first, second = fleet.nodes.values()
+        checks = ConfigCheckTask(first.context)
+        member = first.members.members[second.name]
+        member.status = dataclasses.replace(
+            member.status, config_version=2, config_at=900, config_age_ms=0
+        )
+        now = fleet.clock.now()
+        self.assertNotEqual(checks.last_check(now).revision, 900)
+        self.assertFalse(checks.is_due(now + CHECK_MS))
+
+
 class TestCost(VirtualTimeCase):
     """Calls of a quiet fleet."""
 
