Tests of connections close their streams

Streams that a test left open were closed by their finalizers after the end of the loop, which printed tracebacks (42 in three modules). They are closed where they are served; what is checked is the same.

--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -133,6 +133,9 @@
         except asyncio.CancelledError:
             # The test is over; its open connections end with it.
             return
+        finally:
+            writer.close()
+            far_writer.close()
 
     async def _pump(
         self,
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -221,7 +221,10 @@
         """Refuse all requests of the first connection, run all others."""
         self.connections += 1
         refuses = self.connections == 1
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 self.requests += 1
@@ -231,7 +234,6 @@
                     b'HTTP/1.1 %s\r\nx-id: %s\r\ncontent-length: 0\r\n\r\n'
                     % (status, request_id)
                 )
-        writer.close()
 
     async def ask(self, request_id: bytes) -> int:
         """Return the status of the answer to a request."""
@@ -458,6 +460,8 @@
                 piece = self._then
         except ConnectionError:
             self.ended += 1
+        finally:
+            writer.close()
 
 
 def sized_head(size: int) -> bytes:
--- a/src/savoryhold/wire/tests/test_late_copies.py
+++ b/src/savoryhold/wire/tests/test_late_copies.py
@@ -43,7 +43,10 @@
     ) -> None:
         """Write a copy of the last answer when the next request has come."""
         last = b''
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 writer.write(self.copy_of(last))
@@ -55,7 +58,6 @@
                     % (name, len(name))
                 ) + name
                 writer.write(last)
-        writer.close()
 
     def copy_of(self, answer: bytes) -> bytes:
         """Return what is written before the next answer."""
