The log of a watch that is given up says what is known

The text claimed a change of the configuration, also where a check had failed.

Found on reading the whole change; nothing else in it changes.

--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -378,7 +378,7 @@
         finally:
             self._doubt = None
             watch.cancel()
-        raise PlatformError('no answer, though the configuration has changed')
+        raise PlatformError('no answer to a watch that seems lost')
 
     def _accept_listing(
         self, listing: Listing, source: str, asked_at: int
