Doc examples run in a process of their own; a stub of settings has terms

Cause: the configuration file for the examples alone was not applied, so that one process ran the whole suite again; the stub lacked the new field.

--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -366,7 +366,7 @@
             '        return 0\n'
             'run.MeshNode = Node\n'
             'run.PlatformAdapter = run.set_up_logs = lambda *given: None\n'
-            'run._load = lambda: types.SimpleNamespace(store="")\n'
+            'run._load = lambda: types.SimpleNamespace(store="", terms=())\n'
             'class Late:\n'
             '    def __del__(self, kill=os.kill, pid=os.getpid()):\n'
             '        kill(pid, 1)\n'
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,7 +18,8 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 SOURCES = ROOT / 'src'
-DOCTESTS = ('-c', 'tools/doctests.cfg')
+DOCTESTS = 'tools.run_doctests'
+RUNNER = 'nose2'
 ALONE = 'test_hostile_'
 LIMIT_S = 1800  # of one module; a test that hangs counts as failed
 SPARE_CORES = 1
@@ -40,8 +41,8 @@
 
 
 def _run(arguments: Iterable[str]) -> tuple[int, int]:
-    """Run some tests; return how many have passed and failed."""
-    command = (sys.executable, '-m', 'nose2', *arguments)
+    """Run a module of Python; return how many tests have passed and failed."""
+    command = (sys.executable, '-m', *arguments)
     try:
         done = subprocess.run(
             command,
@@ -88,9 +89,11 @@
     workers = max(1, (os.cpu_count() or 1) - SPARE_CORES)
     with ThreadPoolExecutor(workers) as pool:
         outcomes = list(
-            pool.map(_run, [DOCTESTS, *((name,) for name in together)])
+            pool.map(
+                _run, [*((RUNNER, name) for name in together), (DOCTESTS,)]
+            )
         )
-    outcomes.extend(_run((name,)) for name in alone)
+    outcomes.extend(_run((RUNNER, name)) for name in alone)
     for entry in _known_red():
         sys.stdout.write(f'{KNOWN_RED}, not run: {entry}\n')
     passed = sum(outcome[0] for outcome in outcomes)
