An invalid entry of the configuration disables its own route only

Cause: an unknown kind or a wrong field of one route refused the whole version, so that no other change came into force; leaving the entry out would have sent its requests to a route with a shorter prefix. MeshConfig.refused lists what is disabled, RouteTable.match finds it, and its requests get 503, not run. Uploads count as large, like downloads, where the ingress ranks nodes by network.

--- a/src/savoryhold/cli/explain.py
+++ b/src/savoryhold/cli/explain.py
@@ -26,6 +26,7 @@
         'leaving',
         'node_heard',
         'node_silent',
+        'route_refused',
         'row_confirmed',
         'started',
         'stopped',
--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -49,6 +49,7 @@
 ABSENT_MS = 1000  # between reads until operators write the first version
 REREAD_MS = 150  # avoids a busy loop if watches fail at once
 PULL_LIMIT_MS = 2000  # other sources are tried meanwhile
+MAX_REFUSED_LINES = 20  # a version that disables more than that says how many
 MAX_PUSH_BYTES = 4096  # a larger difference is sent only to who asks for it
 DEFAULT_LIMITS = CallerLimits()
 
@@ -127,6 +128,10 @@
             if service.keyed
         }
 
+    def refused_count(self) -> int:
+        """Return the number of routes disabled by invalid fields."""
+        return 0 if self.routes is None else len(self.routes.cfg.refused)
+
     def limits(self) -> CallerLimits:
         """Return the limits on callers' requests."""
         return DEFAULT_LIMITS if self.routes is None else self.routes.cfg.limits
@@ -154,11 +159,20 @@
             version=cfg.version,
             before=self.version,
             routes=len(cfg.routes),
+            refused=len(cfg.refused),
             source=source,
             decode_ms=now - began,
             announced=self.follower.announced,
             announced_ms=self.follower.behind_ms(cfg.version),
         )
+        for refused in cfg.refused[:MAX_REFUSED_LINES]:
+            self._log.error(
+                'route_refused',
+                host=refused.host,
+                path=refused.prefix,
+                field=refused.field,
+                error=refused.error,
+            )
         if self.version:
             self._history.add(self.version, make_delta(self._spec, spec))
         self._previous, self.version = self.version, cfg.version
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -20,7 +20,7 @@
 )
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import LinkStream
-from savoryhold.traffic import Route, RouteKind, SharedRetryBudgets
+from savoryhold.traffic import Route, SharedRetryBudgets
 from savoryhold.wire import Exchange, HeaderNames, HttpRequest
 
 __all__ = ['IngressTask']
@@ -51,7 +51,7 @@
 
     def __init__(self, req: RelayedRequest, route: Route) -> None:
         self.req = req
-        self.large = route.kind is RouteKind.DOWNLOAD
+        self.large = route.kind.large
         self.tries_left = max(1, route.attempts)
         self.last_node: NodeId | None = None
         self.failed_nodes: set[NodeId] = set()
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -384,6 +384,7 @@
         gauges = {
             'keys_owned': float(self.tables.owned_key_count()),
             'config_version': float(self.configs.version),
+            'routes_refused': float(self.configs.refused_count()),
             'config_announced': float(self.configs.follower.announced),
             'config_pulls_failed': float(self.configs.failed_pulls),
             'target_connections_opened': float(
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -6,9 +6,14 @@
 from savoryhold.core.ids import RequestId, ServiceName
 from savoryhold.core.poison import fingerprint_of
 from savoryhold.mesh.node_context import NodeContext
-from savoryhold.mesh.requests import NO_KEY, RelayedRequest, TargetDownError
+from savoryhold.mesh.requests import (
+    NO_KEY,
+    RelayedRequest,
+    RouteRefusedError,
+    TargetDownError,
+)
 from savoryhold.ranges import KEY_COUNT
-from savoryhold.traffic import Route, RouteTable
+from savoryhold.traffic import RefusedRoute, Route, RouteTable
 from savoryhold.wire import (
     NOT_FORWARDED,
     HeaderNames,
@@ -21,6 +26,7 @@
 DEFAULT_DEADLINE_MS = 10_000
 NO_CONFIG_RETRY_MS = 200
 LATE_RETRY_MS = 50
+ROUTE_REFUSED_RETRY_MS = 2000  # operators have to correct the configuration
 MAX_KEY_DIGITS = 20  # the interpreter refuses to convert thousands
 STOPPING_RETRY_MS = 450  # a restarted process is often ready by then
 
@@ -53,9 +59,9 @@
         Raises
         ------
         RequestError
-            If no route matches, the deadline has passed or a header is
-            missing or invalid, or if the node is stopping and the request is
-            not a nested call of a run at its target.
+            If no route matches, the route is disabled, the deadline has passed
+            or a header is missing or invalid, or if the node is stopping and
+            the request is not a nested call of a run at its target.
         """
         routes = self._context.configs.routes
         if routes is None:
@@ -95,6 +101,7 @@
                 key,
             ),
             self._is_call_of_repeat(request, service),
+            regions=route.regions,
         )
         return req, route
 
@@ -123,6 +130,11 @@
             exc.status = HTTPStatus.NOT_FOUND
             exc.code = 'no-route'
             raise exc
+        if isinstance(route, RefusedRoute):
+            raise RouteRefusedError(
+                f'{route.host} {route.prefix}: {route.field}: {route.error}',
+                ROUTE_REFUSED_RETRY_MS,
+            )
         return route
 
     def _request_id(self, http: HttpRequest) -> RequestId:
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -16,6 +16,7 @@
     'PoisonedError',
     'RelayedAnswer',
     'RelayedRequest',
+    'RouteRefusedError',
     'ShedError',
     'TargetDownError',
 ]
@@ -122,6 +123,12 @@
     code = 'target-down'
 
 
+class RouteRefusedError(RequestError):
+    """The configuration of the request's route is invalid."""
+
+    code = 'route-refused'
+
+
 class BusyError(RequestError):
     """The request cannot wait long enough for a slot or for its key."""
 
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -2,11 +2,13 @@
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.choice import Candidate, Origin, choose
+from savoryhold.traffic.places import ANYWHERE, AllowedRegions
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
     MeshConfig,
+    RefusedRoute,
     Route,
     RouteKind,
     RouteTable,
@@ -15,12 +17,15 @@
 )
 
 __all__ = [
+    'ANYWHERE',
+    'AllowedRegions',
     'CallerLimits',
     'Candidate',
     'Feature',
     'MeshConfig',
     'Origin',
     'QueueRefusal',
+    'RefusedRoute',
     'RetryDecision',
     'Route',
     'RouteKind',
--- a/src/savoryhold/traffic/routes.py
+++ b/src/savoryhold/traffic/routes.py
@@ -4,11 +4,13 @@
 import enum
 
 from savoryhold.core.ids import Region, ServiceName
+from savoryhold.traffic.places import ANYWHERE, AllowedRegions
 
 __all__ = [
     'CallerLimits',
     'Feature',
     'MeshConfig',
+    'RefusedRoute',
     'Route',
     'RouteKind',
     'RouteTable',
@@ -30,8 +32,14 @@
         """Return whether a request may run more than once."""
         return self in _REPEATABLE
 
+    @property
+    def large(self) -> bool:
+        """Return whether bodies are large in one of the two directions."""
+        return self in _LARGE
+
 
 _REPEATABLE = frozenset({RouteKind.IDEMPOTENT, RouteKind.DOWNLOAD})
+_LARGE = frozenset({RouteKind.DOWNLOAD, RouteKind.UPLOAD})
 
 
 class Feature(enum.Enum):
@@ -70,6 +78,32 @@
     regions: frozenset[Region] = frozenset()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefusedRoute:
+    """An entry whose configuration is invalid; its requests are refused.
+
+    Parameters
+    ----------
+    host : str
+        Virtual host of the entry.
+    prefix : str or None
+        Path prefix, None if that is what cannot be read.
+    field : str
+        Field that is invalid.
+    error : str
+        What is wrong with it.
+    position : int
+        Number of valid routes listed before it: of equal prefixes, the first
+        one counts.
+    """
+
+    host: str
+    prefix: str | None
+    field: str
+    error: str
+    position: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceInfo:
     """The operators' configuration of a service.
@@ -95,13 +129,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class MeshConfig:
-    """One version of the operators' configuration."""
+    """One version of the operators' configuration.
+
+    ``refused`` are the routes that it has disabled by invalid fields.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceInfo, ...]
     limits: CallerLimits
     features: frozenset[Feature] = frozenset()
+    refused: tuple[RefusedRoute, ...] = ()
 
 
 class RouteTable:
@@ -116,21 +154,47 @@
     def __init__(self, cfg: MeshConfig) -> None:
         self.cfg = cfg
         self.services = {service.name: service for service in cfg.services}
-        self._hosts: dict[str, list[Route]] = {}
+        self._hosts: dict[str, list[tuple[str, Route | RefusedRoute]]] = {}
         self._credit: dict[tuple[str, ServiceName], float] = {}
+        self._allowed: dict[str, AllowedRegions] = {}
+        self._key_regions: dict[ServiceName, AllowedRegions] = {}
+        for entry in _in_listed_order(cfg):
+            if entry.prefix is not None:
+                entries = self._hosts.setdefault(entry.host.lower(), [])
+                entries.append((entry.prefix, entry))
+        for entries in self._hosts.values():
+            entries.sort(key=_prefix_length, reverse=True)
         for route in cfg.routes:
-            self._hosts.setdefault(route.host.lower(), []).append(route)
-        for routes in self._hosts.values():
-            routes.sort(key=_prefix_length, reverse=True)
+            self._add_regions(route)
 
-    def match(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path, if any."""
+    def match(self, host: str, path: str) -> Route | RefusedRoute | None:
+        """Return the entry with the longest prefix of a path, if any."""
         name = host.lower().rsplit(':', 1)[0] if ':' in host else host.lower()
-        for route in self._hosts.get(name, ()):
-            if path.startswith(route.prefix):
-                return route
+        for prefix, entry in self._hosts.get(name, ()):
+            if path.startswith(prefix):
+                return entry
         return None
 
+    def allowed_regions(self, route: str) -> AllowedRegions:
+        """Return where requests of a route, by its name, may run.
+
+        Notes
+        -----
+        Routes of several hosts may have one name.  Any of their lists then
+        suffices; a relayed request carries the list of its own route besides.
+        """
+        return self._allowed.get(route, ANYWHERE)
+
+    def key_regions(self, service: ServiceName) -> AllowedRegions:
+        """Return where targets may own keys of a service.
+
+        Notes
+        -----
+        These are the regions that all routes of the service allow, if all have
+        lists; a route without one may use keys anywhere.
+        """
+        return self._key_regions.get(service, ANYWHERE)
+
     def select_service(self, route: Route) -> ServiceName:
         """Select the service for the next request of a route.
 
@@ -150,9 +214,27 @@
         self._credit[(route.name, best.service)] -= total
         return best.service
 
+    def _add_regions(self, route: Route) -> None:
+        allowed = AllowedRegions.from_list(route.regions)
+        named = self._allowed.get(route.name, allowed)
+        self._allowed[route.name] = named | allowed
+        for part in route.parts:
+            known = self._key_regions.get(part.service, allowed)
+            open_to_all = known.is_anywhere or allowed.is_anywhere
+            self._key_regions[part.service] = (
+                ANYWHERE if open_to_all else known & allowed
+            )
+
     def _credit_of(self, route: Route, part: WeightedService) -> float:
         return self._credit[(route.name, part.service)]
 
 
-def _prefix_length(route: Route) -> int:
-    return len(route.prefix)
+def _in_listed_order(cfg: MeshConfig) -> list[Route | RefusedRoute]:
+    entries: list[Route | RefusedRoute] = list(cfg.routes)
+    for refused in reversed(cfg.refused):
+        entries.insert(refused.position, refused)
+    return entries
+
+
+def _prefix_length(entry: tuple[str, Route | RefusedRoute]) -> int:
+    return len(entry[0])
