Requests of a route stay in its allowed regions, and so do keys

Cause: operators need submissions to run, and to be relayed, in one region only. The ingress filters nodes at each choice; the owner checks its own configuration and the list of the relay, on arrival and when a run starts. Code wrong-place makes the ingress bar the zone and choose again, no-place ends a request at once. Targets that may not own keys of a service are left out of the planned loads and hand over what they own. The fleet of the tests has places, and its owners check them as in a node. The hand-over of keys by regions has no test of its own yet.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from savoryhold.core.errors import LinkError, RequestError, UncertainError
-from savoryhold.core.ids import NodeId, ServiceName
+from savoryhold.core.ids import NodeId, ServiceName, Zone
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.codec import answer_from_message, relay_message
 from savoryhold.mesh.node_chooser import AWAY_RETRY_MS, NodeChooser
@@ -14,9 +14,11 @@
 from savoryhold.mesh.request_reader import RequestReader
 from savoryhold.mesh.requests import (
     NO_KEY,
+    NoPlaceError,
     RelayedAnswer,
     RelayedRequest,
     TargetDownError,
+    WrongPlaceError,
 )
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import LinkStream
@@ -32,7 +34,7 @@
 MIN_RETRY_MS = 50
 RETRY_TIME_FACTOR = 2.0  # service times that must be left for a retry
 # Pauses before the next try, by the code of the last refusal.
-PAUSE_MS = {'moved': 15, 'shed': 30, 'target-down': 30}
+PAUSE_MS = {'moved': 15, 'shed': 30, 'target-down': 30, 'wrong-place': 15}
 REFUSALS = frozenset(
     {HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS}
 )
@@ -55,6 +57,7 @@
         self.tries_left = max(1, route.attempts)
         self.last_node: NodeId | None = None
         self.failed_nodes: set[NodeId] = set()
+        self.barred_zones: set[Zone] = set()
         self.uncertain_error: RequestError | None = None
 
     def final_error(self, exc: RequestError) -> RequestError:
@@ -174,7 +177,10 @@
 
     async def _try(self, state: _RequestState) -> RelayedAnswer:
         node = self._chooser.choose(
-            state.req, state.failed_nodes, large=state.large
+            state.req,
+            state.failed_nodes,
+            large=state.large,
+            barred=state.barred_zones,
         )
         state.tries_left -= 1
         state.last_node = node
@@ -184,6 +190,8 @@
             return await self._relay(node, state.req)
         except RequestError as exc:
             state.failed_nodes.add(node)
+            if exc.code == WrongPlaceError.code:
+                state.barred_zones.add(self._chooser.zone_of(node))
             if exc.verdict is Verdict.NOT_RUN and exc.code != 'shed':
                 # Nothing was sent to a target, so it is not an attempt.
                 state.tries_left += 1
@@ -198,7 +206,7 @@
             if not self._may_retry(state, exc.code):
                 raise exc
             return
-        if exc.code == 'shed' and not self._may_retry(state, exc.code):
+        if self._is_final(state, exc):
             raise state.final_error(exc)
         pause_ms = PAUSE_MS.get(exc.code)
         if pause_ms is not None:
@@ -208,6 +216,12 @@
         ):
             raise state.final_error(exc)
 
+    def _is_final(self, state: _RequestState, exc: RequestError) -> bool:
+        """Return whether a refused request is not tried again at all."""
+        if exc.code == 'shed':
+            return not self._may_retry(state, exc.code)
+        return exc.code == NoPlaceError.code
+
     async def _pause(
         self, state: _RequestState, exc: RequestError, pause_ms: int
     ) -> None:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -29,6 +29,7 @@
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.peers import PeerTask
+from savoryhold.mesh.place_rules import PlaceRules
 from savoryhold.mesh.placement import PlacementTask
 from savoryhold.mesh.places import Place
 from savoryhold.mesh.reports import ReportHandler
@@ -37,6 +38,7 @@
 from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import Link, LinkStream, PeerPool, messages
+from savoryhold.traffic import RouteTable
 from savoryhold.wire import Exchange, HttpServer
 
 __all__ = [
@@ -120,6 +122,7 @@
             clock,
             self.log,
         )
+        self._places = PlaceRules(Place(settings.zone, settings.region))
         context = NodeContext(
             settings,
             self.members,
@@ -129,6 +132,7 @@
             self.pool,
             clock,
             self.log,
+            self._places,
         )
         self.peers = PeerTask(context)
         self._placement = PlacementTask(context)
@@ -203,6 +207,9 @@
         self._lines.flush()
 
     def _connect_tasks(self) -> None:
+        self._places.routes = self._routes
+        self.tables.places = self._places
+        self.owner.check_place = self._places.check_local
         self.tables.keyed_services = self.configs.keyed_services
         self.configs.should_watch = self._should_watch_config
         self.configs.peers_reach_store = self._peers_reach_store
@@ -373,6 +380,9 @@
     def _is_alive(self, node: NodeId) -> bool:
         return self.members.is_alive(node, self.clock.now())
 
+    def _routes(self) -> RouteTable | None:
+        return self.configs.routes
+
     def _should_watch_config(self) -> bool:
         now = self.clock.now()
         return self.members.is_among_first(CONFIG_WATCHERS, now)
--- a/src/savoryhold/mesh/node_context.py
+++ b/src/savoryhold/mesh/node_context.py
@@ -7,6 +7,7 @@
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.place_rules import PlaceRules
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.tables import TableTask
 from savoryhold.peer import PeerPool
@@ -36,6 +37,8 @@
         Source of time.
     log : Log
         Logger of this node.
+    places : PlaceRules
+        Where requests may run and keys may be.
     """
 
     settings: MeshSettings
@@ -46,3 +49,4 @@
     pool: PeerPool
     clock: Clock
     log: Log
+    places: PlaceRules = dataclasses.field(default_factory=PlaceRules)
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -76,6 +76,8 @@
         self.queue = TargetQueue(1)
         self.heat = KeyHeat()
         self.may_log: Callable[[], bool] = lambda: True
+        # Raises an error if a request must not run here.
+        self.check_place: Callable[[RelayedRequest], None] = lambda req: None
         self.on_target_dead: Callable[[], None] = lambda: None
         self.machine_of: Callable[[ServiceName], GrantMachine | None] = (
             lambda service: None
@@ -152,6 +154,7 @@
             raise TargetDownError(
                 'the target does not accept requests', DOWN_RETRY_MS
             )
+        self.check_place(req)
         if self.target.poison.is_quarantined(req.fingerprint, now):
             raise PoisonedError('the request crashes its targets')
         if not self._runs.may_start(req):
@@ -331,6 +334,7 @@
             raise BusyError('too little time is left to run the request')
         if not self.target.may_send():
             raise TargetDownError('the target has stopped', DOWN_RETRY_MS)
+        self.check_place(req)
         machine = self.machine_of(req.service)
         if req.key == NO_KEY or machine is None or machine.table is None:
             return
--- a/src/savoryhold/mesh/placement.py
+++ b/src/savoryhold/mesh/placement.py
@@ -108,7 +108,7 @@
         if not self._tables.is_missing(service):
             await self._tables.read(service)
             return
-        if self._ready_since is None:
+        if self._ready_since is None or not loads:
             return
         if now - self._ready_since < FIRST_TABLE_DELAY_MS:
             return
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -13,12 +13,14 @@
     'BusyError',
     'CrashedError',
     'MovedError',
+    'NoPlaceError',
     'PoisonedError',
     'RelayedAnswer',
     'RelayedRequest',
     'RouteRefusedError',
     'ShedError',
     'TargetDownError',
+    'WrongPlaceError',
 ]
 
 NO_KEY = -1
@@ -123,6 +125,21 @@
     code = 'target-down'
 
 
+class WrongPlaceError(RequestError):
+    """The node's target must not run the request where it is.
+
+    Another node may: the ingress chooses again.
+    """
+
+    code = 'wrong-place'
+
+
+class NoPlaceError(RequestError):
+    """No target is available where the request may run."""
+
+    code = 'no-place'
+
+
 class RouteRefusedError(RequestError):
     """The configuration of the request's route is invalid."""
 
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -20,6 +20,8 @@
 )
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.place_rules import PlaceRules
+from savoryhold.mesh.places import Place
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.table_deltas import EarlyDeltas
 from savoryhold.mesh.table_writer import TABLE_KIND, TableWriter, table_spec
@@ -96,6 +98,8 @@
         self.machines: dict[ServiceName, GrantMachine] = {}
         self.keyed_services: Callable[[], set[ServiceName]] = set
         self.life = random.getrandbits(LIFE_BITS)
+        self.place = Place(settings.zone, settings.region)
+        self.places = PlaceRules(self.place)
         self.on_table_written: Callable[
             [RangeTable, RangeTable | None], None
         ] = lambda table, older: None
@@ -265,12 +269,22 @@
     def _hand_over_all(
         self, machine: GrantMachine, service: ServiceName, now: int
     ) -> None:
-        """Hand over all keys if the local target is leaving or has stopped."""
-        if self._owner.target.serves(service) and self._owner.target.is_ready():
+        """Hand over all keys if the local target may not keep them.
+
+        It is leaving or has stopped, its zone is evacuated, or the service's
+        routes do not allow its region.
+        """
+        target = self._owner.target
+        may_own = self.places.may_own(service, self.place)
+        if may_own and target.serves(service) and target.is_ready():
             return
         if self._owner.target.report is None:
             return
-        machine.retain_handovers(lambda to: self._members.is_alive(to, now))
+        machine.retain_handovers(
+            lambda to: (
+                self._members.is_alive(to, now) and self._may_take(service, to)
+            )
+        )
         rows = machine.grantable_rows()
         takers = self.loads(service, now)
         for span, to in distribute_spans([row.span for row in rows], takers):
@@ -467,7 +481,7 @@
     def loads(
         self, service: ServiceName, now: int, *, include_self: bool = False
     ) -> list[TargetLoad]:
-        """Return the loads of the ready targets of a service.
+        """Return the loads of the ready targets that may own keys of a service.
 
         Parameters
         ----------
@@ -488,9 +502,11 @@
                 keys.get(member.status.node, 0),
             )
             for member in self._members.serving_members(service, now)
+            if self._may_take(service, member.status.node)
         ]
         if (
             include_self
+            and self.places.may_own(service, self.place)
             and self._owner.target.is_ready()
             and self._owner.target.report is not None
         ):
@@ -504,12 +520,17 @@
             )
         return sorted(loads, key=lambda load: load.node)
 
+    def _may_take(self, service: ServiceName, node: NodeId) -> bool:
+        """Return whether a node's place allows it to own keys of a service."""
+        place = self._members.index.places.get(node)
+        return place is None or self.places.may_own(service, place)
+
     def start_handover(
         self, service: ServiceName, taker: NodeId, share: float
     ) -> None:
         """Begin to hand over a share of this node's load to another node."""
         machine = self.machines.get(service)
-        if machine is None:
+        if machine is None or not self._may_take(service, taker):
             return
         now = self._clock.now()
         spans = machine.free_spans()
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -22,6 +22,8 @@
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.peers import PeerTask
+from savoryhold.mesh.place_rules import PlaceRules
+from savoryhold.mesh.places import Place
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.mesh.tests.simulated_network import (
@@ -63,6 +65,7 @@
 SLOTS = 12
 STATUS_MS = 200
 PEER_PORT = 1
+PLACE = Place(Zone('z'), Region('r'))
 SECRET = b'a secret for tests'
 DESK = ServiceName('desk')
 FILES = ServiceName('files')
@@ -148,6 +151,7 @@
         self.dial_ms = 0
         self.refused = 0
         self.emptied_at: int | None = None
+        self.received: list[str] = []
         self.node: Node | None = None
         self._fleet = fleet
 
@@ -170,6 +174,7 @@
         rng = self._fleet.rng
         name = _header_value(request, NAMES.request_id)
         self._fleet.record_arrival(self.service, name)
+        self.received.append(name)
         if rng.random() < self.reject_rate:
             return _answer(503, NAMES.not_run.lower())
         try:
@@ -210,6 +215,7 @@
         )
         self.target = target
         self.fleet = fleet
+        self.place = fleet.places.get(index, PLACE)
         target.node = self
         self.start()
 
@@ -219,24 +225,33 @@
         self.process = SimulatedProcess(
             self.address.partition(':')[0], fleet.network
         )
-        settings = mesh_settings(
-            self.name, self.target.service, advertised=self.address
+        settings = dataclasses.replace(
+            mesh_settings(
+                self.name, self.target.service, advertised=self.address
+            ),
+            zone=self.place.zone,
+            region=self.place.region,
         )
         log = get_log(node=self.name)
-        self.members = MemberTable(self.name, settings.region)
+        self.members = MemberTable(self.name, settings.region, settings.zone)
         self.owner = OwnerTask(self.name, NAMES, fleet.clock, log, 1000, 1000)
         self.owner.on_report(target_report(self.name, self.target.service))
         self.owner.target.pool = cast(Any, self.target)
         self.pool = self._links()
+        self.configs = SimpleNamespace(routes=RouteTable(CONFIG), version=1)
+        self.places = PlaceRules(self.place)
+        self.places.routes = lambda: self.configs.routes
+        self.owner.check_place = self.places.check_local
         context = NodeContext(
             settings,
             self.members,
             self.owner,
             cast(Any, SimpleNamespace(tables={}, machines={})),
-            cast(Any, SimpleNamespace(routes=RouteTable(CONFIG), version=1)),
+            cast(Any, self.configs),
             self.pool,
             fleet.clock,
             log,
+            self.places,
         )
         self.peers = PeerTask(context)
         self.ingress = IngressTask(context, NAMES, Telemetry(fleet.clock, log))
@@ -293,11 +308,19 @@
         Seed of all random choices.
     real_links : bool
         Whether nodes have real links, over a `SimulatedNetwork`.
+    places : dict of int to Place
+        Places of nodes, by number; all others are in one zone.
     """
 
     def __init__(
-        self, nodes: int, seed: int, *, real_links: bool = False
+        self,
+        nodes: int,
+        seed: int,
+        *,
+        real_links: bool = False,
+        places: dict[int, Place] | None = None,
     ) -> None:
+        self.places = places or {}
         self.real_links = real_links
         self.network = SimulatedNetwork()
         self.rng = random.Random(seed)
@@ -463,8 +486,8 @@
         node.name,
         node.address,
         node.target.service,
-        Zone('z'),
-        Region('r'),
+        node.place.zone,
+        node.place.region,
         SLOTS,
         node.owner.queue.backlog_ms(),
         0.0,
