--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -13,11 +13,14 @@
     'BusyError',
     'CrashedError',
     'MovedError',
+    'NoPlaceError',
     'PoisonedError',
     'RelayedAnswer',
     'RelayedRequest',
+    'RouteRefusedError',
     'ShedError',
     'TargetDownError',
+    'WrongPlaceError',
 ]
 
 NO_KEY = -1
@@ -122,6 +125,27 @@
     code = 'target-down'
 
 
+class WrongPlaceError(RequestError):
+    """The node's target must not run the request where it is.
+
+    Another node may: the ingress chooses again.
+    """
+
+    code = 'wrong-place'
+
+
+class NoPlaceError(RequestError):
+    """No target is available where the request may run."""
+
+    code = 'no-place'
+
+
+class RouteRefusedError(RequestError):
+    """The configuration of the request's route is invalid."""
+
+    code = 'route-refused'
+
+
 class BusyError(RequestError):
     """The request cannot wait long enough for a slot or for its key."""
 
