A node limits the requests that a cold target gets

Cause: a target of a service with `warmup_per_s` bears few requests after its start, and ends if it gets more. Nothing limited them: in the model of one target, 28 requests started in one second at 30 requests a second.

Change: `traffic.cold_start.ColdStartLimiter` combines a token bucket, which is empty when a cold phase begins, with the requests sent in the last second. `traffic.capacity.Capacity` is what the queue asks for, for its forecast, its starts and its backlog. `mesh.target_capacity` reads the configuration, the reports and the signs that the target may have become cold. The waiting for starts moves from `mesh.owner` to `mesh.start_queue`. Statuses and the planner of key ranges get the slots that a cold target keeps busy.

The stub of an owner in `fleet_model.py` gets `advertised_slots`.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -212,6 +212,10 @@
         self.owner.is_peer_alive = self._is_alive
         self.owner.target.on_strike = self.peers.broadcast_strike
         self.owner.may_log = self.telemetry.may_log
+        capacity = self.owner.capacity
+        capacity.routes = lambda: self.configs.routes
+        capacity.warmup_over = self.settings.warmup_over
+        capacity.warmup_slack = self.settings.warmup_slack
         self.owner.target.on_acquitted = self.peers.broadcast_acquittal
         self.owner.on_target_dead = self.peers.broadcast_status
         self.pool.endpoint.on_closed = self._on_link_closed
@@ -403,6 +407,7 @@
             'calls_cut': float(self._calls_cut),
             'log_lines_lost': float(self._lines.lost_count),
             'reports_refused': float(self._reports.refused_count),
+            **self.owner.capacity.gauges(),
         }
         exchange.reply(
             HTTPStatus.OK,
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -1,8 +1,9 @@
 """The owner side of a node: runs requests at the local target."""
 
 import asyncio
-import itertools
 from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.ids import NodeId, ServiceName
@@ -19,16 +20,17 @@
     TargetDownError,
 )
 from savoryhold.mesh.run_tracker import RunTracker
+from savoryhold.mesh.start_queue import StartQueue
 from savoryhold.mesh.target_calls import TargetCalls
+from savoryhold.mesh.target_capacity import TargetCapacity
 from savoryhold.ranges import GrantMachine, KeyHeat
-from savoryhold.traffic import QueueRefusal, TargetQueue, Ticket
+from savoryhold.traffic import TargetQueue, Ticket
 from savoryhold.wire import ClientAnswer, HeaderNames
 
 __all__ = ['OwnerTask']
 
 MS_PER_SECOND = 1000
 MIN_LEFT_MS = 5  # a request with less time left is not sent
-TICK_MS = 25
 REPORT_SLACK_MS = 120  # usual jitter of the target's reports
 REPLY_READ_MS = 4  # until the target has read the reply to its report
 RETRY_AFTER_MOVE_MS = 150
@@ -74,6 +76,9 @@
         self._calls = TargetCalls(self.target, names, clock)
         self._runs = RunTracker()
         self.queue = TargetQueue(1)
+        self.capacity = TargetCapacity(self.target, clock, log, report_ms)
+        self.queue.capacity = self.capacity.current
+        self._starts = StartQueue(self.queue, self.capacity, clock)
         self.heat = KeyHeat()
         self.may_log: Callable[[], bool] = lambda: True
         self.on_target_dead: Callable[[], None] = lambda: None
@@ -81,20 +86,24 @@
             lambda service: None
         )
         self.is_peer_alive: Callable[[NodeId], bool] = lambda node: False
-        self._ticket_numbers = itertools.count(1)
-        self._start_futures: dict[int, asyncio.Future[QueueRefusal | None]] = {}
         self._changed = asyncio.Event()
-        self._ticket_added = asyncio.Event()
         self._unkeyed_heat = KeyHeat()
 
     # The target -----------------------------------------------------------
 
     def on_report(self, report: TargetReport) -> None:
         """Process the target's report."""
-        if self.target.on_report(report):
+        known = self.target.report is not None
+        is_new = self.target.on_report(report)
+        if is_new:
             self._calls.acceptance = 1.0
+        self.capacity.on_report(report, replaced=known and is_new)
         self.queue.slots = max(1, report.slots)
 
+    def suspect_cold(self, reason: str) -> None:
+        """Treat the target as cold until its next report."""
+        self.capacity.suspect_cold(reason)
+
     def wake_soon(self) -> None:
         """Recheck waiting requests once the target has read a reply."""
         loop = asyncio.get_running_loop()
@@ -108,25 +117,21 @@
         """Recheck the requests that wait for keys or slots."""
         self._changed.set()
         self._changed = asyncio.Event()
-        self._start_due()
+        self._starts.start_due()
 
     async def tick(self) -> None:
-        """Refuse late tickets and start due ones until cancelled."""
-        while True:
-            if not self.queue.waiting:
-                self._ticket_added.clear()
-                await self._ticket_added.wait()
-            await asyncio.sleep(TICK_MS / MS_PER_SECOND)
-            now = self.clock.now()
-            for refusal in self.queue.refuse_late(now):
-                self._resolve(refusal.ticket.number, refusal)
-            self._start_due()
+        """Refuse late requests and start due ones until cancelled."""
+        await self._starts.tick()
 
     def demand(self, now: int) -> float:
         """Return the load that requests offer, in slots."""
         total = self.heat.total(now) + self._unkeyed_heat.total(now)
         return total / max(MIN_ACCEPTANCE, self._calls.acceptance)
 
+    def advertised_slots(self) -> int:
+        """Return the slots that other nodes may count on."""
+        return self.capacity.advertised_slots(self.queue.slots)
+
     @property
     def runs(self) -> RunTracker:
         """Return the tracker of the requests that run at the target."""
@@ -161,7 +166,7 @@
         req = self._runs.cap_deadline(req)
         self._count_heat(req, now)
         await self._wait_for_key(req)
-        ticket = await self._admit(req)
+        ticket = await self._starts.admit(req)
         self._runs.begin(req)
         try:
             return await self._run(req, ticket)
@@ -170,8 +175,7 @@
 
     def _end_run(self, req: RelayedRequest, ticket: Ticket) -> None:
         self._runs.end(req)
-        self.queue.remove(ticket.number)
-        self._start_due()
+        self._starts.end(ticket.number)
 
     async def _wait_for_key(self, req: RelayedRequest) -> None:
         """Wait until the target holds the request's key, or refuse it."""
@@ -230,57 +234,12 @@
                 'the target has not received the key in time', DOWN_RETRY_MS
             ) from None
 
-    async def _admit(self, req: RelayedRequest) -> Ticket:
-        now = self.clock.now()
-        ticket = Ticket(
-            next(self._ticket_numbers),
-            req.route,
-            req.priority,
-            now,
-            req.aim_at,
-            req.deadline,
-        )
-        refusal = self.queue.offer(ticket, now)
-        if refusal is None:
-            refusal = await self._wait_for_start(ticket)
-        if refusal is not None:
-            raise BusyError(f'queue: {refusal.reason}', refusal.retry_ms)
-        return ticket
-
-    async def _wait_for_start(self, ticket: Ticket) -> QueueRefusal | None:
-        fut = asyncio.get_running_loop().create_future()
-        self._start_futures[ticket.number] = fut
-        self._ticket_added.set()
-        self._start_due()
-        try:
-            refusal: QueueRefusal | None = await fut
-        except asyncio.CancelledError:
-            self.queue.remove(ticket.number)
-            self._start_due()
-            raise
-        finally:
-            self._start_futures.pop(ticket.number, None)
-        return refusal
-
-    def _start_due(self) -> None:
-        now = self.clock.now()
-        ticket = self.queue.start_next(now)
-        while ticket is not None:
-            self._resolve(ticket.number, None)
-            ticket = self.queue.start_next(now)
-
-    def _resolve(self, number: int, refusal: QueueRefusal | None) -> None:
-        fut = self._start_futures.get(number)
-        if fut is None or fut.done():
-            self.queue.remove(number)
-            return
-        fut.set_result(refusal)
-
     async def _run(self, req: RelayedRequest, ticket: Ticket) -> RelayedAnswer:
         now = self.clock.now()
         self._check_start(req, now)
         sent = asyncio.Event()
-        started = asyncio.ensure_future(self._calls.send(req, now, sent.set))
+        on_sent = partial(self._on_sent, ticket, sent)
+        started = asyncio.ensure_future(self._calls.send(req, now, on_sent))
         try:
             answer = await asyncio.shield(started)
         except asyncio.CancelledError:
@@ -293,13 +252,20 @@
                 started.cancel()
             raise
         took = self.clock.now() - now
+        if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self.capacity.limiter.return_sent()
         self.queue.record_run_time(ticket.kind, took)
+        self.capacity.record_run_time(took)
         if now + took > req.aim_at and self.may_log():
             self._log_late(req, ticket, took)
         checked = self._calls.check(req, answer)
         self.target.acquit(req)
         return checked
 
+    def _on_sent(self, ticket: Ticket, sent: asyncio.Event) -> None:
+        sent.set()
+        self._starts.record_sent(ticket)
+
     def _log_stopped(
         self, req: RelayedRequest, ticket: Ticket, *, goes_on: bool
     ) -> None:
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -160,7 +160,7 @@
             service_name=cfg.service,
             zone=cfg.zone,
             region=cfg.region,
-            slots=self._owner.queue.slots,
+            slots=self._owner.advertised_slots(),
             wait_ms=self._owner.queue.backlog_ms(),
             demand=self._owner.demand(now),
             keys=self._tables.owned_key_count(),
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -498,7 +498,7 @@
                 TargetLoad(
                     self.node,
                     self._owner.demand(now),
-                    self._owner.target.report.slots,
+                    self._owner.advertised_slots(),
                     keys.get(self.node, 0),
                 )
             )
--- a/src/savoryhold/mesh/tests/fleet_model.py
+++ b/src/savoryhold/mesh/tests/fleet_model.py
@@ -74,6 +74,7 @@
         owner = SimpleNamespace(
             target=SimpleNamespace(report=None, is_ready=lambda: True),
             queue=queue,
+            advertised_slots=lambda: queue.slots,
             demand=lambda now: 1.25,
         )
         tables = SimpleNamespace(
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -1,7 +1,13 @@
 """Traffic decisions: routing, queueing, node selection and retry budgets."""
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
+from savoryhold.traffic.capacity import UNLIMITED, Capacity
 from savoryhold.traffic.choice import Candidate, Origin, choose
+from savoryhold.traffic.cold_start import (
+    ColdStartLimiter,
+    ReportDelay,
+    WarmupLimits,
+)
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.routes import (
     CallerLimits,
@@ -15,12 +21,16 @@
 )
 
 __all__ = [
+    'UNLIMITED',
     'CallerLimits',
     'Candidate',
+    'Capacity',
+    'ColdStartLimiter',
     'Feature',
     'MeshConfig',
     'Origin',
     'QueueRefusal',
+    'ReportDelay',
     'RetryDecision',
     'Route',
     'RouteKind',
@@ -29,6 +39,7 @@
     'SharedRetryBudgets',
     'TargetQueue',
     'Ticket',
+    'WarmupLimits',
     'WeightedService',
     'choose',
 ]
--- /dev/null
+++ b/src/savoryhold/traffic/capacity.py
@@ -0,0 +1,37 @@
+"""What limits the starts of requests at a target at one moment."""
+
+import dataclasses
+
+__all__ = ['UNLIMITED', 'Capacity']
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """Limits besides the number of slots; times in ms.
+
+    Parameters
+    ----------
+    slots : int or None
+        Slots that may be used, None for all.
+    occupied : float
+        Slots taken by requests that are not in the queue.
+    start_ms : float
+        Time until the next request may start.
+    gap_ms : float
+        Mean time between starts, 0 if it is not limited.
+    pace : float
+        Run times of the requests that now run, as a multiple of usual ones.
+    """
+
+    slots: int | None = None
+    occupied: float = 0.0
+    start_ms: float = 0.0
+    gap_ms: float = 0.0
+    pace: float = 1.0
+
+    def start_wait_ms(self, ahead: int) -> float:
+        """Return the least wait of a request behind a number of others."""
+        return self.start_ms + self.gap_ms * ahead
+
+
+UNLIMITED = Capacity()
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -9,6 +9,9 @@
 
 import dataclasses
 import math
+from collections.abc import Callable
+
+from savoryhold.traffic.capacity import UNLIMITED, Capacity
 
 __all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
 
@@ -43,6 +46,11 @@
     started_at: int = 0
 
 
+def _unlimited() -> Capacity:
+    """Return the capacity of a target with all its slots."""
+    return UNLIMITED
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueRefusal:
     """A ticket that will not run, and when its caller may retry."""
@@ -80,6 +88,7 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.capacity: Callable[[], Capacity] = _unlimited
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
@@ -135,7 +144,18 @@
             ]
             short_slots = self.slots - len(long_running)
             wait = self._slot_free_ms(short_ahead, short_running, short_slots)
-        return wait / self._capacity_left(ticket.priority, now)
+        wait /= self._capacity_left(ticket.priority, now, self.slots)
+        return max(wait, self._start_wait_ms(ticket, len(ahead), now))
+
+    def _start_wait_ms(self, ticket: Ticket, ahead: int, now: int) -> float:
+        """Return the wait that the target's rate of starts causes."""
+        limits = self.capacity()
+        if not limits.gap_ms:
+            return limits.start_ms
+        # Slots that the permitted starts keep busy.
+        slots = self.service_ms(ticket.kind) / limits.gap_ms
+        left = self._capacity_left(ticket.priority, now, slots)
+        return limits.start_ms + limits.gap_ms * ahead / left
 
     def _slot_free_ms(
         self, ahead: list[Ticket], running: list[Ticket], slots: int
@@ -159,7 +179,8 @@
             self.service_ms(ticket.kind) * MEAN_RUN_LEFT
             for ticket in self.running.values()
         )
-        return (waiting + running) / max(1, self.slots)
+        backlog = (waiting + running) / max(1, self.slots)
+        return max(backlog, self.capacity().start_wait_ms(len(self.waiting)))
 
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
@@ -198,13 +219,37 @@
             for ticket in missed
             if full or self._ends_after(ticket, ticket.deadline, now)
         ]
+        found.extend(self._find_unfit(missed, now))
         for refused in found:
             self.waiting.pop(refused.ticket.number)
         return found
 
+    def _find_unfit(self, missed: list[Ticket], now: int) -> list[QueueRefusal]:
+        """Return the tickets that a cold target cannot start in time.
+
+        Notes
+        -----
+        They were admitted while it was warm.
+        """
+        limits = self.capacity()
+        if not limits.gap_ms:
+            return []
+        ordered = sorted(self.waiting.values(), key=_urgency)
+        found = []
+        ahead = 0
+        for ticket in ordered:
+            starts_at = now + round(limits.start_wait_ms(ahead))
+            if ticket in missed:
+                continue
+            if self._ends_after(ticket, ticket.aim_at, starts_at):
+                found.append(QueueRefusal(ticket, 'cold', MIN_RETRY_MS))
+            else:
+                ahead += 1
+        return found
+
     def start_next(self, now: int) -> Ticket | None:
         """Start and return the next ticket, if a slot is free for it."""
-        if len(self.running) >= self.slots or not self.waiting:
+        if not self.waiting or not self._may_start_any():
             return None
         eligible = [
             ticket
@@ -224,6 +269,12 @@
         self.running.pop(number, None)
         return self.waiting.pop(number, None) is not None
 
+    def _may_start_any(self) -> bool:
+        """Return whether the target has a slot and bears another start."""
+        limits = self.capacity()
+        usable = self.slots if limits.slots is None else limits.slots
+        return len(self.running) < usable and not limits.start_ms
+
     def _rank(self, ticket: Ticket, now: int) -> tuple[bool, int, int, int]:
         missed = now + self.service_ms(ticket.kind) > ticket.aim_at
         return missed, *_urgency(ticket)
@@ -232,14 +283,14 @@
         """Return whether even a fast run would end after a time."""
         return now + self.service_ms(ticket.kind) * QUICK_RUN > limit
 
-    def _capacity_left(self, priority: int, now: int) -> float:
+    def _capacity_left(self, priority: int, now: int, slots: float) -> float:
         """Return the share of the slots that more urgent work leaves."""
         urgent = sum(
             rate.current(now)
             for other, rate in self._rates.items()
             if other < priority
         )
-        return max(MIN_SHARE, 1 - urgent / max(1, self.slots))
+        return max(MIN_SHARE, 1 - urgent / slots)
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
         if not self._is_long(ticket.kind, now):
--- a/src/savoryhold/traffic/tests/model.py
+++ b/src/savoryhold/traffic/tests/model.py
@@ -7,7 +7,12 @@
 import random
 from collections import Counter
 
-from savoryhold.traffic import TargetQueue, Ticket
+from savoryhold.traffic import (
+    Capacity,
+    ColdStartLimiter,
+    TargetQueue,
+    Ticket,
+)
 
 __all__ = ['Kind', 'Outcome', 'TargetModel']
 
@@ -69,10 +74,22 @@
         Kinds of requests that arrive.
     seed : int
         Seed of arrival and run times.
+    limiter : ColdStartLimiter, optional
+        Limits the starts while the target is cold.
     """
 
-    def __init__(self, slots: int, kinds: list[Kind], seed: int) -> None:
+    def __init__(
+        self,
+        slots: int,
+        kinds: list[Kind],
+        seed: int,
+        limiter: ColdStartLimiter | None = None,
+    ) -> None:
         self.queue = TargetQueue(slots)
+        self.queue.capacity = self._capacity
+        self.limiter = limiter or ColdStartLimiter()
+        self.now = 0
+        self.started_at: list[int] = []
         self.outcomes = {kind.name: Outcome() for kind in kinds}
         self._kinds = {kind.name: kind for kind in kinds}
         self._rng = random.Random(seed)
@@ -101,10 +118,25 @@
             for name, outcome in self.outcomes.items()
         )
 
+    def _capacity(self) -> Capacity:
+        return Capacity(
+            start_ms=self.limiter.next_start_ms(self.now),
+            gap_ms=self.limiter.gap_ms(self.now),
+        )
+
+    def _start_next(self) -> Ticket | None:
+        started = self.queue.start_next(self.now)
+        if started is not None:
+            self.limiter.start(self.now)
+            self.limiter.record_sent(self.now)
+            self.started_at.append(self.now)
+        return started
+
     def _push(self, at: float, name: str, ticket: Ticket | None) -> None:
         heapq.heappush(self._events, (at, next(self._order), name, ticket))
 
     def _on_event(self, now: int, name: str, ticket: Ticket | None) -> None:
+        self.now = now
         if ticket is not None:
             self._on_end(ticket, now)
         elif name:
@@ -115,11 +147,11 @@
             aim_ms = self._kinds[refusal.ticket.kind].aim_ms
             if now - refusal.ticket.arrived_at > aim_ms * MAX_BRIEF_WAIT:
                 outcome.refused_late += 1
-        started = self.queue.start_next(now)
+        started = self._start_next()
         while started is not None:
             took = self._run_ms(self._kinds[started.kind])
             self._push(now + took, started.kind, started)
-            started = self.queue.start_next(now)
+            started = self._start_next()
 
     def _on_arrival(self, kind: Kind, now: int) -> None:
         outcome = self.outcomes[kind.name]
