--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -1,8 +1,14 @@
 """Traffic decisions: routing, queueing, node selection and retry budgets."""
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
+from savoryhold.traffic.capacity import UNLIMITED, Capacity
 from savoryhold.traffic.choice import Candidate, Origin, choose
 from savoryhold.traffic.places import ANYWHERE, AllowedRegions
+from savoryhold.traffic.cold_start import (
+    ColdStartLimiter,
+    ReportDelay,
+    WarmupLimits,
+)
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.routes import (
     CallerLimits,
@@ -19,13 +25,17 @@
 __all__ = [
     'ANYWHERE',
     'AllowedRegions',
+    'UNLIMITED',
     'CallerLimits',
     'Candidate',
+    'Capacity',
+    'ColdStartLimiter',
     'Feature',
     'MeshConfig',
     'Origin',
     'QueueRefusal',
     'RefusedRoute',
+    'ReportDelay',
     'RetryDecision',
     'Route',
     'RouteKind',
@@ -34,6 +44,7 @@
     'SharedRetryBudgets',
     'TargetQueue',
     'Ticket',
+    'WarmupLimits',
     'WeightedService',
     'choose',
 ]
