Nested calls are queued before callers' requests

Cause: a nested call waited behind callers' requests and was refused by the forecast for its priority; its run, which holds a slot elsewhere, failed.

Change: tickets carry nested and returning, and an order that is computed once. Nested calls come first, are admitted up to their whole aim, count as the most urgent arrivals, and are refused late only at their deadline.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -239,6 +239,8 @@
             now,
             req.aim_at,
             req.deadline,
+            nested=req.nested,
+            returning=req.returning,
         )
         refusal = self.queue.offer(ticket, now)
         if refusal is None:
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -23,6 +23,7 @@
 MIN_SHARE = 0.2  # of the slots, at least, is assumed free of more urgent work
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
+NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
 MEAN_RUN_LEFT = 0.5  # average part of its run time that a run has left
 
 
@@ -31,7 +32,9 @@
     """A request that is queued or running; times in ms.
 
     ``aim_at`` is when it should have ended, ``deadline`` when it must have.
-    Run times are measured for each ``kind``.
+    Run times are measured for each ``kind``.  ``nested`` calls precede all
+    callers' requests, and ``returning`` requests precede others of their
+    priority.  ``urgency`` is the place in the order of service.
     """
 
     number: int
@@ -41,6 +44,18 @@
     aim_at: int
     deadline: int
     started_at: int = 0
+    nested: bool = False
+    returning: bool = False
+    urgency: tuple[int, bool, int, int] = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive the urgency, which does not change while it waits."""
+        self.urgency = (
+            NESTED_PRIORITY if self.nested else self.priority,
+            not self.returning,
+            self.aim_at,
+            self.number,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,7 +125,7 @@
         ahead = [
             other
             for other in self.waiting.values()
-            if _urgency(other) < _urgency(ticket)
+            if other.urgency < ticket.urgency
         ]
         running = list(self.running.values())
         long_ahead = [
@@ -120,12 +135,12 @@
             other for other in running if self._is_long(other.kind, now)
         ]
         long_slots = self._long_slots()
-        if self._is_long(ticket.kind, now):
+        if self._is_held_back(ticket, now):
             wait = max(
                 self._slot_free_ms(ahead, running, self.slots),
                 self._slot_free_ms(long_ahead, long_running, long_slots),
             )
-        elif len(long_running) < long_slots:
+        elif ticket.nested or len(long_running) < long_slots:
             wait = self._slot_free_ms(ahead, running, self.slots)
         else:
             # Long work fills all its slots, so none of it starts first.
@@ -135,7 +150,7 @@
             ]
             short_slots = self.slots - len(long_running)
             wait = self._slot_free_ms(short_ahead, short_running, short_slots)
-        return wait / self._capacity_left(ticket.priority, now)
+        return wait / self._capacity_left(ticket.urgency[0], now)
 
     def _slot_free_ms(
         self, ahead: list[Ticket], running: list[Ticket], slots: int
@@ -164,11 +179,13 @@
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
-        rate = self._rates.setdefault(ticket.priority, _Rate())
+        rate = self._rates.setdefault(ticket.urgency[0], _Rate())
         rate.add(self.service_ms(ticket.kind), now)
         wait = self.wait_ms(ticket, now)
         service = self.service_ms(ticket.kind)
-        limit = (ticket.aim_at - now) * AIM_SHARE
+        # A refused nested call wastes the work of its run, hence no reserve.
+        aim_share = 1.0 if ticket.nested else AIM_SHARE
+        limit = (ticket.aim_at - now) * aim_share
         if ticket.aim_at - ticket.arrived_at < service:
             limit = ticket.deadline - now
         if wait and wait + service > min(limit, ticket.deadline - now):
@@ -185,7 +202,8 @@
         -----
         A ticket that has missed its aim runs only when no other waits.  If
         the others that wait fill all slots, it is refused at once rather
-        than at its deadline.
+        than at its deadline.  A nested call is refused only at its deadline,
+        since its run would fail.
         """
         missed = [
             ticket
@@ -196,7 +214,8 @@
         found = [
             QueueRefusal(ticket, 'late', MIN_RETRY_MS)
             for ticket in missed
-            if full or self._ends_after(ticket, ticket.deadline, now)
+            if (full and not ticket.nested)
+            or self._ends_after(ticket, ticket.deadline, now)
         ]
         for refused in found:
             self.waiting.pop(refused.ticket.number)
@@ -224,9 +243,11 @@
         self.running.pop(number, None)
         return self.waiting.pop(number, None) is not None
 
-    def _rank(self, ticket: Ticket, now: int) -> tuple[bool, int, int, int]:
+    def _rank(
+        self, ticket: Ticket, now: int
+    ) -> tuple[bool, tuple[int, bool, int, int]]:
         missed = now + self.service_ms(ticket.kind) > ticket.aim_at
-        return missed, *_urgency(ticket)
+        return missed and not ticket.nested, ticket.urgency
 
     def _ends_after(self, ticket: Ticket, limit: int, now: int) -> bool:
         """Return whether even a fast run would end after a time."""
@@ -242,7 +263,7 @@
         return max(MIN_SHARE, 1 - urgent / max(1, self.slots))
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
-        if not self._is_long(ticket.kind, now):
+        if not self._is_held_back(ticket, now):
             return True
         running = sum(
             1
@@ -255,6 +276,10 @@
         """Return how many slots long work may occupy while short work comes."""
         return max(1, self.slots - self.slots // 4 - 1)
 
+    def _is_held_back(self, ticket: Ticket, now: int) -> bool:
+        """Return whether only the slots for long work may run a ticket."""
+        return not ticket.nested and self._is_long(ticket.kind, now)
+
     def _is_long(self, kind: str, now: int) -> bool:
         """Return whether a kind is long compared to one offered recently."""
         service = self.service_ms(kind)
@@ -267,9 +292,5 @@
         )
 
 
-def _urgency(ticket: Ticket) -> tuple[int, int, int]:
-    return ticket.priority, ticket.aim_at, ticket.number
-
-
 def _retry_ms(excess: float) -> int:
     return round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, excess)))
