Refused callers are remembered by the fingerprint of their request

Cause: callers that return at once take room from those that wait, and those that wait as told are refused again like new ones.

Change: with Feature.FAIR_ADMISSION the ingress marks nested and returning requests, refuses those that return before the time told (early-return, not run), and ranks equal requests at once behind all others.

Measured: three repeats at once of a refused request reach no target.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -8,6 +8,7 @@
 from savoryhold.core.errors import LinkError, RequestError, UncertainError
 from savoryhold.core.ids import NodeId, ServiceName
 from savoryhold.core.verdict import Verdict
+from savoryhold.mesh.admission import AdmissionTask
 from savoryhold.mesh.codec import answer_from_message, relay_message
 from savoryhold.mesh.node_chooser import AWAY_RETRY_MS, NodeChooser
 from savoryhold.mesh.node_context import NodeContext
@@ -55,6 +56,7 @@
         self.tries_left = max(1, route.attempts)
         self.last_node: NodeId | None = None
         self.failed_nodes: set[NodeId] = set()
+        self.chosen_again = False
         self.uncertain_error: RequestError | None = None
 
     def final_error(self, exc: RequestError) -> RequestError:
@@ -90,7 +92,8 @@
         self._clock = context.clock
         self._reader = RequestReader(context, names)
         self._chooser = NodeChooser(context)
-        self._telemetry = telemetry
+        self.admission = AdmissionTask(context)
+        self.telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
         context.owner.runs.may_repeat_calls = self._may_repeat_calls
 
@@ -114,7 +117,7 @@
         state: _RequestState | None = None
         try:
             state = _RequestState(*self._reader.read(http))
-            answer = await self._answer(state)
+            answer = await self._answer_fairly(state)
         except RequestError as exc:
             self._refuse(exchange, exc)
             return
@@ -123,27 +126,42 @@
             raise
         except Exception as exc:  # noqa: BLE001
             # An unexpected error must not leave the caller without an answer.
-            self._telemetry.log.error('defect', error=repr(exc))
+            self.telemetry.log.error('defect', error=repr(exc))
             self._refuse(exchange, UncertainError('internal error'))
             return
         sized = http.method != b'HEAD'
         exchange.reply(answer.status, answer.head, answer.body, sized=sized)
-        self._telemetry.record_answer(state.req, answer, http.read_at)
+        self.telemetry.record_answer(state.req, answer, http.read_at)
 
     def _record_caller_gone(
         self, http: HttpRequest, state: _RequestState | None
     ) -> None:
         if state is None:
-            self._telemetry.record_disconnect(http, self.names)
+            self.telemetry.record_disconnect(http, self.names)
             return
         left_ms = state.req.deadline - self._clock.now()
         asked = state.last_node or ''
-        self._telemetry.record_disconnect(
+        self.telemetry.record_disconnect(
             http, self.names, asked=asked, left_ms=left_ms
         )
 
     # Tries ------------------------------------------------------------------
 
+    async def _answer_fairly(self, state: _RequestState) -> RelayedAnswer:
+        """Answer a request according to its standing among the callers."""
+        if not self.admission.is_enabled():
+            return await self._answer(state)
+        nested = self._reader.is_nested_call(state.req.request)
+        state.req = self.admission.begin(state.req, nested=nested)
+        refusal: RequestError | None = None
+        try:
+            return await self._answer(state)
+        except RequestError as exc:
+            refusal = exc
+            raise
+        finally:
+            self.admission.end(state.req, refusal)
+
     async def _answer(self, state: _RequestState) -> RelayedAnswer:
         self._count_in_budget(state.req)
         for _ in range(MAX_TRIES):
@@ -178,6 +196,7 @@
         )
         state.tries_left -= 1
         state.last_node = node
+        state.chosen_again = node in state.failed_nodes
         try:
             if node == self._context.settings.node:
                 return await self._context.owner.submit(state.req)
@@ -203,11 +222,16 @@
         pause_ms = PAUSE_MS.get(exc.code)
         if pause_ms is not None:
             await self._pause(state, exc, pause_ms)
-        elif state.req.key != NO_KEY or (
-            len(state.failed_nodes) > MAX_REFUSALS
-        ):
+        elif self._is_final(state):
             raise state.final_error(exc)
 
+    def _is_final(self, state: _RequestState) -> bool:
+        """Return whether a refusal of a full queue is final."""
+        if state.req.key != NO_KEY or len(state.failed_nodes) > MAX_REFUSALS:
+            return True
+        # With fewer nodes than that, one that has refused is chosen again.
+        return self.admission.is_enabled() and state.chosen_again
+
     async def _pause(
         self, state: _RequestState, exc: RequestError, pause_ms: int
     ) -> None:
@@ -227,7 +251,7 @@
         if late or state.tries_left < 1 or not repeatable:
             return False
         decision = self.budgets.spend(req.service, now)
-        self._telemetry.record_retry(req, cause, decision)
+        self.telemetry.record_retry(req, cause, decision)
         if decision.granted:
             state.req = dataclasses.replace(req, repeat=True)
         return decision.granted
@@ -283,7 +307,7 @@
             retry_ms = max(MIN_RETRY_MS, exc.retry_after_ms)
             head = b'retry-after: %.3f\r\n' % (retry_ms / MS_PER_SECOND)
         exchange.reply(exc.status, head)
-        self._telemetry.record_refusal(
+        self.telemetry.record_refusal(
             exchange.req, self.names, exc, self._context.configs.version
         )
 
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -72,7 +72,7 @@
             raise TargetDownError('the deadline has passed', LATE_RETRY_MS)
         key = self._key(http) if keyed else NO_KEY
         request = self._request_id(http)
-        if self.only_nested_calls and not self._is_nested_call(request):
+        if self.only_nested_calls and not self.is_nested_call(request):
             raise TargetDownError('this node is stopping', STOPPING_RETRY_MS)
         req = RelayedRequest(
             request,
@@ -105,7 +105,7 @@
         run = self._calling_run(request)
         return self._context.owner.runs.record_call(run, service)
 
-    def _is_nested_call(self, request: RequestId) -> bool:
+    def is_nested_call(self, request: RequestId) -> bool:
         """Return whether a run at the local target made the request."""
         return self._context.owner.runs.is_running(self._calling_run(request))
 
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -12,6 +12,7 @@
     'BadAnswerError',
     'BusyError',
     'CrashedError',
+    'EarlyReturnError',
     'MovedError',
     'PoisonedError',
     'RelayedAnswer',
@@ -128,6 +129,12 @@
     code = 'busy'
 
 
+class EarlyReturnError(RequestError):
+    """The caller was refused before and returns before the time told."""
+
+    code = 'early-return'
+
+
 class ShedError(RequestError):
     """The target refused the request without running it."""
 
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -233,7 +233,9 @@
             self.members,
             self.owner,
             cast(Any, SimpleNamespace(tables={}, machines={})),
-            cast(Any, SimpleNamespace(routes=RouteTable(CONFIG), version=1)),
+            cast(
+                Any, SimpleNamespace(routes=RouteTable(fleet.config), version=1)
+            ),
             self.pool,
             fleet.clock,
             log,
@@ -293,12 +295,20 @@
         Seed of all random choices.
     real_links : bool
         Whether nodes have real links, over a `SimulatedNetwork`.
+    config : MeshConfig
+        The configuration in force.
     """
 
     def __init__(
-        self, nodes: int, seed: int, *, real_links: bool = False
+        self,
+        nodes: int,
+        seed: int,
+        *,
+        real_links: bool = False,
+        config: MeshConfig = CONFIG,
     ) -> None:
         self.real_links = real_links
+        self.config = config
         self.network = SimulatedNetwork()
         self.rng = random.Random(seed)
         self.clock = LoopClock()
--- /dev/null
+++ b/src/savoryhold/mesh/tests/test_fair_admission.py
@@ -0,0 +1,86 @@
+"""Callers and nested calls that compete for targets without enough room.
+
+Load pattern: runs of `desk` make nested calls to `files`, whose targets
+callers overload.
+"""
+
+import asyncio
+import dataclasses
+
+from savoryhold.mesh.tests.fleet import CONFIG, Fleet, VirtualTimeCase
+from savoryhold.traffic import Feature
+
+FAIR = dataclasses.replace(CONFIG, features=frozenset({Feature.FAIR_ADMISSION}))
+LOAD_S = 3
+DESK_RATE = 100
+FILES_RATE = 200  # with the nested calls, 1.8 times the capacity of 2 targets
+FILES_MS = 150
+MIN_SERVED = 0.95
+SETTLED_S = 2
+GOSSIP_EVERY = 60  # requests, thus each 200 ms
+
+
+async def desk_share(fleet: Fleet) -> float:
+    """Return the share of requests to `desk` that succeed under the load."""
+    for node in fleet.nodes:
+        node.process.spawn(node.owner.tick())
+        node.target.nested_call_rate = 1.0
+        node.target.work_ms = FILES_MS if node.target.service == 'files' else 40
+    callers = []
+    for _ in range(LOAD_S * (DESK_RATE + FILES_RATE)):
+        await asyncio.sleep(fleet.rng.expovariate(DESK_RATE + FILES_RATE))
+        is_desk = fleet.rng.random() * (DESK_RATE + FILES_RATE) < DESK_RATE
+        node = fleet.rng.choice(fleet.nodes)
+        number = fleet.next_number()
+        path = '/desk/' if is_desk else '/files/'
+        body = b'%d' % number
+        caller = node.ask(path, f'r{number}', body=body)
+        if number % GOSSIP_EVERY == 0:
+            fleet.gossip()
+        if is_desk:
+            callers.append(caller)
+    await asyncio.sleep(SETTLED_S)
+    statuses = [caller.status.result() for caller in callers]
+    await fleet.close()
+    return statuses.count(200) / len(statuses)
+
+
+class TestNestedCalls(VirtualTimeCase):
+    """Runs whose nested calls go to overloaded targets."""
+
+    # Nested calls used to queue behind callers' requests, so that their runs
+    # failed after they had held a slot.
+    async def test_nested_calls_precede_callers(self) -> None:
+        """Runs succeed, though callers overload the service that they call."""
+        fair = await desk_share(Fleet(6, seed=1, config=FAIR))
+        before = await desk_share(Fleet(6, seed=1))
+        self.assertGreaterEqual(fair, MIN_SERVED)
+        self.assertLess(before, fair)
+
+
+class TestReturningCallers(VirtualTimeCase):
+    """Callers that repeat refused requests at once."""
+
+    async def test_early_return_reaches_no_target(self) -> None:
+        """A caller that returns before the time told is refused again."""
+        fleet = Fleet(3, seed=1, config=FAIR)
+        for node in fleet.nodes:
+            node.target.work_ms = 400
+            node.owner.queue.record_run_time('files', 400)
+        node = fleet.nodes[2]
+        for number in range(40):
+            node.ask('/files/', f'f{number}', body=b'%d' % number)
+        refused = node.ask('/files/', 'a', body=b'a')
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertEqual(await refused.status, 503)
+        arrived = len(fleet.arrivals)
+        again = [
+            node.ask('/files/', f'a{number}', body=b'a') for number in range(3)
+        ]
+        statuses = [await caller.status for caller in again]
+        self.assertEqual(statuses, [503, 503, 503])
+        self.assertEqual(len(fleet.arrivals), arrived)
+        outcomes = node.ingress.telemetry.outcomes
+        self.assertEqual(outcomes[('early-return', 'not-run')], 3)
+        await fleet.close()
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -3,6 +3,7 @@
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.choice import Candidate, Origin, choose
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
+from savoryhold.traffic.returns import ReturnTracker, Standing
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -22,11 +23,13 @@
     'Origin',
     'QueueRefusal',
     'RetryDecision',
+    'ReturnTracker',
     'Route',
     'RouteKind',
     'RouteTable',
     'ServiceInfo',
     'SharedRetryBudgets',
+    'Standing',
     'TargetQueue',
     'Ticket',
     'WeightedService',
