Refused callers are asked to return at different times

Cause: Retry-After was the excess of the forecast, so that callers who were refused together returned together and were refused again.

Change: with fair admission each refused request gets a slot of a virtual schedule per target and priority, at half the rate of starts that more urgent work leaves; if no slot is left within a third of the caller's time, it is told a time beyond. New requests reckon with the arrivals of those that return.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -20,6 +20,7 @@
 )
 from savoryhold.mesh.run_tracker import RunTracker
 from savoryhold.mesh.target_calls import TargetCalls
+from savoryhold.mesh.tickets import ticket_of
 from savoryhold.ranges import GrantMachine, KeyHeat
 from savoryhold.traffic import QueueRefusal, TargetQueue, Ticket
 from savoryhold.wire import ClientAnswer, HeaderNames
@@ -80,6 +81,7 @@
         self.machine_of: Callable[[ServiceName], GrantMachine | None] = (
             lambda service: None
         )
+        self.is_fair: Callable[[], bool] = bool  # without a configuration
         self.is_peer_alive: Callable[[NodeId], bool] = lambda node: False
         self._ticket_numbers = itertools.count(1)
         self._start_futures: dict[int, asyncio.Future[QueueRefusal | None]] = {}
@@ -232,16 +234,8 @@
 
     async def _admit(self, req: RelayedRequest) -> Ticket:
         now = self.clock.now()
-        ticket = Ticket(
-            next(self._ticket_numbers),
-            req.route,
-            req.priority,
-            now,
-            req.aim_at,
-            req.deadline,
-            nested=req.nested,
-            returning=req.returning,
-        )
+        ticket = ticket_of(req, next(self._ticket_numbers), now)
+        self.queue.fair = self.is_fair()
         refusal = self.queue.offer(ticket, now)
         if refusal is None:
             refusal = await self._wait_for_start(ticket)
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -10,6 +10,8 @@
 import dataclasses
 import math
 
+from savoryhold.traffic.retry_schedule import RetrySchedule
+
 __all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
 
 MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
@@ -91,15 +93,21 @@
     ----------
     slots : int
         Number of requests that the target runs concurrently.
+
+    Notes
+    -----
+    `fair` enables the rules of fair admission.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.fair = False
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
         self._last_offered: dict[str, int] = {}
-        self._rates: dict[int, _Rate] = {}
+        self._rates: dict[tuple[int, bool], _Rate] = {}
+        self._schedule = RetrySchedule()
 
     def service_ms(self, kind: str) -> float:
         """Return the average run time of a kind of request."""
@@ -150,7 +158,7 @@
             ]
             short_slots = self.slots - len(long_running)
             wait = self._slot_free_ms(short_ahead, short_running, short_slots)
-        return wait / self._capacity_left(ticket.urgency[0], now)
+        return wait / self._capacity_left(ticket.urgency[:2], now)
 
     def _slot_free_ms(
         self, ahead: list[Ticket], running: list[Ticket], slots: int
@@ -179,7 +187,7 @@
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
-        rate = self._rates.setdefault(ticket.urgency[0], _Rate())
+        rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         rate.add(self.service_ms(ticket.kind), now)
         wait = self.wait_ms(ticket, now)
         service = self.service_ms(ticket.kind)
@@ -189,9 +197,7 @@
         if ticket.aim_at - ticket.arrived_at < service:
             limit = ticket.deadline - now
         if wait and wait + service > min(limit, ticket.deadline - now):
-            return QueueRefusal(
-                ticket, 'busy', _retry_ms(wait + service - limit)
-            )
+            return self._refusal(ticket, 'busy', wait + service - limit, now)
         self.waiting[ticket.number] = ticket
         return None
 
@@ -212,7 +218,7 @@
         ]
         full = len(self.waiting) - len(missed) >= self.slots
         found = [
-            QueueRefusal(ticket, 'late', MIN_RETRY_MS)
+            self._refusal(ticket, 'late', 0, now)
             for ticket in missed
             if (full and not ticket.nested)
             or self._ends_after(ticket, ticket.deadline, now)
@@ -235,6 +241,8 @@
         chosen = min(eligible, key=lambda ticket: self._rank(ticket, now))
         self.waiting.pop(chosen.number)
         chosen.started_at = now
+        # Under overload, starts come at the rate of completions.
+        self._schedule.record_served(now)
         self.running[chosen.number] = chosen
         return chosen
 
@@ -243,6 +251,22 @@
         self.running.pop(number, None)
         return self.waiting.pop(number, None) is not None
 
+    def _refusal(
+        self, ticket: Ticket, reason: str, excess_ms: float, now: int
+    ) -> QueueRefusal:
+        """Refuse a ticket that would wait too long by some time."""
+        if not self.fair:
+            retry_ms = round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, excess_ms)))
+            return QueueRefusal(ticket, reason, retry_ms)
+        retry_ms = self._schedule.retry_ms(
+            ticket.priority,
+            now,
+            earliest_ms=excess_ms,
+            left_ms=ticket.deadline - now,
+            room_share=self._capacity_left((ticket.priority, False), now),
+        )
+        return QueueRefusal(ticket, reason, retry_ms)
+
     def _rank(
         self, ticket: Ticket, now: int
     ) -> tuple[bool, tuple[int, bool, int, int]]:
@@ -253,12 +277,17 @@
         """Return whether even a fast run would end after a time."""
         return now + self.service_ms(ticket.kind) * QUICK_RUN > limit
 
-    def _capacity_left(self, priority: int, now: int) -> float:
-        """Return the share of the slots that more urgent work leaves."""
+    def _capacity_left(self, level: tuple[int, bool], now: int) -> float:
+        """Return the share of the slots that more urgent work leaves.
+
+        Notes
+        -----
+        Work of callers that return precedes that of new ones of their kind.
+        """
         urgent = sum(
             rate.current(now)
             for other, rate in self._rates.items()
-            if other < priority
+            if other < level
         )
         return max(MIN_SHARE, 1 - urgent / max(1, self.slots))
 
@@ -290,7 +319,3 @@
             for other, offered_at in self._last_offered.items()
             if now - offered_at < SHORT_RECENT_MS
         )
-
-
-def _retry_ms(excess: float) -> int:
-    return round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, excess)))
