--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -78,7 +78,7 @@
         self.queue = TargetQueue(1)
         self.capacity = TargetCapacity(self.target, clock, log, report_ms)
         self.queue.capacity = self.capacity.current
-        self._starts = StartQueue(self.queue, self.capacity, clock)
+        self.starts = StartQueue(self.queue, self.capacity, clock)
         self.heat = KeyHeat()
         self.may_log: Callable[[], bool] = lambda: True
         # Raises an error if a request must not run here.
@@ -119,11 +119,11 @@
         """Recheck the requests that wait for keys or slots."""
         self._changed.set()
         self._changed = asyncio.Event()
-        self._starts.start_due()
+        self.starts.start_due()
 
     async def tick(self) -> None:
         """Refuse late requests and start due ones until cancelled."""
-        await self._starts.tick()
+        await self.starts.tick()
 
     def demand(self, now: int) -> float:
         """Return the load that requests offer, in slots."""
@@ -169,7 +169,7 @@
         req = self._runs.cap_deadline(req)
         self._count_heat(req, now)
         await self._wait_for_key(req)
-        ticket = await self._starts.admit(req)
+        ticket = await self.starts.admit(req)
         self._runs.begin(req)
         try:
             return await self._run(req, ticket)
@@ -178,7 +178,7 @@
 
     def _end_run(self, req: RelayedRequest, ticket: Ticket) -> None:
         self._runs.end(req)
-        self._starts.end(ticket.number)
+        self.starts.end(ticket.number)
 
     async def _wait_for_key(self, req: RelayedRequest) -> None:
         """Wait until the target holds the request's key, or refuse it."""
@@ -267,7 +267,7 @@
 
     def _on_sent(self, ticket: Ticket, sent: asyncio.Event) -> None:
         sent.set()
-        self._starts.record_sent(ticket)
+        self.starts.record_sent(ticket)
 
     def _log_stopped(
         self, req: RelayedRequest, ticket: Ticket, *, goes_on: bool
--- a/src/savoryhold/mesh/start_queue.py
+++ b/src/savoryhold/mesh/start_queue.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 
 from savoryhold.core.clock import Clock
 from savoryhold.mesh.requests import BusyError, RelayedRequest
 from savoryhold.mesh.target_capacity import TargetCapacity
+from savoryhold.mesh.tickets import ticket_of
 from savoryhold.traffic import QueueRefusal, TargetQueue, Ticket
 
 __all__ = ['StartQueue']
@@ -30,6 +32,7 @@
     def __init__(
         self, queue: TargetQueue, capacity: TargetCapacity, clock: Clock
     ) -> None:
+        self.is_fair: Callable[[], bool] = bool  # without a configuration
         self._queue = queue
         self._capacity = capacity
         self._clock = clock
@@ -59,14 +62,8 @@
             If it cannot start in time.
         """
         now = self._clock.now()
-        ticket = Ticket(
-            next(self._numbers),
-            req.route,
-            req.priority,
-            now,
-            req.aim_at,
-            req.deadline,
-        )
+        ticket = ticket_of(req, next(self._numbers), now)
+        self._queue.fair = self.is_fair()
         refusal = self._queue.offer(ticket, now)
         if refusal is None:
             refusal = await self._wait_for_start(ticket)
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -238,7 +238,9 @@
         self.owner.on_report(target_report(self.name, self.target.service))
         self.owner.target.pool = cast(Any, self.target)
         self.pool = self._links()
-        self.configs = SimpleNamespace(routes=RouteTable(CONFIG), version=1)
+        self.configs = SimpleNamespace(
+            routes=RouteTable(fleet.config), version=1
+        )
         self.places = PlaceRules(self.place)
         self.places.routes = lambda: self.configs.routes
         self.owner.check_place = self.places.check_local
@@ -310,6 +312,8 @@
         Whether nodes have real links, over a `SimulatedNetwork`.
     places : dict of int to Place
         Places of nodes, by number; all others are in one zone.
+    config : MeshConfig
+        The configuration in force.
     """
 
     def __init__(
@@ -319,9 +323,11 @@
         *,
         real_links: bool = False,
         places: dict[int, Place] | None = None,
+        config: MeshConfig = CONFIG,
     ) -> None:
         self.places = places or {}
         self.real_links = real_links
+        self.config = config
         self.network = SimulatedNetwork()
         self.rng = random.Random(seed)
         self.clock = LoopClock()
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -10,6 +10,7 @@
     WarmupLimits,
 )
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
+from savoryhold.traffic.returns import ReturnTracker, Standing
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -37,11 +38,13 @@
     'RefusedRoute',
     'ReportDelay',
     'RetryDecision',
+    'ReturnTracker',
     'Route',
     'RouteKind',
     'RouteTable',
     'ServiceInfo',
     'SharedRetryBudgets',
+    'Standing',
     'TargetQueue',
     'Ticket',
     'WarmupLimits',
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -10,9 +10,12 @@
 import dataclasses
 import math
 from collections.abc import Callable
+from operator import attrgetter
 
 from savoryhold.traffic.capacity import UNLIMITED, Capacity
 
+from savoryhold.traffic.retry_schedule import RetrySchedule
+
 __all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
 
 MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
@@ -26,6 +29,7 @@
 MIN_SHARE = 0.2  # of the slots, at least, is assumed free of more urgent work
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
+NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
 MEAN_RUN_LEFT = 0.5  # average part of its run time that a run has left
 
 
@@ -34,7 +38,9 @@
     """A request that is queued or running; times in ms.
 
     ``aim_at`` is when it should have ended, ``deadline`` when it must have.
-    Run times are measured for each ``kind``.
+    Run times are measured for each ``kind``.  ``nested`` calls precede all
+    callers' requests, and ``returning`` requests precede others of their
+    priority.  ``urgency`` is the place in the order of service.
     """
 
     number: int
@@ -44,6 +50,18 @@
     aim_at: int
     deadline: int
     started_at: int = 0
+    nested: bool = False
+    returning: bool = False
+    urgency: tuple[int, bool, int, int] = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        """Derive the urgency, which does not change while it waits."""
+        self.urgency = (
+            NESTED_PRIORITY if self.nested else self.priority,
+            not self.returning,
+            self.aim_at,
+            self.number,
+        )
 
 
 def _unlimited() -> Capacity:
@@ -84,16 +102,22 @@
     ----------
     slots : int
         Number of requests that the target runs concurrently.
+
+    Notes
+    -----
+    `fair` enables the rules of fair admission.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.capacity: Callable[[], Capacity] = _unlimited
+        self.fair = False
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
         self._last_offered: dict[str, int] = {}
-        self._rates: dict[int, _Rate] = {}
+        self._rates: dict[tuple[int, bool], _Rate] = {}
+        self._schedule = RetrySchedule()
 
     def service_ms(self, kind: str) -> float:
         """Return the average run time of a kind of request."""
@@ -119,7 +143,7 @@
         ahead = [
             other
             for other in self.waiting.values()
-            if _urgency(other) < _urgency(ticket)
+            if other.urgency < ticket.urgency
         ]
         running = list(self.running.values())
         long_ahead = [
@@ -129,12 +153,12 @@
             other for other in running if self._is_long(other.kind, now)
         ]
         long_slots = self._long_slots()
-        if self._is_long(ticket.kind, now):
+        if self._is_held_back(ticket, now):
             wait = max(
                 self._slot_free_ms(ahead, running, self.slots),
                 self._slot_free_ms(long_ahead, long_running, long_slots),
             )
-        elif len(long_running) < long_slots:
+        elif ticket.nested or len(long_running) < long_slots:
             wait = self._slot_free_ms(ahead, running, self.slots)
         else:
             # Long work fills all its slots, so none of it starts first.
@@ -144,7 +168,7 @@
             ]
             short_slots = self.slots - len(long_running)
             wait = self._slot_free_ms(short_ahead, short_running, short_slots)
-        wait /= self._capacity_left(ticket.priority, now, self.slots)
+        wait /= self._capacity_left(ticket.urgency[:2], now, self.slots)
         return max(wait, self._start_wait_ms(ticket, len(ahead), now))
 
     def _start_wait_ms(self, ticket: Ticket, ahead: int, now: int) -> float:
@@ -154,7 +178,7 @@
             return limits.start_ms
         # Slots that the permitted starts keep busy.
         slots = self.service_ms(ticket.kind) / limits.gap_ms
-        left = self._capacity_left(ticket.priority, now, slots)
+        left = self._capacity_left(ticket.urgency[:2], now, slots)
         return limits.start_ms + limits.gap_ms * ahead / left
 
     def _slot_free_ms(
@@ -185,17 +209,17 @@
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
-        rate = self._rates.setdefault(ticket.priority, _Rate())
+        rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         rate.add(self.service_ms(ticket.kind), now)
         wait = self.wait_ms(ticket, now)
         service = self.service_ms(ticket.kind)
-        limit = (ticket.aim_at - now) * AIM_SHARE
+        # A refused nested call wastes the work of its run, hence no reserve.
+        aim_share = 1.0 if ticket.nested else AIM_SHARE
+        limit = (ticket.aim_at - now) * aim_share
         if ticket.aim_at - ticket.arrived_at < service:
             limit = ticket.deadline - now
         if wait and wait + service > min(limit, ticket.deadline - now):
-            return QueueRefusal(
-                ticket, 'busy', _retry_ms(wait + service - limit)
-            )
+            return self._refusal(ticket, 'busy', wait + service - limit, now)
         self.waiting[ticket.number] = ticket
         return None
 
@@ -206,7 +230,8 @@
         -----
         A ticket that has missed its aim runs only when no other waits.  If
         the others that wait fill all slots, it is refused at once rather
-        than at its deadline.
+        than at its deadline.  A nested call is refused only at its deadline,
+        since its run would fail.
         """
         missed = [
             ticket
@@ -215,9 +240,10 @@
         ]
         full = len(self.waiting) - len(missed) >= self.slots
         found = [
-            QueueRefusal(ticket, 'late', MIN_RETRY_MS)
+            self._refusal(ticket, 'late', 0, now)
             for ticket in missed
-            if full or self._ends_after(ticket, ticket.deadline, now)
+            if (full and not ticket.nested)
+            or self._ends_after(ticket, ticket.deadline, now)
         ]
         found.extend(self._find_unfit(missed, now))
         for refused in found:
@@ -234,7 +260,7 @@
         limits = self.capacity()
         if not limits.gap_ms:
             return []
-        ordered = sorted(self.waiting.values(), key=_urgency)
+        ordered = sorted(self.waiting.values(), key=attrgetter('urgency'))
         found = []
         ahead = 0
         for ticket in ordered:
@@ -242,7 +268,7 @@
             if ticket in missed:
                 continue
             if self._ends_after(ticket, ticket.aim_at, starts_at):
-                found.append(QueueRefusal(ticket, 'cold', MIN_RETRY_MS))
+                found.append(self._refusal(ticket, 'cold', 0, now))
             else:
                 ahead += 1
         return found
@@ -261,6 +287,8 @@
         chosen = min(eligible, key=lambda ticket: self._rank(ticket, now))
         self.waiting.pop(chosen.number)
         chosen.started_at = now
+        # Under overload, starts come at the rate of completions.
+        self._schedule.record_served(now)
         self.running[chosen.number] = chosen
         return chosen
 
@@ -275,25 +303,52 @@
         usable = self.slots if limits.slots is None else limits.slots
         return len(self.running) < usable and not limits.start_ms
 
-    def _rank(self, ticket: Ticket, now: int) -> tuple[bool, int, int, int]:
+    def _refusal(
+        self, ticket: Ticket, reason: str, excess_ms: float, now: int
+    ) -> QueueRefusal:
+        """Refuse a ticket that would wait too long by some time."""
+        if not self.fair:
+            retry_ms = round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, excess_ms)))
+            return QueueRefusal(ticket, reason, retry_ms)
+        retry_ms = self._schedule.retry_ms(
+            ticket.priority,
+            now,
+            earliest_ms=excess_ms,
+            left_ms=ticket.deadline - now,
+            room_share=self._capacity_left(
+                (ticket.priority, False), now, self.slots
+            ),
+        )
+        return QueueRefusal(ticket, reason, retry_ms)
+
+    def _rank(
+        self, ticket: Ticket, now: int
+    ) -> tuple[bool, tuple[int, bool, int, int]]:
         missed = now + self.service_ms(ticket.kind) > ticket.aim_at
-        return missed, *_urgency(ticket)
+        return missed and not ticket.nested, ticket.urgency
 
     def _ends_after(self, ticket: Ticket, limit: int, now: int) -> bool:
         """Return whether even a fast run would end after a time."""
         return now + self.service_ms(ticket.kind) * QUICK_RUN > limit
 
-    def _capacity_left(self, priority: int, now: int, slots: float) -> float:
-        """Return the share of the slots that more urgent work leaves."""
+    def _capacity_left(
+        self, level: tuple[int, bool], now: int, slots: float
+    ) -> float:
+        """Return the share of the slots that more urgent work leaves.
+
+        Notes
+        -----
+        Work of callers that return precedes that of new ones of their kind.
+        """
         urgent = sum(
             rate.current(now)
             for other, rate in self._rates.items()
-            if other < priority
+            if other < level
         )
         return max(MIN_SHARE, 1 - urgent / slots)
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
-        if not self._is_long(ticket.kind, now):
+        if not self._is_held_back(ticket, now):
             return True
         running = sum(
             1
@@ -306,6 +361,10 @@
         """Return how many slots long work may occupy while short work comes."""
         return max(1, self.slots - self.slots // 4 - 1)
 
+    def _is_held_back(self, ticket: Ticket, now: int) -> bool:
+        """Return whether only the slots for long work may run a ticket."""
+        return not ticket.nested and self._is_long(ticket.kind, now)
+
     def _is_long(self, kind: str, now: int) -> bool:
         """Return whether a kind is long compared to one offered recently."""
         service = self.service_ms(kind)
@@ -316,11 +375,3 @@
             for other, offered_at in self._last_offered.items()
             if now - offered_at < SHORT_RECENT_MS
         )
-
-
-def _urgency(ticket: Ticket) -> tuple[int, int, int]:
-    return ticket.priority, ticket.aim_at, ticket.number
-
-
-def _retry_ms(excess: float) -> int:
-    return round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, excess)))
