--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -15,6 +15,7 @@
     'EarlyReturnError',
     'MovedError',
     'NoPlaceError',
+    'NoRoomError',
     'PoisonedError',
     'RelayedAnswer',
     'RelayedRequest',
@@ -159,6 +160,12 @@
     code = 'early-return'
 
 
+class NoRoomError(RequestError):
+    """The request is not relayed, since its owner is expected to refuse it."""
+
+    code = 'no-room'
+
+
 class ShedError(RequestError):
     """The target refused the request without running it."""
 
--- a/src/savoryhold/mesh/start_queue.py
+++ b/src/savoryhold/mesh/start_queue.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 
 from savoryhold.core.clock import Clock
-from savoryhold.mesh.requests import BusyError, RelayedRequest
+from savoryhold.mesh.requests import RelayedRequest
 from savoryhold.mesh.target_capacity import TargetCapacity
-from savoryhold.mesh.tickets import ticket_of
+from savoryhold.mesh.tickets import queue_error, ticket_of
 from savoryhold.traffic import QueueRefusal, TargetQueue, Ticket
 
 __all__ = ['StartQueue']
@@ -68,7 +68,7 @@
         if refusal is None:
             refusal = await self._wait_for_start(ticket)
         if refusal is not None:
-            raise BusyError(f'queue: {refusal.reason}', refusal.retry_ms)
+            raise queue_error(refusal)
         return ticket
 
     def start_due(self) -> None:
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -9,6 +9,7 @@
     ReportDelay,
     WarmupLimits,
 )
+from savoryhold.traffic.entry import Arrival, EntryControl, EntryRefusal
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.returns import ReturnTracker, Standing
 from savoryhold.traffic.routes import (
@@ -31,6 +32,11 @@
     'Candidate',
     'Capacity',
     'ColdStartLimiter',
+    'Arrival',
+    'CallerLimits',
+    'Candidate',
+    'EntryControl',
+    'EntryRefusal',
     'Feature',
     'MeshConfig',
     'Origin',
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -27,6 +27,8 @@
 RATE_DECAY_MS = 1000.0  # time constant of the average of arriving work
 QUICK_RUN = 0.5  # of the usual run time; few runs are faster
 MIN_SHARE = 0.2  # of the slots, at least, is assumed free of more urgent work
+# The forecast overrates urgent work that is itself refused.
+MIN_FAIR_SHARE = 0.35
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
 NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
@@ -71,11 +73,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueRefusal:
-    """A ticket that will not run, and when its caller may retry."""
+    """A ticket that will not run, and when its caller may retry.
+
+    ``room_ms`` is the expected wait of such a ticket, 0 if it is not told.
+    """
 
     ticket: Ticket
     reason: str
     retry_ms: int
+    room_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +124,8 @@
         self._last_offered: dict[str, int] = {}
         self._rates: dict[tuple[int, bool], _Rate] = {}
         self._schedule = RetrySchedule()
+        # The last forecast of a wait and its time, by level.
+        self._forecasts: dict[tuple[int, bool], tuple[float, int]] = {}
 
     def service_ms(self, kind: str) -> float:
         """Return the average run time of a kind of request."""
@@ -212,6 +220,8 @@
         rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         rate.add(self.service_ms(ticket.kind), now)
         wait = self.wait_ms(ticket, now)
+        if self.fair:
+            self._forecasts[ticket.urgency[:2]] = (wait, now)
         service = self.service_ms(ticket.kind)
         # A refused nested call wastes the work of its run, hence no reserve.
         aim_share = 1.0 if ticket.nested else AIM_SHARE
@@ -223,6 +233,12 @@
         self.waiting[ticket.number] = ticket
         return None
 
+    def room_ms(self, priority: int, now: int, *, returning: bool) -> float:
+        """Return the wait last forecast for a priority, less its age."""
+        level = (priority, not returning)
+        wait, at = self._forecasts.get(level, (0.0, now))
+        return max(0.0, wait - (now - at))
+
     def refuse_late(self, now: int) -> list[QueueRefusal]:
         """Remove and return the tickets that will not run.
 
@@ -319,7 +335,8 @@
                 (ticket.priority, False), now, self.slots
             ),
         )
-        return QueueRefusal(ticket, reason, retry_ms)
+        room_ms = self.room_ms(ticket.priority, now, returning=ticket.returning)
+        return QueueRefusal(ticket, reason, retry_ms, room_ms)
 
     def _rank(
         self, ticket: Ticket, now: int
@@ -345,7 +362,8 @@
             for other, rate in self._rates.items()
             if other < level
         )
-        return max(MIN_SHARE, 1 - urgent / slots)
+        least = MIN_FAIR_SHARE if self.fair else MIN_SHARE
+        return max(least, 1 - urgent / slots)
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
         if not self._is_held_back(ticket, now):
