Cost model of requests, and pace of a target

Run times were averaged per route at one target, so that a slow target made its requests look expensive and unlike requests of a route had one forecast.

CostModel keeps histograms with exponential decay for classes from a service down to method, body size and caller; a class with few samples shrinks to the coarser one, heavy keys have a ratio of their own, and the least recently used classes are dropped. TargetRecord keeps the pace of a target, its refusals and the work sent since its last status.

--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -2,6 +2,7 @@
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.choice import Candidate, Origin, choose
+from savoryhold.traffic.cost import CostModel, RequestTraits
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.routes import (
     CallerLimits,
@@ -13,14 +14,18 @@
     ServiceInfo,
     WeightedService,
 )
+from savoryhold.traffic.target_record import PaceEstimate, TargetRecord
 
 __all__ = [
     'CallerLimits',
     'Candidate',
+    'CostModel',
     'Feature',
     'MeshConfig',
     'Origin',
+    'PaceEstimate',
     'QueueRefusal',
+    'RequestTraits',
     'RetryDecision',
     'Route',
     'RouteKind',
@@ -28,6 +33,7 @@
     'ServiceInfo',
     'SharedRetryBudgets',
     'TargetQueue',
+    'TargetRecord',
     'Ticket',
     'WeightedService',
     'choose',
