Expected work left at a target, from elapsed times

The queue took half a mean run as the rest of each run, however long it had run already.

With a WorkLeft, its forecasts are those of the requests at the present pace, and the rest of a run is the one expected given its elapsed time. Without one, which is the default, they are as before. Statuses carry work_ms. A stub of the queue in fleet_model.py gets the new argument of backlog_ms.

--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -90,7 +90,7 @@
         ]
         owner = self._context.owner
         if owner.target.serves(req.service) and owner.target.is_ready():
-            wait_ms = owner.queue.backlog_ms()
+            wait_ms = owner.queue.backlog_ms(now)
             candidates.append(
                 Candidate(
                     self._node, self._origin.zone, self._origin.region, wait_ms
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -239,6 +239,7 @@
             now,
             req.aim_at,
             req.deadline,
+            expected_ms=req.expected_ms,
         )
         refusal = self.queue.offer(ticket, now)
         if refusal is None:
@@ -293,7 +294,7 @@
                 started.cancel()
             raise
         took = self.clock.now() - now
-        self.queue.record_run_time(ticket.kind, took)
+        self.queue.record_run(ticket, took, self.clock.now())
         if now + took > req.aim_at and self.may_log():
             self._log_late(req, ticket, took)
         checked = self._calls.check(req, answer)
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -161,7 +161,7 @@
             zone=cfg.zone,
             region=cfg.region,
             slots=self._owner.queue.slots,
-            wait_ms=self._owner.queue.backlog_ms(),
+            wait_ms=self._owner.queue.backlog_ms(now),
             demand=self._owner.demand(now),
             keys=self._tables.owned_key_count(),
             ready=self._owner.target.is_ready(),
@@ -180,6 +180,7 @@
             store_lost=not self._configs.store_reachable,
             config_at=self._configs.checked.revision,
             config_age_ms=now - self._configs.checked.at,
+            work_ms=self._owner.queue.work_ms(now),
         )
 
     def _send_due_statuses(self) -> None:
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -147,6 +147,7 @@
         self.nested_call_rate = 0.0
         self.dial_ms = 0
         self.refused = 0
+        self.arrived = 0
         self.emptied_at: int | None = None
         self.node: Node | None = None
         self._fleet = fleet
@@ -169,6 +170,7 @@
             on_sent()
         rng = self._fleet.rng
         name = _header_value(request, NAMES.request_id)
+        self.arrived += 1
         self._fleet.record_arrival(self.service, name)
         if rng.random() < self.reject_rate:
             return _answer(503, NAMES.not_run.lower())
@@ -466,7 +468,7 @@
         Zone('z'),
         Region('r'),
         SLOTS,
-        node.owner.queue.backlog_ms(),
+        node.owner.queue.backlog_ms(node.fleet.clock.now()),
         0.0,
         0,
         True,
--- a/src/savoryhold/mesh/tests/fleet_model.py
+++ b/src/savoryhold/mesh/tests/fleet_model.py
@@ -70,7 +70,9 @@
         )
         self.members = MemberTable(name, place.region, place.zone, clock.now())
         self.losses = LossDetector(self.members)
-        queue = SimpleNamespace(slots=2, backlog_ms=lambda: 25.5)
+        queue = SimpleNamespace(
+            slots=2, backlog_ms=lambda now: 25.5, work_ms=lambda now: 0.0
+        )
         owner = SimpleNamespace(
             target=SimpleNamespace(report=None, is_ready=lambda: True),
             queue=queue,
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -4,6 +4,7 @@
 from savoryhold.traffic.choice import Candidate, Origin, choose
 from savoryhold.traffic.cost import CostModel, RequestTraits
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
+from savoryhold.traffic.remaining import WorkLeft
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -36,5 +37,6 @@
     'TargetRecord',
     'Ticket',
     'WeightedService',
+    'WorkLeft',
     'choose',
 ]
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -10,6 +10,8 @@
 import dataclasses
 import math
 
+from savoryhold.traffic.remaining import WorkLeft
+
 __all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
 
 MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
@@ -31,7 +33,8 @@
     """A request that is queued or running; times in ms.
 
     ``aim_at`` is when it should have ended, ``deadline`` when it must have.
-    Run times are measured for each ``kind``.
+    Run times are measured for each ``kind``.  ``expected_ms`` is the forecast
+    of its run time at a target of usual pace, 0 if there is none.
     """
 
     number: int
@@ -41,6 +44,7 @@
     aim_at: int
     deadline: int
     started_at: int = 0
+    expected_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,10 +80,16 @@
     ----------
     slots : int
         Number of requests that the target runs concurrently.
+
+    Notes
+    -----
+    With `work`, forecasts are those of the cost model; without, they are the
+    averages of the kinds.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
+        self.work: WorkLeft | None = None
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
@@ -98,6 +108,26 @@
         else:
             self._service_times[kind] = known + SMOOTHING * (took_ms - known)
 
+    def record_run(self, ticket: Ticket, took_ms: float, now: int) -> None:
+        """Update all forecasts with the run time of a ticket."""
+        self.record_run_time(ticket.kind, took_ms)
+        if self.work is not None:
+            self.work.record(ticket, took_ms, now)
+
+    def expected_ms(self, ticket: Ticket, now: int) -> float:
+        """Return the expected run time of a ticket."""
+        if self.work is None:
+            return self.service_ms(ticket.kind)
+        return self.work.expected_ms(ticket, now)
+
+    def work_ms(self, now: int) -> float:
+        """Return the expected work left in ms of one slot, 0 if unknown."""
+        if self.work is None:
+            return 0.0
+        return self.work.total_ms(
+            self.running.values(), self.waiting.values(), now
+        )
+
     def wait_ms(self, ticket: Ticket, now: int) -> float:
         """Return the expected wait of a ticket.
 
@@ -122,11 +152,11 @@
         long_slots = self._long_slots()
         if self._is_long(ticket.kind, now):
             wait = max(
-                self._slot_free_ms(ahead, running, self.slots),
-                self._slot_free_ms(long_ahead, long_running, long_slots),
+                self._slot_free_ms(ahead, running, self.slots, now),
+                self._slot_free_ms(long_ahead, long_running, long_slots, now),
             )
         elif len(long_running) < long_slots:
-            wait = self._slot_free_ms(ahead, running, self.slots)
+            wait = self._slot_free_ms(ahead, running, self.slots, now)
         else:
             # Long work fills all its slots, so none of it starts first.
             short_ahead = [other for other in ahead if other not in long_ahead]
@@ -134,13 +164,17 @@
                 other for other in running if other not in long_running
             ]
             short_slots = self.slots - len(long_running)
-            wait = self._slot_free_ms(short_ahead, short_running, short_slots)
+            wait = self._slot_free_ms(
+                short_ahead, short_running, short_slots, now
+            )
         return wait / self._capacity_left(ticket.priority, now)
 
     def _slot_free_ms(
-        self, ahead: list[Ticket], running: list[Ticket], slots: int
+        self, ahead: list[Ticket], running: list[Ticket], slots: int, now: int
     ) -> float:
         """Return after how many ms a slot is free for one more ticket."""
+        if self.work is not None:
+            return self.work.slot_free_ms(ahead, running, slots, now)
         if not ahead and len(running) < slots:
             return 0.0
         work = sum(self.service_ms(ticket.kind) for ticket in ahead)
@@ -150,8 +184,10 @@
         )
         return (work + remaining) / max(1, slots)
 
-    def backlog_ms(self) -> float:
+    def backlog_ms(self, now: int) -> float:
         """Return how many ms the target needs for all its tickets."""
+        if self.work is not None:
+            return self.work_ms(now) / max(1, self.slots)
         waiting = sum(
             self.service_ms(ticket.kind) for ticket in self.waiting.values()
         )
@@ -165,9 +201,9 @@
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
         rate = self._rates.setdefault(ticket.priority, _Rate())
-        rate.add(self.service_ms(ticket.kind), now)
+        service = self.expected_ms(ticket, now)
+        rate.add(service, now)
         wait = self.wait_ms(ticket, now)
-        service = self.service_ms(ticket.kind)
         limit = (ticket.aim_at - now) * AIM_SHARE
         if ticket.aim_at - ticket.arrived_at < service:
             limit = ticket.deadline - now
@@ -225,12 +261,12 @@
         return self.waiting.pop(number, None) is not None
 
     def _rank(self, ticket: Ticket, now: int) -> tuple[bool, int, int, int]:
-        missed = now + self.service_ms(ticket.kind) > ticket.aim_at
+        missed = now + self.expected_ms(ticket, now) > ticket.aim_at
         return missed, *_urgency(ticket)
 
     def _ends_after(self, ticket: Ticket, limit: int, now: int) -> bool:
         """Return whether even a fast run would end after a time."""
-        return now + self.service_ms(ticket.kind) * QUICK_RUN > limit
+        return now + self.expected_ms(ticket, now) * QUICK_RUN > limit
 
     def _capacity_left(self, priority: int, now: int) -> float:
         """Return the share of the slots that more urgent work leaves."""
--- /dev/null
+++ b/src/savoryhold/traffic/remaining.py
@@ -0,0 +1,117 @@
+"""Expected work left at the local target, from what runs and what waits."""
+
+from collections.abc import Collection, Iterable
+from typing import Protocol
+
+from savoryhold.traffic.cost import CostModel, RequestTraits
+from savoryhold.traffic.target_record import PaceEstimate
+
+__all__ = ['RunningTicket', 'WorkLeft']
+
+MIN_LEFT_MS = 1.0
+
+
+class RunningTicket(Protocol):
+    """The part of a ticket that a forecast needs; times in ms."""
+
+    kind: str
+    started_at: int
+    expected_ms: float
+
+
+class WorkLeft:
+    """Forecast of the run times at one target.
+
+    Parameters
+    ----------
+    costs : CostModel
+        Run times at a target of usual pace.
+    service : str
+        Service of the target.
+    """
+
+    def __init__(self, costs: CostModel, service: str) -> None:
+        # Set from what the target reports; 1 if it reports nothing.
+        self.reported_pace = 1.0
+        self.pace = PaceEstimate()
+        self._costs = costs
+        self._service = service
+        self._pace_now = 1.0
+        self._pace_at = -1
+
+    def present_pace(self, now: int) -> float:
+        """Return how much longer than usual runs take at present."""
+        if now != self._pace_at:
+            self._pace_at = now
+            self._pace_now = self.pace.current(now)
+        return self._pace_now * self.reported_pace
+
+    def usual_ms(self, ticket: RunningTicket) -> float:
+        """Return the forecast at a target of usual pace."""
+        if ticket.expected_ms > 0:
+            return ticket.expected_ms
+        return self._costs.route_class(self._service, ticket.kind).mean_ms()
+
+    def expected_ms(self, ticket: RunningTicket, now: int) -> float:
+        """Return the expected run time of a ticket here."""
+        return self.usual_ms(ticket) * self.present_pace(now)
+
+    def left_ms(self, ticket: RunningTicket, now: int) -> float:
+        """Return the expected rest of a running ticket.
+
+        Notes
+        -----
+        The run times of a route have one shape, scaled to the forecast of the
+        ticket and to the pace.  A run that exceeds its forecast is probably a
+        long one, so its rest may be longer than at its start.
+        """
+        pace = self.present_pace(now)
+        kind = self._costs.route_class(self._service, ticket.kind)
+        scale = self.usual_ms(ticket) / kind.mean_ms()
+        elapsed = max(0, now - ticket.started_at) / (pace * scale)
+        return max(MIN_LEFT_MS, kind.left_ms(elapsed) * scale * pace)
+
+    def record(self, ticket: RunningTicket, ran_ms: float, now: int) -> None:
+        """Add the measured run time of a ticket."""
+        usual = self.usual_ms(ticket) * self.reported_pace
+        self.pace.record(ran_ms, usual, now)
+        traits = RequestTraits(self._service, ticket.kind)
+        self._costs.record(traits, ran_ms, self.present_pace(now), now)
+        self._pace_at = -1
+
+    def total_ms(
+        self,
+        running: Iterable[RunningTicket],
+        waiting: Iterable[RunningTicket],
+        now: int,
+    ) -> float:
+        """Return the work left in ms of one slot."""
+        left = sum(self.left_ms(ticket, now) for ticket in running)
+        return left + sum(self.expected_ms(ticket, now) for ticket in waiting)
+
+    def slot_free_ms(
+        self,
+        ahead: Collection[RunningTicket],
+        running: Collection[RunningTicket],
+        slots: int,
+        now: int,
+    ) -> float:
+        """Return after how many ms a slot is free for one more ticket.
+
+        Notes
+        -----
+        The first slot becomes free at the combined rate at which the runs end.
+        The tickets ahead then share the slots; one whose run lasts longer than
+        their work does counts in part.
+        """
+        free = slots - len(running)
+        if not ahead and free > 0:
+            return 0.0
+        left = [self.left_ms(ticket, now) for ticket in running]
+        first = 0.0 if free > 0 else 1 / sum(1 / rest for rest in left)
+        if not ahead:
+            return first
+        work = sum(self.expected_ms(ticket, now) for ticket in ahead)
+        horizon = max(work / len(ahead), work / max(1, slots))
+        usable = sum(min(1.0, horizon / rest) for rest in left) + max(0, free)
+        return first + work / max(1.0, usable)
