Targets of unkeyed requests are chosen by expected completion

A fleet of 77 nodes acted on the same statuses of up to 1 s age, counted 8 ms a request, and knew nothing of pace and refusals.

Where the configuration has cost routing, a node compares up to 12 targets at random by work left, work sent since the status, pace, refusals, distance and bytes, and draws one as if the work that arrives during the age of the news filled them to a common level (load interpretation). Targets that refuse are explored with 3% of the requests. Otherwise the choice is as before.

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -9,6 +9,7 @@
 from savoryhold.core.ids import NodeId, ServiceName
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.codec import answer_from_message, relay_message
+from savoryhold.mesh.forecasts import Forecasts
 from savoryhold.mesh.node_chooser import AWAY_RETRY_MS, NodeChooser
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.request_reader import RequestReader
@@ -89,7 +90,8 @@
         self._context = context
         self._clock = context.clock
         self._reader = RequestReader(context, names)
-        self._chooser = NodeChooser(context)
+        self.forecasts = Forecasts(context, telemetry)
+        self._chooser = NodeChooser(context, self.forecasts)
         self._telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
         context.owner.runs.may_repeat_calls = self._may_repeat_calls
@@ -146,6 +148,7 @@
 
     async def _answer(self, state: _RequestState) -> RelayedAnswer:
         self._count_in_budget(state.req)
+        state.req = self.forecasts.prepare(state.req)
         for _ in range(MAX_TRIES):
             try:
                 answer = await self._try(state)
@@ -179,15 +182,21 @@
         state.tries_left -= 1
         state.last_node = node
         try:
-            if node == self._context.settings.node:
-                return await self._context.owner.submit(state.req)
-            return await self._relay(node, state.req)
+            answer = await self._ask(node, state.req)
         except RequestError as exc:
+            self.forecasts.record_error(node, exc)
             state.failed_nodes.add(node)
             if exc.verdict is Verdict.NOT_RUN and exc.code != 'shed':
                 # Nothing was sent to a target, so it is not an attempt.
                 state.tries_left += 1
             raise
+        self.forecasts.record_answer(node, state.req, answer)
+        return answer
+
+    async def _ask(self, node: NodeId, req: RelayedRequest) -> RelayedAnswer:
+        if node == self._context.settings.node:
+            return await self._context.owner.submit(req)
+        return await self._relay(node, req)
 
     async def _prepare_retry(
         self, state: _RequestState, exc: RequestError
@@ -220,7 +229,9 @@
         """Return whether the request may be sent to a target once more."""
         req = state.req
         now = self._clock.now()
-        service_ms = self._context.owner.queue.service_ms(req.route)
+        service_ms = req.expected_ms or (
+            self._context.owner.queue.service_ms(req.route)
+        )
         late = req.deadline - now < service_ms * RETRY_TIME_FACTOR
         # A request that no target has run may be retried, idempotent or not.
         repeatable = req.repeatable or state.uncertain_error is None
@@ -238,11 +249,13 @@
         if member is None:
             raise TargetDownError(f'{node} is not a known node', AWAY_RETRY_MS)
         member.outstanding += 1
+        number = self.forecasts.begin(member, req)
         try:
             call = await self._send(member.status.address, req)
             return await self._receive(call, req)
         finally:
             member.outstanding -= 1
+            member.record.end(number)
 
     async def _send(self, address: str, req: RelayedRequest) -> LinkStream:
         try:
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -10,6 +10,7 @@
 
 from savoryhold.core.ids import NodeId, Region, ServiceName, Version, Zone
 from savoryhold.mesh.places import Place, ZoneIndex
+from savoryhold.traffic import TargetRecord
 
 __all__ = ['Member', 'MemberTable', 'NodeStatus']
 
@@ -119,12 +120,14 @@
     """A node's last status and the number of requests relayed to it.
 
     ``received_at`` is when this node, or the relay that passed the status on,
-    received it from the member itself.
+    received it from the member itself.  ``record`` is what requests to its
+    target have shown.
     """
 
     status: NodeStatus
     received_at: int
     outstanding: int = 0
+    record: TargetRecord = dataclasses.field(default_factory=TargetRecord)
 
 
 class MemberTable:
@@ -221,6 +224,7 @@
         else:
             member.status = status
             member.received_at = max(member.received_at, heard_at)
+            member.record.on_status(member.received_at)
         return True
 
     def add_address(
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -438,6 +438,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_MS / MS_PER_SECOND)
             self.owner.heat.drop_cold_keys(self.clock.now())
+            self.ingress.forecasts.refresh()
             rounds += 1
             if rounds % FIGURES_ROUNDS == 0:
                 self._log_figures()
--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -1,14 +1,19 @@
 """Choice of the node that runs a request."""
 
+import random
+
 from savoryhold.core.ids import NodeId
+from savoryhold.mesh.forecasts import Forecasts
+from savoryhold.mesh.members import Member
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.requests import NO_KEY, RelayedRequest, TargetDownError
-from savoryhold.traffic import Candidate, Origin, choose
+from savoryhold.traffic import Candidate, Origin, choose, choose_outlook
 
 __all__ = ['NodeChooser']
 
 AWAY_RETRY_MS = 450  # a restarted node is often ready by then
 NO_TARGET_RETRY_MS = 200
+MAX_COMPARED = 12  # targets, at random; large requests look for the nearest
 OUTSTANDING_MS = 8.0  # wait that each request relayed to a node adds there
 
 
@@ -19,10 +24,14 @@
     ----------
     context : NodeContext
         Dependencies of the node's tasks.
+    forecasts : Forecasts
+        Costs of requests and outcomes at targets.
     """
 
-    def __init__(self, context: NodeContext) -> None:
+    def __init__(self, context: NodeContext, forecasts: Forecasts) -> None:
         self._context = context
+        self._forecasts = forecasts
+        self._rng = random.Random()
         self._node = context.settings.node
         self._origin = Origin(context.settings.zone, context.settings.region)
 
@@ -47,6 +56,8 @@
         """
         if req.key != NO_KEY:
             return self._owner(req)
+        if self._forecasts.enabled:
+            return self._choose_by_cost(req, avoid, large=large)
         candidates = self._candidates(req)
         preferred = [one for one in candidates if one.node not in avoid]
         node = choose(preferred or candidates, self._origin, large=large)
@@ -56,6 +67,40 @@
             )
         return node
 
+    def _choose_by_cost(
+        self, req: RelayedRequest, avoid: set[NodeId], *, large: bool
+    ) -> NodeId:
+        """Return a node with a low expected completion time."""
+        now = self._context.clock.now()
+        members = self._serving_members(req, now)
+        if len(members) > MAX_COMPARED and not large:
+            members = self._rng.sample(members, MAX_COMPARED)
+        outlooks = [self._forecasts.outlook(member, now) for member in members]
+        if self._runs_here(req):
+            outlooks.append(self._forecasts.own_outlook(now))
+        if not outlooks:
+            raise TargetDownError(
+                f'no target serves {req.service}', NO_TARGET_RETRY_MS
+            )
+        preferred = [one for one in outlooks if one.node not in avoid]
+        chosen, _ = choose_outlook(
+            preferred or outlooks,
+            self._origin,
+            req.expected_ms,
+            self._forecasts.transfer(req, large=large),
+            self._rng,
+        )
+        return chosen.node
+
+    def _serving_members(self, req: RelayedRequest, now: int) -> list[Member]:
+        """Return the members whose targets may run a request."""
+        return self._context.members.serving_members(req.service, now)
+
+    def _runs_here(self, req: RelayedRequest) -> bool:
+        """Return whether the local target may run a request."""
+        target = self._context.owner.target
+        return target.serves(req.service) and target.is_ready()
+
     def _owner(self, req: RelayedRequest) -> NodeId:
         table = self._context.tables.tables.get(req.service)
         if table is None:
@@ -86,11 +131,10 @@
                 members.wait_ms(member, now)
                 + member.outstanding * OUTSTANDING_MS,
             )
-            for member in members.serving_members(req.service, now)
+            for member in self._serving_members(req, now)
         ]
-        owner = self._context.owner
-        if owner.target.serves(req.service) and owner.target.is_ready():
-            wait_ms = owner.queue.backlog_ms(now)
+        if self._runs_here(req):
+            wait_ms = self._context.owner.queue.backlog_ms(now)
             candidates.append(
                 Candidate(
                     self._node, self._origin.zone, self._origin.region, wait_ms
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -1,6 +1,6 @@
 """Telemetry of requests: log lines, counters and latency histograms."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import RequestError
@@ -36,6 +36,8 @@
         self.latency: Counter[tuple[str, float]] = Counter()
         self.latency_sum: Counter[str] = Counter()
         self.repeats: Counter[tuple[str, str]] = Counter()
+        # Sums in ms of forecasts, run times and absolute errors, by route.
+        self.forecasts: defaultdict[tuple[str, str], float] = defaultdict(float)
         self.unlogged_count = 0
         self._clock = clock
         self._answer_count = 0
@@ -66,6 +68,14 @@
                 late=late,
             )
 
+    def record_forecast(
+        self, route: str, expected_ms: float, ran_ms: int
+    ) -> None:
+        """Record the forecast of a run time and the time that it took."""
+        self.forecasts[(route, 'expected')] += expected_ms
+        self.forecasts[(route, 'measured')] += ran_ms
+        self.forecasts[(route, 'error')] += abs(ran_ms - expected_ms)
+
     def record_refusal(
         self,
         http: HttpRequest,
@@ -143,6 +153,12 @@
         lines.append('# TYPE savoryhold_mesh_request_ms histogram')
         for route in sorted(self.latency_sum):
             lines.extend(self._histogram(route))
+        lines.append('# TYPE savoryhold_mesh_forecast_ms_total counter')
+        for (route, figure), total in sorted(self.forecasts.items()):
+            lines.append(
+                f'savoryhold_mesh_forecast_ms_total{{route="{_label(route)}",'
+                f'figure="{figure}"}} {total:.0f}'
+            )
         for name, level in sorted(gauges.items()):
             lines.append(f'savoryhold_mesh_{name} {level}')
         lines.append(f'savoryhold_mesh_lines_unlogged {self.unlogged_count}')
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -1,7 +1,14 @@
 """Traffic decisions: routing, queueing, node selection and retry budgets."""
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
-from savoryhold.traffic.choice import Candidate, Origin, choose
+from savoryhold.traffic.choice import (
+    Candidate,
+    Origin,
+    Outlook,
+    Transfer,
+    choose,
+    choose_outlook,
+)
 from savoryhold.traffic.cost import CostModel, RequestTraits
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.remaining import WorkLeft
@@ -24,6 +31,7 @@
     'Feature',
     'MeshConfig',
     'Origin',
+    'Outlook',
     'PaceEstimate',
     'QueueRefusal',
     'RequestTraits',
@@ -36,7 +44,9 @@
     'TargetQueue',
     'TargetRecord',
     'Ticket',
+    'Transfer',
     'WeightedService',
     'WorkLeft',
     'choose',
+    'choose_outlook',
 ]
--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -1,16 +1,36 @@
 """Selection of a node for requests that any target of a service may run."""
 
 import dataclasses
-from collections.abc import Iterable
+import math
+import random
+from collections.abc import Iterable, Sequence
 
 from savoryhold.core.ids import NodeId, Region, Zone
 
-__all__ = ['Candidate', 'Origin', 'choose']
+__all__ = [
+    'Candidate',
+    'Origin',
+    'Outlook',
+    'Transfer',
+    'choose',
+    'choose_outlook',
+]
 
 ZONE_MS = 4.0  # round trip between zones, plus the relay hop
 REGION_MS = 22.0  # round trip between regions, plus the relay hop
 LARGE_ZONE_MS = 60.0  # a large answer fills the narrow links of a zone
 LARGE_REGION_MS = 600.0  # and even more the only link between regions
+BITS_PER_BYTE = 8
+KBPS_PER_MBPS = 1000.0  # kbit/s are bits in a ms
+REGION_BYTES_FACTOR = 10.0  # all hosts share the link between two regions
+MIN_ACCEPTANCE = 0.05
+RETRY_MS = 60.0  # pause and hops of the try after a refusal
+NEWS_MS = 1500.0  # over which reported work tends to the mean of the targets
+MIN_SPREAD_MS = 2.0  # differences below it are noise
+BACKLOG_SLOPE = 0.1  # wait for work that leaves slots free, by ms of work
+FREE_RUNS = 0.5  # runs in a slot of which the work makes nobody wait
+EXPLORED_SHARE = 0.03  # of the requests, over all targets that are avoided
+AVOIDED_ACCEPTANCE = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +79,183 @@
     return None if best is None else best.node
 
 
-def _network_ms(candidate: Candidate, origin: Origin, *, large: bool) -> float:
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transfer:
+    """What a request sends over links.
+
+    ``size`` is that of its body and expected answer in bytes.  ``link_mbps`` is
+    the rate of the host's link, 0 if unknown.
+    """
+
+    size: float = 0.0
+    link_mbps: float = 0.0
+    large: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Outlook:
+    """What is expected of a request at one target; times in ms.
+
+    Parameters
+    ----------
+    node : NodeId
+        Node of the target.
+    zone, region : Zone, Region
+        Where it is.
+    slots : int
+        Number of requests that it runs at once.
+    work_ms : float
+        Work left there, in ms of one slot.
+    sent_ms : float
+        Work sent there since that was known, at usual pace.
+    pace : float
+        Run times there, as a multiple of usual ones.
+    acceptance : float
+        Share of requests that the target does not refuse by itself.
+    demand : float
+        Load that requests offer there, in slots.
+    age_ms : int
+        Age of the news.
+    is_local : bool
+        Whether no link leads there.
+    """
+
+    node: NodeId
+    zone: Zone
+    region: Region
+    slots: int
+    work_ms: float
+    sent_ms: float
+    pace: float
+    acceptance: float
+    demand: float
+    age_ms: int
+    is_local: bool = False
+
+
+def choose_outlook(
+    outlooks: Sequence[Outlook],
+    origin: Origin,
+    usual_ms: float,
+    transfer: Transfer,
+    rng: random.Random,
+) -> tuple[Outlook, float]:
+    """Return a target with a low expected completion time, and that time.
+
+    Parameters
+    ----------
+    outlooks : sequence of Outlook
+        The targets, at least one.
+    origin : Origin
+        Where the request enters.
+    usual_ms : float
+        Expected run time at a target of usual pace.
+    transfer : Transfer
+        What it sends over links.
+    rng : Random
+        Source of random choices.
+
+    Notes
+    -----
+    All nodes act on the same news until the next status.  Requests are
+    therefore spread as if the work that arrives during the age of the news
+    filled the targets up to a common level (load interpretation, Dahlin, 2000).
+    That work tends to nothing as the load falls below the capacity, when the
+    nearest targets are as good as any.
+    """
+    if len(outlooks) == 1:
+        return outlooks[0], 0.0
+    if rng.random() < EXPLORED_SHARE:
+        avoided = [
+            outlook
+            for outlook in outlooks
+            if outlook.acceptance < AVOIDED_ACCEPTANCE
+        ]
+        if avoided:
+            return rng.choice(avoided), 0.0
+    costs, rates = _costs_and_rates(outlooks, origin, usual_ms, transfer)
+    level = _level(costs, rates, _arriving_ms(outlooks, sum(rates)))
+    chances = [
+        max(0.0, level - cost) * rate
+        for cost, rate in zip(costs, rates, strict=True)
+    ]
+    picked = rng.choices(range(len(outlooks)), chances)[0]
+    return outlooks[picked], costs[picked]
+
+
+def _costs_and_rates(
+    outlooks: Sequence[Outlook],
+    origin: Origin,
+    usual_ms: float,
+    transfer: Transfer,
+) -> tuple[list[float], list[float]]:
+    """Return the expected completion times, and the rates of finishing work."""
+    slots = sum(outlook.slots for outlook in outlooks) or 1
+    mean_ms = sum(outlook.work_ms for outlook in outlooks) / slots
+    costs = []
+    rates = []
+    for outlook in outlooks:
+        accepted = max(MIN_ACCEPTANCE, outlook.acceptance)
+        rates.append(max(1, outlook.slots) * accepted / outlook.pace)
+        cost = _run_ms(outlook, usual_ms, mean_ms) + RETRY_MS * (1 - accepted)
+        costs.append(cost / accepted + _transfer_ms(outlook, origin, transfer))
+    return costs, rates
+
+
+def _run_ms(outlook: Outlook, usual_ms: float, mean_ms: float) -> float:
+    """Return the expected wait and run time at a target."""
+    slots = max(1, outlook.slots)
+    known_ms = outlook.work_ms / slots
+    # Old news say less of the target than the mean of all.
+    trust = NEWS_MS / (NEWS_MS + outlook.age_ms)
+    backlog = mean_ms + (known_ms - mean_ms) * trust
+    backlog += outlook.sent_ms * outlook.pace / slots
+    run_ms = usual_ms * outlook.pace
+    wait = max(0.0, backlog - run_ms * FREE_RUNS) + backlog * BACKLOG_SLOPE
+    return wait + run_ms
+
+
+def _arriving_ms(outlooks: Sequence[Outlook], capacity: float) -> float:
+    """Return the work that the targets are assumed to get unseen."""
+    demand = sum(outlook.demand for outlook in outlooks)
+    age_ms = sum(outlook.age_ms for outlook in outlooks) / len(outlooks)
+    load = min(1.0, demand / capacity)
+    return (age_ms * load**3 + MIN_SPREAD_MS) * capacity
+
+
+def _level(
+    costs: Sequence[float], rates: Sequence[float], arriving: float
+) -> float:
+    """Return the cost up to which work fills the targets, cheapest first."""
+    filled = 0.0
+    weighted = 0.0
+    level = math.inf
+    for cost, rate in sorted(zip(costs, rates, strict=True)):
+        if cost >= level:
+            break
+        filled += rate
+        weighted += rate * cost
+        level = (arriving + weighted) / filled
+    return level
+
+
+def _transfer_ms(target: Outlook, origin: Origin, transfer: Transfer) -> float:
+    """Return the time that the network adds to a request."""
+    if target.is_local:
+        return 0.0
+    network = _network_ms(target, origin, large=transfer.large)
+    if not transfer.link_mbps:
+        return network
+    rate = transfer.link_mbps * KBPS_PER_MBPS
+    link_ms = transfer.size * BITS_PER_BYTE / rate
+    if target.region != origin.region:
+        link_ms *= REGION_BYTES_FACTOR
+    return max(network, link_ms)
+
+
+def _network_ms(
+    candidate: Candidate | Outlook, origin: Origin, *, large: bool
+) -> float:
     if candidate.zone == origin.zone:
         return 0.0
     if candidate.region == origin.region:
