Merge the cost model and the choice by expected completion

Change: conflicts resolved; candidates compared by cost are confined to the allowed regions and to zones that are not evacuated; one function renders all counters. Tests of traffic and mesh pass.

--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -1,9 +1,12 @@
 """Choice of the node that runs a request."""
 
+import random
 from collections.abc import Collection
 
 from savoryhold.core.errors import RequestError
-from savoryhold.core.ids import NodeId, Zone
+from savoryhold.core.ids import NodeId, Region, Zone
+from savoryhold.mesh.forecasts import Forecasts
+from savoryhold.mesh.members import Member
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.requests import (
     NO_KEY,
@@ -11,13 +14,14 @@
     RelayedRequest,
     TargetDownError,
 )
-from savoryhold.traffic import Candidate, Origin, choose
+from savoryhold.traffic import Candidate, Origin, choose, choose_outlook
 
 __all__ = ['NodeChooser']
 
 AWAY_RETRY_MS = 450  # a restarted node is often ready by then
 NO_TARGET_RETRY_MS = 200
 NO_PLACE_RETRY_MS = 2000  # operators have to change something
+MAX_COMPARED = 12  # targets, at random; large requests look for the nearest
 OUTSTANDING_MS = 8.0  # wait that each request relayed to a node adds there
 
 
@@ -28,10 +32,14 @@
     ----------
     context : NodeContext
         Dependencies of the node's tasks.
+    forecasts : Forecasts
+        Costs of requests and outcomes at targets.
     """
 
-    def __init__(self, context: NodeContext) -> None:
+    def __init__(self, context: NodeContext, forecasts: Forecasts) -> None:
         self._context = context
+        self._forecasts = forecasts
+        self._rng = random.Random()
         self._node = context.settings.node
         self._origin = Origin(context.settings.zone, context.settings.region)
         self._rules = context.places
@@ -66,6 +74,8 @@
         """
         if req.key != NO_KEY:
             return self._owner(req, barred)
+        if self._forecasts.enabled:
+            return self._choose_by_cost(req, avoid, barred, large=large)
         candidates = self._candidates(req, barred)
         preferred = [one for one in candidates if one.node not in avoid]
         node = choose(preferred or candidates, self._origin, large=large)
@@ -80,6 +90,78 @@
         place = self._context.members.index.places.get(node)
         return self._origin.zone if place is None else place.zone
 
+    def _choose_by_cost(
+        self,
+        req: RelayedRequest,
+        avoid: set[NodeId],
+        barred: Collection[Zone],
+        *,
+        large: bool,
+    ) -> NodeId:
+        """Return a node with a low expected completion time."""
+        now = self._context.clock.now()
+        members = self._serving_members(req, now, barred)
+        if len(members) > MAX_COMPARED and not large:
+            members = self._rng.sample(members, MAX_COMPARED)
+        outlooks = [self._forecasts.outlook(member, now) for member in members]
+        if self._runs_here(req, barred):
+            outlooks.append(self._forecasts.own_outlook(now))
+        if not outlooks:
+            raise self._unavailable(
+                req, f'no target serves {req.service}', NO_TARGET_RETRY_MS
+            )
+        preferred = [one for one in outlooks if one.node not in avoid]
+        chosen, _ = choose_outlook(
+            preferred or outlooks,
+            self._origin,
+            req.expected_ms,
+            self._forecasts.transfer(req, large=large),
+            self._rng,
+        )
+        return chosen.node
+
+    def _serving_members(
+        self, req: RelayedRequest, now: int, barred: Collection[Zone]
+    ) -> list[Member]:
+        """Return the members whose targets may run a request."""
+        members = self._context.members.serving_members(req.service, now)
+        if self._is_unconfined(req, barred):
+            return members
+        return [
+            member
+            for member in members
+            if self._may_run_in(
+                req, member.status.region, member.status.zone, barred
+            )
+        ]
+
+    def _runs_here(self, req: RelayedRequest, barred: Collection[Zone]) -> bool:
+        """Return whether the local target may run a request."""
+        target = self._context.owner.target
+        if not target.serves(req.service) or not target.is_ready():
+            return False
+        here = self._origin
+        return self._may_run_in(req, here.region, here.zone, barred)
+
+    def _is_unconfined(
+        self, req: RelayedRequest, barred: Collection[Zone]
+    ) -> bool:
+        """Return whether a request may run anywhere."""
+        if barred or self._rules.evacuated:
+            return False
+        return self._rules.allowed_regions(req).is_anywhere
+
+    def _may_run_in(
+        self,
+        req: RelayedRequest,
+        region: Region,
+        zone: Zone,
+        barred: Collection[Zone],
+    ) -> bool:
+        if zone in self._rules.evacuated or zone in barred:
+            return False
+        return self._rules.allowed_regions(req).allows(region)
+
     def _owner(self, req: RelayedRequest, barred: Collection[Zone]) -> NodeId:
         table = self._context.tables.tables.get(req.service)
         if table is None:
@@ -158,8 +240,7 @@
     ) -> list[Candidate]:
         members = self._context.members
         now = self._context.clock.now()
-        allowed = self._rules.allowed_regions(req)
-        shut = self._rules.evacuated.union(barred)
+        here = self._origin
         candidates = [
             Candidate(
                 member.status.node,
@@ -168,19 +249,10 @@
                 members.wait_ms(member, now)
                 + member.outstanding * OUTSTANDING_MS,
             )
-            for member in members.serving_members(req.service, now)
-            if allowed.allows(member.status.region)
-            and member.status.zone not in shut
+            for member in self._serving_members(req, now, barred)
         ]
-        owner = self._context.owner
-        here = self._origin
-        if (
-            owner.target.serves(req.service)
-            and owner.target.is_ready()
-            and allowed.allows(here.region)
-            and here.zone not in shut
-        ):
-            wait_ms = owner.queue.backlog_ms()
+        if self._runs_here(req, barred):
+            wait_ms = self._context.owner.queue.backlog_ms(now)
             candidates.append(
                 Candidate(self._node, here.zone, here.region, wait_ms)
             )
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -257,7 +257,7 @@
         took = self.clock.now() - now
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             self.capacity.limiter.return_sent()
-        self.queue.record_run_time(ticket.kind, took)
+        self.queue.record_run(ticket, took, self.clock.now())
         self.capacity.record_run_time(took)
         if now + took > req.aim_at and self.may_log():
             self._log_late(req, ticket, took)
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -1,6 +1,8 @@
 """Telemetry of requests: log lines, counters and latency histograms."""
 
-from collections import Counter
+from collections import Counter, defaultdict
+from collections.abc import Mapping, Sequence
+from typing import Any
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import RequestError
@@ -38,6 +40,8 @@
         self.repeats: Counter[tuple[str, str]] = Counter()
         # By route, zone of the owner and reason.
         self.refusals: Counter[tuple[str, str, str]] = Counter()
+        # Sums in ms of forecasts, run times and absolute errors, by route.
+        self.forecasts: defaultdict[tuple[str, str], float] = defaultdict(float)
         self.unlogged_count = 0
         self._clock = clock
         self._answer_count = 0
@@ -68,6 +72,14 @@
                 late=late,
             )
 
+    def record_forecast(
+        self, route: str, expected_ms: float, ran_ms: int
+    ) -> None:
+        """Record the forecast of a run time and the time that it took."""
+        self.forecasts[(route, 'expected')] += expected_ms
+        self.forecasts[(route, 'measured')] += ran_ms
+        self.forecasts[(route, 'error')] += abs(ran_ms - expected_ms)
+
     def record_refusal(
         self,
         http: HttpRequest,
@@ -130,24 +142,15 @@
 
     def render(self, gauges: dict[str, float]) -> bytes:
         """Return all metrics in the Prometheus text exposition format."""
-        lines = ['# TYPE savoryhold_mesh_requests_total counter']
-        for (what, outcome), count in sorted(self.outcomes.items()):
-            lines.append(
-                f'savoryhold_mesh_requests_total{{what="{_label(what)}",'
-                f'outcome="{outcome}"}} {count}'
-            )
-        lines.append('# TYPE savoryhold_mesh_repeats_total counter')
-        for (service, outcome), count in sorted(self.repeats.items()):
-            lines.append(
-                f'savoryhold_mesh_repeats_total{{service="{_label(service)}",'
-                f'outcome="{outcome}"}} {count}'
-            )
-        for (route, zone, reason), count in sorted(self.refusals.items()):
-            lines.append(
-                f'savoryhold_mesh_refusals_total{{route="{_label(route)}",'
-                f'zone="{_label(zone)}",reason="{_label(reason)}"}} {count}'
-            )
-        lines.append('# TYPE savoryhold_mesh_request_ms histogram')
+        lines = [
+            *_counter('requests_total', ('what', 'outcome'), self.outcomes),
+            *_counter('repeats_total', ('service', 'outcome'), self.repeats),
+            *_counter(
+                'refusals_total', ('route', 'zone', 'reason'), self.refusals
+            ),
+            *_counter('forecast_ms_total', ('route', 'figure'), self.forecasts),
+            '# TYPE savoryhold_mesh_request_ms histogram',
+        ]
         for route in sorted(self.latency_sum):
             lines.extend(self._histogram(route))
         for name, level in sorted(gauges.items()):
@@ -198,6 +201,20 @@
     return http.header(names.request_id.lower()).decode('latin-1')
 
 
+def _counter(
+    name: str, labels: Sequence[str], counts: Mapping[Any, float]
+) -> list[str]:
+    """Return the lines of one counter."""
+    lines = [f'# TYPE savoryhold_mesh_{name} counter']
+    for key, count in sorted(counts.items()):
+        pairs = ','.join(
+            f'{label}="{_label(text)}"'
+            for label, text in zip(labels, key, strict=True)
+        )
+        lines.append(f'savoryhold_mesh_{name}{{{pairs}}} {count:.0f}')
+    return lines
+
+
 def _label(text: str) -> str:
     """Escape a text for use as the value of a label."""
     escaped = text.replace('\\', r'\\').replace('"', r'\"')
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -150,6 +150,7 @@
         self.nested_call_rate = 0.0
         self.dial_ms = 0
         self.refused = 0
+        self.arrived = 0
         self.emptied_at: int | None = None
         self.received: list[str] = []
         self.node: Node | None = None
@@ -173,6 +174,7 @@
             on_sent()
         rng = self._fleet.rng
         name = _header_value(request, NAMES.request_id)
+        self.arrived += 1
         self._fleet.record_arrival(self.service, name)
         self.received.append(name)
         if rng.random() < self.reject_rate:
@@ -495,7 +497,7 @@
         node.place.zone,
         node.place.region,
         SLOTS,
-        node.owner.queue.backlog_ms(),
+        node.owner.queue.backlog_ms(node.fleet.clock.now()),
         0.0,
         0,
         True,
--- a/src/savoryhold/mesh/tickets.py
+++ b/src/savoryhold/mesh/tickets.py
@@ -15,6 +15,7 @@
         now,
         req.aim_at,
         req.deadline,
+        expected_ms=req.expected_ms,
         nested=req.nested,
         returning=req.returning,
     )
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -2,7 +2,6 @@
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.capacity import UNLIMITED, Capacity
-from savoryhold.traffic.choice import Candidate, Origin, choose
 from savoryhold.traffic.places import ANYWHERE, AllowedRegions
 from savoryhold.traffic.cold_start import (
     ColdStartLimiter,
@@ -10,8 +9,18 @@
     WarmupLimits,
 )
 from savoryhold.traffic.entry import Arrival, EntryControl, EntryRefusal
-from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.returns import ReturnTracker, Standing
+from savoryhold.traffic.choice import (
+    Candidate,
+    Origin,
+    Outlook,
+    Transfer,
+    choose,
+    choose_outlook,
+)
+from savoryhold.traffic.cost import CostModel, RequestTraits
+from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
+from savoryhold.traffic.remaining import WorkLeft
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -23,26 +32,29 @@
     ServiceInfo,
     WeightedService,
 )
+from savoryhold.traffic.target_record import PaceEstimate, TargetRecord
 
 __all__ = [
     'ANYWHERE',
-    'AllowedRegions',
     'UNLIMITED',
+    'AllowedRegions',
+    'Arrival',
     'CallerLimits',
     'Candidate',
     'Capacity',
     'ColdStartLimiter',
-    'Arrival',
-    'CallerLimits',
-    'Candidate',
+    'CostModel',
     'EntryControl',
     'EntryRefusal',
     'Feature',
     'MeshConfig',
     'Origin',
+    'Outlook',
+    'PaceEstimate',
     'QueueRefusal',
     'RefusedRoute',
     'ReportDelay',
+    'RequestTraits',
     'RetryDecision',
     'ReturnTracker',
     'Route',
@@ -52,8 +64,12 @@
     'SharedRetryBudgets',
     'Standing',
     'TargetQueue',
+    'TargetRecord',
     'Ticket',
+    'Transfer',
     'WarmupLimits',
     'WeightedService',
+    'WorkLeft',
     'choose',
+    'choose_outlook',
 ]
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -16,6 +16,8 @@
 
 from savoryhold.traffic.retry_schedule import RetrySchedule
 
+from savoryhold.traffic.remaining import WorkLeft
+
 __all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
 
 MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
@@ -43,6 +45,8 @@
     Run times are measured for each ``kind``.  ``nested`` calls precede all
     callers' requests, and ``returning`` requests precede others of their
     priority.  ``urgency`` is the place in the order of service.
+    Run times are measured for each ``kind``.  ``expected_ms`` is the forecast
+    of its run time at a target of usual pace, 0 if there is none.
     """
 
     number: int
@@ -52,6 +56,7 @@
     aim_at: int
     deadline: int
     started_at: int = 0
+    expected_ms: float = 0.0
     nested: bool = False
     returning: bool = False
     urgency: tuple[int, bool, int, int] = dataclasses.field(init=False)
@@ -112,12 +117,15 @@
     Notes
     -----
     `fair` enables the rules of fair admission.
+    With `work`, forecasts are those of the cost model; without, they are the
+    averages of the kinds.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.capacity: Callable[[], Capacity] = _unlimited
         self.fair = False
+        self.work: WorkLeft | None = None
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
@@ -139,6 +147,26 @@
         else:
             self._service_times[kind] = known + SMOOTHING * (took_ms - known)
 
+    def record_run(self, ticket: Ticket, took_ms: float, now: int) -> None:
+        """Update all forecasts with the run time of a ticket."""
+        self.record_run_time(ticket.kind, took_ms)
+        if self.work is not None:
+            self.work.record(ticket, took_ms, now)
+
+    def expected_ms(self, ticket: Ticket, now: int) -> float:
+        """Return the expected run time of a ticket."""
+        if self.work is None:
+            return self.service_ms(ticket.kind)
+        return self.work.expected_ms(ticket, now)
+
+    def work_ms(self, now: int) -> float:
+        """Return the expected work left in ms of one slot, 0 if unknown."""
+        if self.work is None:
+            return 0.0
+        return self.work.total_ms(
+            self.running.values(), self.waiting.values(), now
+        )
+
     def wait_ms(self, ticket: Ticket, now: int) -> float:
         """Return the expected wait of a ticket.
 
@@ -163,11 +191,11 @@
         long_slots = self._long_slots()
         if self._is_held_back(ticket, now):
             wait = max(
-                self._slot_free_ms(ahead, running, self.slots),
-                self._slot_free_ms(long_ahead, long_running, long_slots),
+                self._slot_free_ms(ahead, running, self.slots, now),
+                self._slot_free_ms(long_ahead, long_running, long_slots, now),
             )
         elif ticket.nested or len(long_running) < long_slots:
-            wait = self._slot_free_ms(ahead, running, self.slots)
+            wait = self._slot_free_ms(ahead, running, self.slots, now)
         else:
             # Long work fills all its slots, so none of it starts first.
             short_ahead = [other for other in ahead if other not in long_ahead]
@@ -175,7 +203,9 @@
                 other for other in running if other not in long_running
             ]
             short_slots = self.slots - len(long_running)
-            wait = self._slot_free_ms(short_ahead, short_running, short_slots)
+            wait = self._slot_free_ms(
+                short_ahead, short_running, short_slots, now
+            )
         wait /= self._capacity_left(ticket.urgency[:2], now, self.slots)
         return max(wait, self._start_wait_ms(ticket, len(ahead), now))
 
@@ -185,14 +215,16 @@
         if not limits.gap_ms:
             return limits.start_ms
         # Slots that the permitted starts keep busy.
-        slots = self.service_ms(ticket.kind) / limits.gap_ms
+        slots = self.expected_ms(ticket, now) / limits.gap_ms
         left = self._capacity_left(ticket.urgency[:2], now, slots)
         return limits.start_ms + limits.gap_ms * ahead / left
 
     def _slot_free_ms(
-        self, ahead: list[Ticket], running: list[Ticket], slots: int
+        self, ahead: list[Ticket], running: list[Ticket], slots: int, now: int
     ) -> float:
         """Return after how many ms a slot is free for one more ticket."""
+        if self.work is not None:
+            return self.work.slot_free_ms(ahead, running, slots, now)
         if not ahead and len(running) < slots:
             return 0.0
         work = sum(self.service_ms(ticket.kind) for ticket in ahead)
@@ -202,8 +234,11 @@
         )
         return (work + remaining) / max(1, slots)
 
-    def backlog_ms(self) -> float:
+    def backlog_ms(self, now: int) -> float:
         """Return how many ms the target needs for all its tickets."""
+        start_wait = self.capacity().start_wait_ms(len(self.waiting))
+        if self.work is not None:
+            return max(start_wait, self.work_ms(now) / max(1, self.slots))
         waiting = sum(
             self.service_ms(ticket.kind) for ticket in self.waiting.values()
         )
@@ -212,17 +247,17 @@
             for ticket in self.running.values()
         )
         backlog = (waiting + running) / max(1, self.slots)
-        return max(backlog, self.capacity().start_wait_ms(len(self.waiting)))
+        return max(backlog, start_wait)
 
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
         rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
-        rate.add(self.service_ms(ticket.kind), now)
+        service = self.expected_ms(ticket, now)
+        rate.add(service, now)
         wait = self.wait_ms(ticket, now)
         if self.fair:
             self._forecasts[ticket.urgency[:2]] = (wait, now)
-        service = self.service_ms(ticket.kind)
         # A refused nested call wastes the work of its run, hence no reserve.
         aim_share = 1.0 if ticket.nested else AIM_SHARE
         limit = (ticket.aim_at - now) * aim_share
@@ -341,12 +376,12 @@
     def _rank(
         self, ticket: Ticket, now: int
     ) -> tuple[bool, tuple[int, bool, int, int]]:
-        missed = now + self.service_ms(ticket.kind) > ticket.aim_at
+        missed = now + self.expected_ms(ticket, now) > ticket.aim_at
         return missed and not ticket.nested, ticket.urgency
 
     def _ends_after(self, ticket: Ticket, limit: int, now: int) -> bool:
         """Return whether even a fast run would end after a time."""
-        return now + self.service_ms(ticket.kind) * QUICK_RUN > limit
+        return now + self.expected_ms(ticket, now) * QUICK_RUN > limit
 
     def _capacity_left(
         self, level: tuple[int, bool], now: int, slots: float
