Operators evacuate a zone by an object of the store

Cause: operators need a zone to be empty of requests within 5 s, whatever fails in between. Change: mesh/evacuations.py follows the kind where evacuate_ms is set: watched by the nodes that watch the configuration, announced by a status at once, carried by all statuses with the store's revision, of which the highest wins. Ingress, owner and key placement leave evacuated zones out; keys there are handed over as by leaving targets. A node that starts serves its target only once it knows the set.

--- a/src/savoryhold/cli/explain.py
+++ b/src/savoryhold/cli/explain.py
@@ -22,6 +22,8 @@
     {
         'claim',
         'config_in_force',
+        'evacuation_begun',
+        'evacuation_ended',
         'giving',
         'leaving',
         'node_heard',
--- a/src/savoryhold/mesh/interface.py
+++ b/src/savoryhold/mesh/interface.py
@@ -151,6 +151,12 @@
     async def check_config(self, at: int) -> Listing:
         """Return versions after a revision, if any, without waiting."""
 
+    async def list_evacuations(self) -> Listing:
+        """Return the stored evacuations; the names of objects are zones."""
+
+    async def watch_evacuations(self, at: int, wait_ms: int) -> Listing:
+        """Wait for changes of the evacuations after a revision."""
+
     def decode_config(self, spec: Any) -> MeshConfig:
         """Decode a configuration; raise `ConfigurationError` if invalid."""
 
--- a/src/savoryhold/mesh/members.py
+++ b/src/savoryhold/mesh/members.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import itertools
+from collections.abc import Callable
 
 from savoryhold.core.ids import NodeId, Region, ServiceName, Version, Zone
 from savoryhold.mesh.places import Place, ZoneIndex
@@ -157,6 +158,8 @@
         self.index = ZoneIndex()
         self.index.add(node, self.place)
         self.registry_loaded = False
+        # Called with each status that is newer than the one before.
+        self.on_status: Callable[[NodeStatus], None] = lambda status: None
         # Ages up to which statuses count as recent, which depend on the sizes
         # of the fleet and of its zones.
         self._recent_ms: dict[Place, float] = {}
@@ -221,6 +224,7 @@
         else:
             member.status = status
             member.received_at = max(member.received_at, heard_at)
+        self.on_status(status)
         return True
 
     def add_address(
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -18,6 +18,7 @@
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.config_checks import ConfigCheckTask
 from savoryhold.mesh.departures import Departures
+from savoryhold.mesh.evacuations import EvacuationTask
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
 from savoryhold.mesh.interface import (
@@ -136,6 +137,7 @@
         )
         self.peers = PeerTask(context)
         self._placement = PlacementTask(context)
+        self._evacuations = EvacuationTask(context, adapter)
         self._config_checks = ConfigCheckTask(context)
         self.departures = Departures(settings.node, adapter.store, self.log)
         self._proofs = TableProofTask(context)
@@ -210,6 +212,13 @@
         self._places.routes = self._routes
         self.tables.places = self._places
         self.owner.check_place = self._places.check_local
+        self._evacuations.should_watch = self._should_watch_config
+        self._evacuations.pull_statuses = self.peers.digests.pull
+        self._evacuations.on_announce = self.peers.broadcast_status
+        self._evacuations.on_ended = getattr(
+            self.owner.target, 'suspect_cold', self._evacuations.on_ended
+        )
+        self.members.on_status = self._evacuations.on_status
         self.tables.keyed_services = self.configs.keyed_services
         self.configs.should_watch = self._should_watch_config
         self.configs.peers_reach_store = self._peers_reach_store
@@ -228,6 +237,7 @@
         return [
             self.configs.run(),
             self._config_checks.run(),
+            self._evacuations.run(),
             self._register(),
             self.peers.run(),
             self.peers.digests.run(),
@@ -373,6 +383,8 @@
         """Return whether the platform may send callers to this node."""
         if self.draining or self.configs.routes is None:
             return False
+        if not self._places.is_settled:
+            return False
         return bool(self.members.live_members(self.clock.now())) or not (
             self.members.addresses
         )
@@ -395,6 +407,8 @@
             'keys_owned': float(self.tables.owned_key_count()),
             'config_version': float(self.configs.version),
             'routes_refused': float(self.configs.refused_count()),
+            'zones_evacuated': float(len(self._places.evacuated)),
+            'evacuations_at': float(self._places.evacuated_at),
             'config_announced': float(self.configs.follower.announced),
             'config_pulls_failed': float(self.configs.failed_pulls),
             'target_connections_opened': float(
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -63,6 +63,7 @@
         self._tables = context.tables
         self._configs = context.configs
         self._pool = context.pool
+        self._places = context.places
         self._clock = context.clock
         self._log = context.log
         self._last_alive: frozenset[NodeId] = frozenset()
@@ -180,6 +181,8 @@
             store_lost=not self._configs.store_reachable,
             config_at=self._configs.checked.revision,
             config_age_ms=now - self._configs.checked.at,
+            evacuated=sorted(self._places.evacuated),
+            evacuated_at=self._places.evacuated_at,
         )
 
     def _send_due_statuses(self) -> None:
--- a/src/savoryhold/mesh/place_rules.py
+++ b/src/savoryhold/mesh/place_rules.py
@@ -4,7 +4,11 @@
 
 from savoryhold.core.ids import Region, ServiceName, Zone
 from savoryhold.mesh.places import Place
-from savoryhold.mesh.requests import RelayedRequest, WrongPlaceError
+from savoryhold.mesh.requests import (
+    RelayedRequest,
+    TargetDownError,
+    WrongPlaceError,
+)
 from savoryhold.traffic import ANYWHERE, AllowedRegions, RouteTable
 
 __all__ = ['PlaceRules']
@@ -27,6 +31,9 @@
     def __init__(self, place: Place = NO_PLACE) -> None:
         self.routes: Callable[[], RouteTable | None] = lambda: None
         self.evacuated: frozenset[Zone] = frozenset()
+        self.evacuated_at = 0
+        # Whether the evacuations are known, as far as there may be any.
+        self.is_settled = True
         self._place = place
 
     def allowed_regions(self, req: RelayedRequest) -> AllowedRegions:
@@ -50,12 +57,21 @@
         return allowed.allows(place.region) and place.zone not in self.evacuated
 
     def check_local(self, req: RelayedRequest) -> None:
-        """Raise `WrongPlaceError` if the local target must not run a request.
+        """Refuse a request that the local target must not run.
 
-        Notes
-        -----
         The node that chose this one may not know yet of a change.
+
+        Raises
+        ------
+        WrongPlaceError
+            If no target of this zone may run it.
+        TargetDownError
+            If this node cannot tell yet.
         """
+        if not self.is_settled:
+            raise TargetDownError(
+                'evacuations are not known yet', WRONG_PLACE_RETRY_MS
+            )
         if self._place.zone in self.evacuated:
             raise WrongPlaceError(
                 f'zone {self._place.zone} is evacuated', WRONG_PLACE_RETRY_MS
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -64,7 +64,7 @@
             the request is not a nested call of a run at its target.
         """
         routes = self._context.configs.routes
-        if routes is None:
+        if routes is None or not self._context.places.is_settled:
             raise TargetDownError('no configuration yet', NO_CONFIG_RETRY_MS)
         route = self._route(routes, http)
         service = routes.select_service(route)
--- a/src/savoryhold/mesh/tests/test_allowed_regions.py
+++ b/src/savoryhold/mesh/tests/test_allowed_regions.py
@@ -7,11 +7,22 @@
 import asyncio
 import dataclasses
 import unittest
+from unittest import mock
 
-from savoryhold.core.ids import Region, ServiceName, Zone
-from savoryhold.mesh.places import Place
+from savoryhold.core.ids import NodeId, Region, ServiceName, Version, Zone
+from savoryhold.daemon.logs import get_log
+from savoryhold.mesh.members import MemberTable, NodeStatus
 from savoryhold.mesh.place_rules import PlaceRules
-from savoryhold.mesh.tests.fleet import CONFIG, Fleet, VirtualTimeCase
+from savoryhold.mesh.places import Place
+from savoryhold.mesh.tables import TableTask
+from savoryhold.mesh.tests.fleet import (
+    CONFIG,
+    Fleet,
+    LoopClock,
+    VirtualTimeCase,
+    mesh_settings,
+)
+from savoryhold.ranges import KEY_COUNT, RangeTable, initial_rows
 from savoryhold.traffic import (
     ANYWHERE,
     AllowedRegions,
@@ -20,6 +31,7 @@
 )
 
 NORTH, SOUTH = Region('north'), Region('south')
+DESK = ServiceName('desk')
 NORTH_LIST = frozenset({NORTH})
 # `desk` runs at 0, 1, 3 and 4; of these, 0 and 3 are in the north.
 PLACES = {
@@ -31,6 +43,25 @@
 OK, UNAVAILABLE = 200, 503
 
 
+def make_status(name: str, zone: Zone, region: Region) -> NodeStatus:
+    """Return the status of a node with a ready target."""
+    return NodeStatus(
+        NodeId(name),
+        name,
+        DESK,
+        zone,
+        region,
+        slots=4,
+        wait_ms=0,
+        demand=0,
+        keys=0,
+        ready=True,
+        leaving=False,
+        life=1,
+        silent=frozenset(),
+    )
+
+
 def routes_with(*lists: frozenset[Region]) -> RouteTable:
     """Return the fleet's routes, of which the first have these lists."""
     routes: list[Route] = list(CONFIG.routes)
@@ -57,7 +88,6 @@
     def test_keys_need_a_region_that_all_routes_allow(self) -> None:
         """One route without a list leaves the keys of its service anywhere."""
         place = {one: Place(Zone('z'), one) for one in (NORTH, SOUTH)}
-        desk = ServiceName('desk')
         rules = PlaceRules(place[NORTH])
         for lists, north, south in (
             ((NORTH_LIST, NORTH_LIST), True, False),
@@ -69,8 +99,45 @@
             table = routes_with(*lists)
             rules.routes = lambda table=table: table  # type: ignore[misc]
             with self.subTest(lists=lists):
-                self.assertEqual(rules.may_own(desk, place[NORTH]), north)
-                self.assertEqual(rules.may_own(desk, place[SOUTH]), south)
+                self.assertEqual(rules.may_own(DESK, place[NORTH]), north)
+                self.assertEqual(rules.may_own(DESK, place[SOUTH]), south)
+
+
+class TestRegionsOfKeys(VirtualTimeCase):
+    """Who takes the keys of a service whose routes all have lists."""
+
+    async def test_owner_outside_hands_over_to_those_inside(self) -> None:
+        """Guards against keys that stay, or go to another forbidden node."""
+        own = Place(Zone('a'), SOUTH)
+        settings = dataclasses.replace(
+            mesh_settings('own', DESK), zone=own.zone, region=own.region
+        )
+        members = MemberTable(settings.node, own.region, own.zone)
+        for name, region in (('north', NORTH), ('south', SOUTH)):
+            status = make_status(name, Zone(f'z-{name}'), region)
+            members.learn(status, 0)
+        tables = TableTask(
+            settings,
+            mock.Mock(),
+            members,
+            mock.Mock(demand=lambda now: 0),
+            mock.Mock(),
+            LoopClock(),
+            get_log(node='own'),
+        )
+        rows = initial_rows([(settings.node, 1.0)])
+        tables.learn(RangeTable(DESK, Version(1), rows, [tables.life]))
+        machine = tables.machines[DESK]
+        tables._hand_over_all(machine, DESK, 0)
+        self.assertEqual(machine.handovers, {})
+        self.assertEqual(len(tables.loads(DESK, 0, include_self=True)), 3)
+        tables.places.routes = lambda: routes_with(NORTH_LIST, NORTH_LIST)
+        takers = tables.loads(DESK, 0, include_self=True)
+        self.assertEqual([load.node for load in takers], ['north'])
+        tables._hand_over_all(machine, DESK, 0)
+        self.assertEqual(set(machine.handovers.values()), {'north'})
+        size = sum(span.size for span in machine.handovers)
+        self.assertEqual(size, KEY_COUNT)
 
 
 class TestRegionsOfRequests(VirtualTimeCase):
--- a/src/savoryhold/mesh/tests/test_platform.py
+++ b/src/savoryhold/mesh/tests/test_platform.py
@@ -40,6 +40,7 @@
 PORTS_A_HOST = 6
 POLL_S = 0.02
 ASK_MS = 3000
+ZONES = {'two': 'b'}  # of hosts; the others are in zone a
 REPORT_PATH = '/v1/rpc?call=instances.heartbeat&of=i-1'
 GOOD_REPORT = (
     b'{"address":"10.0.0.1:80","born":7,"info":{"service":"desk",'
@@ -82,14 +83,19 @@
     """A node and its target."""
 
     def __init__(
-        self, name: str, service: str, store: str, ports: list[int]
+        self,
+        name: str,
+        service: str,
+        store: str,
+        ports: list[int],
+        evacuate_ms: int = 0,
     ) -> None:
         local = [f'127.0.0.1:{port}' for port in ports]
         self.target = Target(f't-{name}', service, local[0], local[1])
         self.callers = local[2]
         settings = MeshSettings(
             node=NodeId(name),
-            zone=Zone('a'),
+            zone=Zone(ZONES.get(name, 'a')),
             region=Region('r'),
             service=ServiceName(service),
             callers=local[2],
@@ -106,6 +112,7 @@
             retry_ratio=0.2,
             retry_slack=50,
             retry_window_ms=10_000,
+            evacuate_ms=evacuate_ms,
         )
         clock = BootClock()
         adapter = PlatformAdapter(store, clock.now)
@@ -122,6 +129,8 @@
 class MeshCase(unittest.IsolatedAsyncioTestCase):
     """Two hosts of a keyed service, and one of a service without keys."""
 
+    evacuate_ms = 0
+
     async def asyncSetUp(self) -> None:
         """Start everything, and wait until targets hold all keys."""
         self.tasks: list[asyncio.Future[Any]] = []
@@ -136,7 +145,11 @@
         self.api.put('config', 'main', CONFIG)
         self.hosts = [
             Host(
-                name, service, store, [ports.pop() for _ in range(PORTS_A_HOST)]
+                name,
+                service,
+                store,
+                [ports.pop() for _ in range(PORTS_A_HOST)],
+                self.evacuate_ms,
             )
             for name, service in (
                 ('one', 'desk'),
