--- a/src/savoryhold/mesh/tests/test_evacuations.py
+++ b/src/savoryhold/mesh/tests/test_evacuations.py
@@ -337,7 +337,7 @@
         fleet = Fleet(3, 1)
         node = fleet.nodes[0]
         node.target.work_ms = 400
-        running = [node.ask('/plain/', f'r{number}') for number in range(12)]
+        running = [node.ask('/plain/', f'r{number}') for number in range(24)]
         await asyncio.sleep(0.01)
         node.places.evacuated = frozenset({node.place.zone})
         req, _ = node.ingress._reader.read(running[0].req)
