--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -64,6 +64,7 @@
         self._tables = context.tables
         self._configs = context.configs
         self._pool = context.pool
+        self._places = context.places
         self._clock = context.clock
         self._log = context.log
         self._last_alive: frozenset[NodeId] = frozenset()
@@ -182,6 +183,8 @@
             config_at=self._configs.checked.revision,
             config_age_ms=now - self._configs.checked.at,
             work_ms=self._owner.queue.work_ms(now),
+            evacuated=sorted(self._places.evacuated),
+            evacuated_at=self._places.evacuated_at,
         )
 
     def _send_due_statuses(self) -> None:
