A node reads the load that its target reports

Cause: a forecast of the queue knows neither what the target still runs for callers that have left, nor that the target is slow at present; other nodes do not hear how slow a target is on average.

Change: `traffic.reported_load` parses the header, named by `HeaderNames.load`, of every answer and weights its figures by their age. Surplus runs take slots in the forecast; the pace lengthens the forecast of running requests; the smoothed pace and the share of accepted requests go into the status where the configuration has `Feature.COST_ROUTING`. Answers carry `ran_ms`. The stub of an owner in `fleet_model.py` has `advertised` instead of `advertised_slots`.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -74,6 +74,7 @@
         self.target = LocalTarget(node, clock, log, report_ms, drain_ms)
         self.target.on_dead = self._on_target_dead
         self._calls = TargetCalls(self.target, names, clock)
+        self._calls.on_load = self._on_load
         self._runs = RunTracker()
         self.queue = TargetQueue(1)
         self.capacity = TargetCapacity(self.target, clock, log, report_ms)
@@ -132,6 +133,14 @@
         """Return the slots that other nodes may count on."""
         return self.capacity.advertised_slots(self.queue.slots)
 
+    def advertised(self) -> dict[str, float]:
+        """Return what the status says of the target's capacity."""
+        return {
+            'slots': self.advertised_slots(),
+            'wait_ms': self.queue.backlog_ms(),
+            **self.capacity.advertised_cost(self._calls.acceptance),
+        }
+
     @property
     def runs(self) -> RunTracker:
         """Return the tracker of the requests that run at the target."""
@@ -258,10 +267,13 @@
         self.capacity.record_run_time(took)
         if now + took > req.aim_at and self.may_log():
             self._log_late(req, ticket, took)
-        checked = self._calls.check(req, answer)
+        checked = self._calls.check(req, answer, took)
         self.target.acquit(req)
         return checked
 
+    def _on_load(self, text: bytes) -> None:
+        self.capacity.record_load(text, len(self.queue.running))
+
     def _on_sent(self, ticket: Ticket, sent: asyncio.Event) -> None:
         sent.set()
         self._starts.record_sent(ticket)
@@ -287,6 +299,7 @@
             waited_ms=ticket.started_at - ticket.arrived_at,
             took_ms=took,
             usual_ms=round(self.queue.service_ms(ticket.kind)),
+            pace=round(self.capacity.load.pace(self.clock.now()), 1),
             aim_missed_ms=self.clock.now() - req.aim_at,
             running=len(self.queue.running),
             waiting=len(self.queue.waiting),
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -50,6 +50,7 @@
     ) -> None:
         # Smoothed share of the requests that the target did not shed.
         self.acceptance = 1.0
+        self.on_load: Callable[[bytes], None] = lambda text: None
         self._target = target
         self._names = names
         self._clock = clock
@@ -74,13 +75,16 @@
             _has_request_id, self._names.request_id.lower(), request_id
         )
         try:
-            return await pool.ask(
+            answer = await pool.ask(
                 request, left, answer_matches, on_sent, request_id
             )
         except LinkError as exc:
             raise self.link_error(req, exc) from exc
         except TimeoutError as exc:
             raise UncertainError('the target did not answer in time') from exc
+        if self._names.load:
+            self.on_load(answer.header(self._names.load.lower()))
+        return answer
 
     def link_error(self, req: RelayedRequest, exc: LinkError) -> RequestError:
         """Return the error of a request whose connection failed."""
@@ -90,8 +94,10 @@
         self._target.record_interrupted(req)
         return CrashedError(str(exc))
 
-    def check(self, req: RelayedRequest, answer: ClientAnswer) -> RelayedAnswer:
-        """Return an answer for the caller.
+    def check(
+        self, req: RelayedRequest, answer: ClientAnswer, ran_ms: int
+    ) -> RelayedAnswer:
+        """Return an answer for the caller, with the time that it took.
 
         Raises
         ------
@@ -117,7 +123,7 @@
                 'the answer was not written by the target itself'
             )
         head = encode_headers(answer.headers, NOT_FORWARDED)
-        return RelayedAnswer(answer.status, head, answer.body)
+        return RelayedAnswer(answer.status, head, answer.body, ran_ms)
 
     def _request_bytes(
         self, req: RelayedRequest, left: int, life: TargetLife
--- a/src/savoryhold/mesh/target_capacity.py
+++ b/src/savoryhold/mesh/target_capacity.py
@@ -1,4 +1,4 @@
-"""What the local target bears at present: its cold phase."""
+"""What the local target bears at present, by its reports and its answers."""
 
 from collections.abc import Callable
 
@@ -10,7 +10,9 @@
     UNLIMITED,
     Capacity,
     ColdStartLimiter,
+    Feature,
     ReportDelay,
+    ReportedLoad,
     RouteTable,
     WarmupLimits,
 )
@@ -20,6 +22,9 @@
 
 INITIAL_RUN_MS = 60.0  # assumed until a run is measured
 RUN_SMOOTHING = 0.06
+MEAN_RUN_LEFT = 0.5  # average part of its run time that a run has left
+FIGURE_DIGITS = 2  # of figures in statuses
+LOAD_LOG_MS = 10_000  # between two lines on invalid headers
 
 
 class TargetCapacity:
@@ -48,6 +53,8 @@
         self._target = target
         self._clock = clock
         self._log = log
+        self.load = ReportedLoad()
+        self._load_logged_at: int | None = None
         self._delay = ReportDelay(report_ms)
         self._run_ms = INITIAL_RUN_MS
         # What was last seen of the connections.
@@ -58,13 +65,18 @@
     def current(self) -> Capacity:
         """Return the limits at present."""
         self._read_configuration()
-        if not self.limiter.applies:
+        if not self.limiter.applies and self.load.sample is None:
             return UNLIMITED
         self._watch_connections()
         now = self._clock.now()
+        occupied = self.load.surplus(now)
         return Capacity(
+            occupied=occupied,
+            occupied_ms=occupied * self._run_ms * MEAN_RUN_LEFT,
             start_ms=self.limiter.next_start_ms(now),
             gap_ms=self.limiter.gap_ms(now),
+            pace=self.load.pace(now),
+            slow_ms=self.load.slow_ms(now),
         )
 
     def advertised_slots(self, slots: int) -> int:
@@ -94,6 +106,7 @@
         now = self._clock.now()
         if replaced:
             self._delay.clear()
+            self.load.clear()
             self.suspect_cold('new incarnation')
         self._watch_connections()
         before = self.limiter.is_cold(now)
@@ -121,6 +134,45 @@
         """Count the run time of a request."""
         self._run_ms += RUN_SMOOTHING * (took_ms - self._run_ms)
 
+    def record_load(self, text: bytes, known: int) -> None:
+        """Read the load that an answer reports.
+
+        Parameters
+        ----------
+        text : bytes
+            The header, empty if there is none.
+        known : int
+            Requests of this node at the target, with the one just answered.
+        """
+        now = self._clock.now()
+        if self.load.record(text, known, now):
+            return
+        last = self._load_logged_at
+        if last is None or now - last >= LOAD_LOG_MS:
+            self._load_logged_at = now
+            self._log.warning(
+                'load_unreadable',
+                text=text.decode('latin-1'),
+                invalid=self.load.invalid,
+            )
+
+    def advertised_cost(self, acceptance: float) -> dict[str, float]:
+        """Return figures on the costs of requests, for the status.
+
+        Parameters
+        ----------
+        acceptance : float
+            Share of the requests that the target does not refuse.
+        """
+        routes = self.routes()
+        if routes is None or Feature.COST_ROUTING not in routes.cfg.features:
+            return {}
+        pace = self.load.mean_pace(self._clock.now())
+        return {
+            'pace': round(pace, FIGURE_DIGITS),
+            'acceptance': round(acceptance, FIGURE_DIGITS),
+        }
+
     def gauges(self) -> dict[str, float]:
         """Return figures for the metrics."""
         now = self._clock.now()
@@ -128,6 +180,9 @@
             'target_cold': float(self.limiter.is_cold(now)),
             'target_cold_suspicions': float(self.limiter.suspicions),
             'target_cold_starts': float(self.cold_starts),
+            'target_pace': self.load.mean_pace(now),
+            'target_surplus_runs': self.load.surplus(now),
+            'target_loads_unreadable': float(self.load.invalid),
         }
 
     def _read_configuration(self) -> None:
--- a/src/savoryhold/mesh/tests/fleet_model.py
+++ b/src/savoryhold/mesh/tests/fleet_model.py
@@ -70,11 +70,10 @@
         )
         self.members = MemberTable(name, place.region, place.zone, clock.now())
         self.losses = LossDetector(self.members)
-        queue = SimpleNamespace(slots=2, backlog_ms=lambda: 25.5)
+        figures = {'slots': 2, 'wait_ms': 25.5}
         owner = SimpleNamespace(
             target=SimpleNamespace(report=None, is_ready=lambda: True),
-            queue=queue,
-            advertised_slots=lambda: queue.slots,
+            advertised=lambda: figures,
             demand=lambda now: 1.25,
         )
         tables = SimpleNamespace(
--- a/src/savoryhold/mesh/tests/test_cold_target.py
+++ b/src/savoryhold/mesh/tests/test_target_capacity.py
@@ -1,4 +1,4 @@
-"""An owner beside a target that is, or may be, cold.
+"""An owner beside a target that is, or may be, cold, and reports its load.
 
 Load pattern: a burst of requests, as when a zone returns or when keys are
 handed over, at a target that refuses, closes its connections or starts again.
@@ -15,7 +15,6 @@
 from savoryhold.mesh.requests import RelayedAnswer
 from savoryhold.mesh.tests.test_target_restarts import (
     FILES,
-    NAMES,
     NODE,
     booking,
     report_of,
@@ -23,12 +22,14 @@
 from savoryhold.mesh.tests.virtual_time import LoopClock, VirtualTimeCase
 from savoryhold.traffic import (
     CallerLimits,
+    Feature,
     MeshConfig,
     RouteTable,
     ServiceInfo,
 )
-from savoryhold.wire import ClientAnswer
+from savoryhold.wire import ClientAnswer, HeaderNames
 
+NAMES = HeaderNames(load=b'Load')
 PER_SECOND = 13
 BURST = 40
 RUN_MS = 100
@@ -43,6 +44,7 @@
         self.emptied_at: int | None = None
         self.refused = 0
         self.status = 200
+        self.load = b''
         self.error: LinkError | None = None
         self.sent_at = sent_at
         self.clock = clock
@@ -64,7 +66,8 @@
         await asyncio.sleep(RUN_MS / 1000)
         if self.error is not None:
             raise self.error
-        return ClientAnswer(self.status, [], {}, b'')
+        fields = {b'load': self.load} if self.load else {}
+        return ClientAnswer(self.status, [], fields, b'')
 
     def retire(self) -> None:
         """Do nothing, as there are no connections."""
@@ -78,9 +81,7 @@
         self.clock = LoopClock()
         await asyncio.sleep(1)
         self.owner = OwnerTask(NODE, NAMES, self.clock, get_log(), 1000, 1000)
-        service = ServiceInfo(FILES, keyed=False, warmup_per_s=3.35)
-        routes = RouteTable(MeshConfig(1, (), (service,), CallerLimits()))
-        self.owner.capacity.routes = lambda: routes
+        self.configure(frozenset())
         self.owner.capacity.warmup_over = 1.5
         self.owner.capacity.warmup_slack = 8
         self.ticking = asyncio.ensure_future(self.owner.tick())
@@ -149,6 +150,32 @@
         self.report(warmup_left_ms=3000)
         self.assertEqual(self.owner.advertised_slots(), 1)
 
+    # A header without the feature changed the statuses, and with them what
+    # digests cost.
+    async def test_load_of_answers(self) -> None:
+        """Answers carry run times; the status has the pace if it is enabled."""
+        self.report()
+        self.pool.load = b'9,0,4,300'
+        for features in (frozenset[Feature](), frozenset(Feature)):
+            self.configure(features)
+            answer = await self.submit(1)
+            await asyncio.sleep(0.2)
+            figures = self.owner.advertised()
+            self.assertEqual('pace' in figures, bool(features))
+            self.assertEqual('acceptance' in figures, bool(features))
+            self.assertEqual(answer.ran_ms, RUN_MS)
+            self.assertGreater(figures['wait_ms'], 0)
+        self.assertGreater(figures['pace'], 1)
+        self.report(born=3)
+        self.assertEqual(self.owner.advertised()['pace'], 1)
+
+    def configure(self, features: frozenset[Feature]) -> None:
+        """Put a configuration in force."""
+        service = ServiceInfo(FILES, keyed=False, warmup_per_s=3.35)
+        limits = CallerLimits()
+        routes = RouteTable(MeshConfig(1, (), (service,), limits, features))
+        self.owner.capacity.routes = lambda: routes
+
     @property
     def pool(self) -> StubPool:
         """Return the connections to the present incarnation."""
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -9,6 +9,11 @@
     WarmupLimits,
 )
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
+from savoryhold.traffic.reported_load import (
+    LoadSample,
+    ReportedLoad,
+    parse_load,
+)
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -27,10 +32,12 @@
     'Capacity',
     'ColdStartLimiter',
     'Feature',
+    'LoadSample',
     'MeshConfig',
     'Origin',
     'QueueRefusal',
     'ReportDelay',
+    'ReportedLoad',
     'RetryDecision',
     'Route',
     'RouteKind',
@@ -42,4 +49,5 @@
     'WarmupLimits',
     'WeightedService',
     'choose',
+    'parse_load',
 ]
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -129,13 +129,16 @@
             other for other in running if self._is_long(other.kind, now)
         ]
         long_slots = self._long_slots()
+        limits = self.capacity()
         if self._is_long(ticket.kind, now):
             wait = max(
-                self._slot_free_ms(ahead, running, self.slots),
-                self._slot_free_ms(long_ahead, long_running, long_slots),
+                self._slot_free_ms(ahead, running, self.slots, limits),
+                self._slot_free_ms(
+                    long_ahead, long_running, long_slots, limits
+                ),
             )
         elif len(long_running) < long_slots:
-            wait = self._slot_free_ms(ahead, running, self.slots)
+            wait = self._slot_free_ms(ahead, running, self.slots, limits)
         else:
             # Long work fills all its slots, so none of it starts first.
             short_ahead = [other for other in ahead if other not in long_ahead]
@@ -143,13 +146,16 @@
                 other for other in running if other not in long_running
             ]
             short_slots = self.slots - len(long_running)
-            wait = self._slot_free_ms(short_ahead, short_running, short_slots)
+            wait = self._slot_free_ms(
+                short_ahead, short_running, short_slots, limits
+            )
         wait /= self._capacity_left(ticket.priority, now, self.slots)
-        return max(wait, self._start_wait_ms(ticket, len(ahead), now))
+        return max(wait, self._start_wait_ms(ticket, len(ahead), now, limits))
 
-    def _start_wait_ms(self, ticket: Ticket, ahead: int, now: int) -> float:
+    def _start_wait_ms(
+        self, ticket: Ticket, ahead: int, now: int, limits: Capacity
+    ) -> float:
         """Return the wait that the target's rate of starts causes."""
-        limits = self.capacity()
         if not limits.gap_ms:
             return limits.start_ms
         # Slots that the permitted starts keep busy.
@@ -158,17 +164,23 @@
         return limits.start_ms + limits.gap_ms * ahead / left
 
     def _slot_free_ms(
-        self, ahead: list[Ticket], running: list[Ticket], slots: int
+        self,
+        ahead: list[Ticket],
+        running: list[Ticket],
+        slots: int,
+        limits: Capacity,
     ) -> float:
         """Return after how many ms a slot is free for one more ticket."""
-        if not ahead and len(running) < slots:
+        if not ahead and len(running) + limits.occupied < slots:
             return 0.0
         work = sum(self.service_ms(ticket.kind) for ticket in ahead)
         remaining = (
             sum(self.service_ms(ticket.kind) for ticket in running)
             * MEAN_RUN_LEFT
         )
-        return (work + remaining) / max(1, slots)
+        slow = limits.delay_ms(remaining / max(1, len(running)))
+        total = work + remaining + limits.occupied_ms
+        return total / max(1, slots) + slow
 
     def backlog_ms(self) -> float:
         """Return how many ms the target needs for all its tickets."""
@@ -179,8 +191,10 @@
             self.service_ms(ticket.kind) * MEAN_RUN_LEFT
             for ticket in self.running.values()
         )
-        backlog = (waiting + running) / max(1, self.slots)
-        return max(backlog, self.capacity().start_wait_ms(len(self.waiting)))
+        limits = self.capacity()
+        total = waiting + running + limits.occupied_ms
+        starts = limits.start_wait_ms(len(self.waiting))
+        return max(total / max(1, self.slots), starts)
 
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
--- a/src/savoryhold/wire/names.py
+++ b/src/savoryhold/wire/names.py
@@ -56,6 +56,9 @@
     answer_signature : bytes
         Present on every complete answer of a target; an answer without it is
         treated as incomplete.
+    load : bytes
+        Load that a target reports with its answers:
+        ``running,waiting,slots[,pace]``.
     call_id_separator : str
         Separates, in the id of a nested call, the id of the request whose run
         makes the call from the rest; empty if ids do not contain it.
@@ -69,3 +72,4 @@
     key: bytes = b'X-Savoryhold-Key'
     answer_signature: bytes = b''
     call_id_separator: str = ''
+    load: bytes = b''
