--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -111,7 +111,10 @@
             outlooks.append(self._forecasts.own_outlook(now))
         if not outlooks:
             raise self._unavailable(
-                req, f'no target serves {req.service}', NO_TARGET_RETRY_MS
+                req,
+                f'no target serves {req.service}',
+                NO_TARGET_RETRY_MS,
+                barred,
             )
         preferred = [one for one in outlooks if one.node not in avoid]
         chosen, _ = choose_outlook(
--- a/src/savoryhold/mesh/tests/fleet_model.py
+++ b/src/savoryhold/mesh/tests/fleet_model.py
@@ -70,13 +70,12 @@
         )
         self.members = MemberTable(name, place.region, place.zone, clock.now())
         self.losses = LossDetector(self.members)
-        queue = SimpleNamespace(
-            slots=2, backlog_ms=lambda now: 25.5, work_ms=lambda now: 0.0
-        )
+        queue = SimpleNamespace(work_ms=lambda now: 0.0)
+        figures = {'slots': 2, 'wait_ms': 25.5}
         owner = SimpleNamespace(
             target=SimpleNamespace(report=None, is_ready=lambda: True),
             queue=queue,
-            advertised_slots=lambda: queue.slots,
+            advertised=lambda: figures,
             demand=lambda now: 1.25,
         )
         tables = SimpleNamespace(
--- a/src/savoryhold/mesh/tickets.py
+++ b/src/savoryhold/mesh/tickets.py
@@ -16,6 +16,7 @@
         req.aim_at,
         req.deadline,
         expected_ms=req.expected_ms,
+        size=len(req.body),
         nested=req.nested,
         returning=req.returning,
     )
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -21,6 +21,12 @@
 from savoryhold.traffic.cost import CostModel, RequestTraits
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.remaining import WorkLeft
+from savoryhold.traffic.fullness import FullnessBound, may_send_bytes
+from savoryhold.traffic.reported_load import (
+    LoadSample,
+    ReportedLoad,
+    parse_load,
+)
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -47,6 +53,8 @@
     'EntryControl',
     'EntryRefusal',
     'Feature',
+    'FullnessBound',
+    'LoadSample',
     'MeshConfig',
     'Origin',
     'Outlook',
@@ -55,6 +63,7 @@
     'RefusedRoute',
     'ReportDelay',
     'RequestTraits',
+    'ReportedLoad',
     'RetryDecision',
     'ReturnTracker',
     'Route',
@@ -72,4 +81,6 @@
     'WorkLeft',
     'choose',
     'choose_outlook',
+    'may_send_bytes',
+    'parse_load',
 ]
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 from operator import attrgetter
 
-from savoryhold.traffic.capacity import UNLIMITED, Capacity
+from savoryhold.traffic.capacity import Capacity, unlimited
+from savoryhold.traffic.fullness import may_send_bytes
 
 from savoryhold.traffic.retry_schedule import RetrySchedule
 
@@ -47,6 +48,7 @@
     priority.  ``urgency`` is the place in the order of service.
     Run times are measured for each ``kind``.  ``expected_ms`` is the forecast
     of its run time at a target of usual pace, 0 if there is none.
+    ``size`` is that of the body in bytes.
     """
 
     number: int
@@ -59,6 +61,7 @@
     expected_ms: float = 0.0
     nested: bool = False
     returning: bool = False
+    size: int = 0
     urgency: tuple[int, bool, int, int] = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
@@ -71,11 +74,6 @@
         )
 
 
-def _unlimited() -> Capacity:
-    """Return the capacity of a target with all its slots."""
-    return UNLIMITED
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueRefusal:
     """A ticket that will not run, and when its caller may retry.
@@ -123,7 +121,7 @@
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
-        self.capacity: Callable[[], Capacity] = _unlimited
+        self.capacity: Callable[[], Capacity] = unlimited
         self.fair = False
         self.work: WorkLeft | None = None
         self.waiting: dict[int, Ticket] = {}
@@ -188,30 +186,34 @@
         long_running = [
             other for other in running if self._is_long(other.kind, now)
         ]
-        long_slots = self._long_slots()
+        limits = self.capacity()
+        slots = self._usable_slots(limits)
         if self._is_held_back(ticket, now):
             wait = max(
-                self._slot_free_ms(ahead, running, self.slots, now),
-                self._slot_free_ms(long_ahead, long_running, long_slots, now),
+                self._slot_free_ms(ahead, running, slots, limits, now),
+                self._slot_free_ms(
+                    long_ahead, long_running, self._long_slots(), limits, now
+                ),
             )
-        elif ticket.nested or len(long_running) < long_slots:
-            wait = self._slot_free_ms(ahead, running, self.slots, now)
+        elif ticket.nested or len(long_running) < self._long_slots():
+            wait = self._slot_free_ms(ahead, running, slots, limits, now)
         else:
             # Long work fills all its slots, so none of it starts first.
             short_ahead = [other for other in ahead if other not in long_ahead]
             short_running = [
                 other for other in running if other not in long_running
             ]
-            short_slots = self.slots - len(long_running)
+            short_slots = slots - len(long_running)
             wait = self._slot_free_ms(
-                short_ahead, short_running, short_slots, now
+                short_ahead, short_running, short_slots, limits, now
             )
-        wait /= self._capacity_left(ticket.urgency[:2], now, self.slots)
-        return max(wait, self._start_wait_ms(ticket, len(ahead), now))
+        wait /= self._capacity_left(ticket.urgency[:2], now, slots)
+        return max(wait, self._start_wait_ms(ticket, len(ahead), now, limits))
 
-    def _start_wait_ms(self, ticket: Ticket, ahead: int, now: int) -> float:
+    def _start_wait_ms(
+        self, ticket: Ticket, ahead: int, now: int, limits: Capacity
+    ) -> float:
         """Return the wait that the target's rate of starts causes."""
-        limits = self.capacity()
         if not limits.gap_ms:
             return limits.start_ms
         # Slots that the permitted starts keep busy.
@@ -220,25 +222,35 @@
         return limits.start_ms + limits.gap_ms * ahead / left
 
     def _slot_free_ms(
-        self, ahead: list[Ticket], running: list[Ticket], slots: int, now: int
+        self,
+        ahead: list[Ticket],
+        running: list[Ticket],
+        slots: int,
+        limits: Capacity,
+        now: int,
     ) -> float:
         """Return after how many ms a slot is free for one more ticket."""
         if self.work is not None:
-            return self.work.slot_free_ms(ahead, running, slots, now)
-        if not ahead and len(running) < slots:
+            # Requests that are not in the queue take slots of the target.
+            slots -= round(limits.occupied)
+            return self.work.slot_free_ms(ahead, running, max(1, slots), now)
+        if not ahead and len(running) + limits.occupied < slots:
             return 0.0
         work = sum(self.service_ms(ticket.kind) for ticket in ahead)
         remaining = (
             sum(self.service_ms(ticket.kind) for ticket in running)
             * MEAN_RUN_LEFT
         )
-        return (work + remaining) / max(1, slots)
+        slow = limits.delay_ms(remaining / max(1, len(running)))
+        total = work + remaining + limits.occupied_ms
+        return total / max(1, slots) + slow
 
     def backlog_ms(self, now: int) -> float:
         """Return how many ms the target needs for all its tickets."""
-        start_wait = self.capacity().start_wait_ms(len(self.waiting))
+        limits = self.capacity()
         if self.work is not None:
-            return max(start_wait, self.work_ms(now) / max(1, self.slots))
+            wait = self.work_ms(now) / self._usable_slots(limits)
+            return max(wait, limits.start_wait_ms(len(self.waiting)))
         waiting = sum(
             self.service_ms(ticket.kind) for ticket in self.waiting.values()
         )
@@ -246,8 +258,9 @@
             self.service_ms(ticket.kind) * MEAN_RUN_LEFT
             for ticket in self.running.values()
         )
-        backlog = (waiting + running) / max(1, self.slots)
-        return max(backlog, start_wait)
+        total = waiting + running + limits.occupied_ms
+        starts = limits.start_wait_ms(len(self.waiting))
+        return max(total / self._usable_slots(limits), starts)
 
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
@@ -351,7 +364,7 @@
     def _may_start_any(self) -> bool:
         """Return whether the target has a slot and bears another start."""
         limits = self.capacity()
-        usable = self.slots if limits.slots is None else limits.slots
+        usable = self._usable_slots(limits)
         return len(self.running) < usable and not limits.start_ms
 
     def _refusal(
@@ -373,6 +386,9 @@
         room_ms = self.room_ms(ticket.priority, now, returning=ticket.returning)
         return QueueRefusal(ticket, reason, retry_ms, room_ms)
 
+    def _usable_slots(self, limits: Capacity) -> int:
+        return max(1, self.slots if limits.slots is None else limits.slots)
+
     def _rank(
         self, ticket: Ticket, now: int
     ) -> tuple[bool, tuple[int, bool, int, int]]:
@@ -401,6 +417,10 @@
         return max(least, 1 - urgent / slots)
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
+        if ticket.size:
+            in_flight = sum(other.size for other in self.running.values())
+            if not may_send_bytes(ticket.size, in_flight):
+                return False
         if not self._is_held_back(ticket, now):
             return True
         running = sum(
