The ingress sheds what owners would refuse, before a body crosses a link

Cause: every refused request was relayed first, with its body; callers that repeat at once multiplied that.

Change: with fair admission the ingress counts what owners refuse, by owner or unkeyed service and by priority, and sheds the excess over 1.3 times what they take by chance (client-side throttling; less urgent levels shed at least as much as more urgent ones). A request in 100 ms is passed on as a probe; told waits (room_ms of answers and refusals, statuses) that show room, and refusals that are 2 s old, shed nothing. Nested calls are never shed. Refusals are counted by route, zone and reason. The forecast leaves 0.35 of the slots to less urgent kinds instead of 0.2, since refused urgent requests count in it.

--- a/src/savoryhold/core/errors.py
+++ b/src/savoryhold/core/errors.py
@@ -85,6 +85,7 @@
     verdict = Verdict.NOT_RUN
     status = 503
     code = 'unavailable'
+    room_ms = 0.0  # expected wait at an owner whose queue is full
 
     def __init__(self, text: str, retry_after_ms: int = 0) -> None:
         super().__init__(text)
--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -255,6 +255,7 @@
         text=str(exc),
         retry_after_ms=exc.retry_after_ms,
         owner=exc.owner if isinstance(exc, MovedError) else '',
+        room_ms=exc.room_ms,
     )
 
 
@@ -287,6 +288,7 @@
         exc = UncertainError(message.text)
     exc.status = message.status
     exc.code = message.code
+    exc.room_ms = message.room_ms or 0.0
     return exc
 
 
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -15,6 +15,7 @@
 from savoryhold.mesh.request_reader import RequestReader
 from savoryhold.mesh.requests import (
     NO_KEY,
+    NoRoomError,
     RelayedAnswer,
     RelayedRequest,
     TargetDownError,
@@ -121,6 +122,7 @@
             answer = await self._answer_fairly(state)
         except RequestError as exc:
             self._refuse(exchange, exc)
+            self._count_refusal(state, exc)
             return
         except asyncio.CancelledError:
             self._record_caller_gone(http, state)
@@ -156,12 +158,17 @@
         state.req = self.admission.begin(state.req, nested=nested)
         refusal: RequestError | None = None
         try:
-            return await self._answer(state)
+            answer = await self._answer(state)
         except RequestError as exc:
             refusal = exc
+            if state.last_node is not None:
+                self.admission.record_refusal(state.req, state.last_node, exc)
             raise
         finally:
             self.admission.end(state.req, refusal)
+        if state.last_node is not None:
+            self.admission.record_answer(state.req, state.last_node, answer)
+        return answer
 
     async def _answer(self, state: _RequestState) -> RelayedAnswer:
         self._count_in_budget(state.req)
@@ -199,6 +206,8 @@
         state.last_node = node
         state.chosen_again = node in state.failed_nodes
         try:
+            if state.req.origin and not state.failed_nodes:
+                self.admission.check_entry(state.req, node)
             if node == self._context.settings.node:
                 return await self._context.owner.submit(state.req)
             return await self._relay(node, state.req)
@@ -223,12 +232,14 @@
         pause_ms = PAUSE_MS.get(exc.code)
         if pause_ms is not None:
             await self._pause(state, exc, pause_ms)
-        elif self._is_final(state):
+        elif self._is_final(state, exc):
             raise state.final_error(exc)
 
-    def _is_final(self, state: _RequestState) -> bool:
+    def _is_final(self, state: _RequestState, exc: RequestError) -> bool:
         """Return whether a refusal of a full queue is final."""
-        if state.req.key != NO_KEY or len(state.failed_nodes) > MAX_REFUSALS:
+        if isinstance(exc, NoRoomError) or state.req.key != NO_KEY:
+            return True
+        if len(state.failed_nodes) > MAX_REFUSALS:
             return True
         # With fewer nodes than that, one that has refused is chosen again.
         return self.admission.is_enabled() and state.chosen_again
@@ -312,6 +323,19 @@
             exchange.req, self.names, exc, self._context.configs.version
         )
 
+    def _count_refusal(
+        self, state: _RequestState | None, exc: RequestError
+    ) -> None:
+        """Count a refusal by route, by zone of the owner, and by reason."""
+        if state is None or not self.admission.is_enabled():
+            return
+        members = self._context.members.members
+        member = members.get(state.last_node or NodeId(''))
+        zone = self._context.settings.zone
+        if member is not None:
+            zone = member.status.zone
+        self.telemetry.refusals[(state.req.route, zone, exc.code)] += 1
+
 
 def _cancel(task: 'asyncio.Task[None]') -> None:
     task.cancel()
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -20,7 +20,7 @@
 )
 from savoryhold.mesh.run_tracker import RunTracker
 from savoryhold.mesh.target_calls import TargetCalls
-from savoryhold.mesh.tickets import ticket_of
+from savoryhold.mesh.tickets import queue_error, ticket_of
 from savoryhold.ranges import GrantMachine, KeyHeat
 from savoryhold.traffic import QueueRefusal, TargetQueue, Ticket
 from savoryhold.wire import ClientAnswer, HeaderNames
@@ -240,7 +240,7 @@
         if refusal is None:
             refusal = await self._wait_for_start(ticket)
         if refusal is not None:
-            raise BusyError(f'queue: {refusal.reason}', refusal.retry_ms)
+            raise queue_error(refusal)
         return ticket
 
     async def _wait_for_start(self, ticket: Ticket) -> QueueRefusal | None:
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -22,6 +22,7 @@
 from savoryhold.mesh.members import NodeStatus
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.places import Place
+from savoryhold.mesh.tickets import room_ms
 from savoryhold.peer import LinkStream, messages
 from savoryhold.ranges import RangeTable, Span
 
@@ -282,7 +283,7 @@
                 head=answer.head,
                 body=answer.body,
                 ran_ms=answer.ran_ms,
-                room_ms=answer.room_ms,
+                room_ms=room_ms(self._owner.queue, req, self._clock.now()),
             )
         )
 
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -14,6 +14,7 @@
     'CrashedError',
     'EarlyReturnError',
     'MovedError',
+    'NoRoomError',
     'PoisonedError',
     'RelayedAnswer',
     'RelayedRequest',
@@ -135,6 +136,12 @@
     code = 'early-return'
 
 
+class NoRoomError(RequestError):
+    """The request is not relayed, since its owner is expected to refuse it."""
+
+    code = 'no-room'
+
+
 class ShedError(RequestError):
     """The target refused the request without running it."""
 
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -36,6 +36,8 @@
         self.latency: Counter[tuple[str, float]] = Counter()
         self.latency_sum: Counter[str] = Counter()
         self.repeats: Counter[tuple[str, str]] = Counter()
+        # By route, zone of the owner and reason.
+        self.refusals: Counter[tuple[str, str, str]] = Counter()
         self.unlogged_count = 0
         self._clock = clock
         self._answer_count = 0
@@ -140,6 +142,11 @@
                 f'savoryhold_mesh_repeats_total{{service="{_label(service)}",'
                 f'outcome="{outcome}"}} {count}'
             )
+        for (route, zone, reason), count in sorted(self.refusals.items()):
+            lines.append(
+                f'savoryhold_mesh_refusals_total{{route="{_label(route)}",'
+                f'zone="{_label(zone)}",reason="{_label(reason)}"}} {count}'
+            )
         lines.append('# TYPE savoryhold_mesh_request_ms histogram')
         for route in sorted(self.latency_sum):
             lines.extend(self._histogram(route))
--- a/src/savoryhold/mesh/tests/test_fair_admission.py
+++ b/src/savoryhold/mesh/tests/test_fair_admission.py
@@ -7,7 +7,7 @@
 import asyncio
 import dataclasses
 
-from savoryhold.mesh.tests.fleet import CONFIG, Fleet, VirtualTimeCase
+from savoryhold.mesh.tests.fleet import CONFIG, Caller, Fleet, VirtualTimeCase
 from savoryhold.traffic import Feature
 
 FAIR = dataclasses.replace(CONFIG, features=frozenset({Feature.FAIR_ADMISSION}))
@@ -58,6 +58,40 @@
         self.assertLess(before, fair)
 
 
+class TestEntry(VirtualTimeCase):
+    """An ingress whose requests all go to one owner."""
+
+    async def test_overload_is_shed_and_forgotten(self) -> None:
+        """The ingress sheds the excess, and nothing 2 s after its end."""
+        fleet = Fleet(3, seed=1, config=FAIR)
+        for node in fleet.nodes:
+            node.process.spawn(node.owner.tick())
+            node.target.work_ms = FILES_MS
+        outcomes = fleet.nodes[0].ingress.telemetry.outcomes
+        await self._ask(fleet, 160)
+        shed = outcomes[('no-room', 'not-run')]
+        self.assertGreater(shed, 0)
+        self.assertGreater(outcomes[('files', 'answered')], 180)
+        await asyncio.sleep(SETTLED_S)
+        fleet.gossip()
+        for caller in await self._ask(fleet, 40):
+            self.assertEqual(await caller.status, 200)
+        await fleet.close()
+
+    async def _ask(self, fleet: Fleet, per_s: int) -> list[Caller]:
+        callers = []
+        for _ in range(LOAD_S * per_s):
+            await asyncio.sleep(fleet.rng.expovariate(per_s))
+            number = fleet.next_number()
+            body = b'%d' % number
+            callers.append(
+                fleet.nodes[0].ask('/files/', f'r{number}', body=body)
+            )
+            if number % (per_s // 5) == 0:
+                fleet.gossip()
+        return callers
+
+
 class TestReturningCallers(VirtualTimeCase):
     """Callers that repeat refused requests at once."""
 
--- a/src/savoryhold/mesh/tickets.py
+++ b/src/savoryhold/mesh/tickets.py
@@ -1,9 +1,9 @@
 """Tickets of relayed requests in their owner's queue."""
 
-from savoryhold.mesh.requests import RelayedRequest
-from savoryhold.traffic import Ticket
+from savoryhold.mesh.requests import BusyError, RelayedRequest
+from savoryhold.traffic import QueueRefusal, TargetQueue, Ticket
 
-__all__ = ['ticket_of']
+__all__ = ['queue_error', 'room_ms', 'ticket_of']
 
 
 def ticket_of(req: RelayedRequest, number: int, now: int) -> Ticket:
@@ -18,3 +18,15 @@
         nested=req.nested,
         returning=req.returning,
     )
+
+
+def queue_error(refusal: QueueRefusal) -> BusyError:
+    """Return the error of a request that the queue has refused."""
+    exc = BusyError(f'queue: {refusal.reason}', refusal.retry_ms)
+    exc.room_ms = refusal.room_ms
+    return exc
+
+
+def room_ms(queue: TargetQueue, req: RelayedRequest, now: int) -> float:
+    """Return the wait to expect for the next request like one."""
+    return queue.room_ms(req.priority, now, returning=req.returning)
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -2,6 +2,7 @@
 
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.choice import Candidate, Origin, choose
+from savoryhold.traffic.entry import Arrival, EntryControl, EntryRefusal
 from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
 from savoryhold.traffic.returns import ReturnTracker, Standing
 from savoryhold.traffic.routes import (
@@ -16,8 +17,11 @@
 )
 
 __all__ = [
+    'Arrival',
     'CallerLimits',
     'Candidate',
+    'EntryControl',
+    'EntryRefusal',
     'Feature',
     'MeshConfig',
     'Origin',
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -23,6 +23,8 @@
 RATE_DECAY_MS = 1000.0  # time constant of the average of arriving work
 QUICK_RUN = 0.5  # of the usual run time; few runs are faster
 MIN_SHARE = 0.2  # of the slots, at least, is assumed free of more urgent work
+# The forecast overrates urgent work that is itself refused.
+MIN_FAIR_SHARE = 0.35
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
 NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
@@ -62,11 +64,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueRefusal:
-    """A ticket that will not run, and when its caller may retry."""
+    """A ticket that will not run, and when its caller may retry.
+
+    ``room_ms`` is the expected wait of such a ticket, 0 if it is not told.
+    """
 
     ticket: Ticket
     reason: str
     retry_ms: int
+    room_ms: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -108,6 +114,8 @@
         self._last_offered: dict[str, int] = {}
         self._rates: dict[tuple[int, bool], _Rate] = {}
         self._schedule = RetrySchedule()
+        # The last forecast of a wait and its time, by level.
+        self._forecasts: dict[tuple[int, bool], tuple[float, int]] = {}
 
     def service_ms(self, kind: str) -> float:
         """Return the average run time of a kind of request."""
@@ -190,6 +198,8 @@
         rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         rate.add(self.service_ms(ticket.kind), now)
         wait = self.wait_ms(ticket, now)
+        if self.fair:
+            self._forecasts[ticket.urgency[:2]] = (wait, now)
         service = self.service_ms(ticket.kind)
         # A refused nested call wastes the work of its run, hence no reserve.
         aim_share = 1.0 if ticket.nested else AIM_SHARE
@@ -201,6 +211,12 @@
         self.waiting[ticket.number] = ticket
         return None
 
+    def room_ms(self, priority: int, now: int, *, returning: bool) -> float:
+        """Return the wait last forecast for a priority, less its age."""
+        level = (priority, not returning)
+        wait, at = self._forecasts.get(level, (0.0, now))
+        return max(0.0, wait - (now - at))
+
     def refuse_late(self, now: int) -> list[QueueRefusal]:
         """Remove and return the tickets that will not run.
 
@@ -265,7 +281,8 @@
             left_ms=ticket.deadline - now,
             room_share=self._capacity_left((ticket.priority, False), now),
         )
-        return QueueRefusal(ticket, reason, retry_ms)
+        room_ms = self.room_ms(ticket.priority, now, returning=ticket.returning)
+        return QueueRefusal(ticket, reason, retry_ms, room_ms)
 
     def _rank(
         self, ticket: Ticket, now: int
@@ -289,7 +306,8 @@
             for other, rate in self._rates.items()
             if other < level
         )
-        return max(MIN_SHARE, 1 - urgent / max(1, self.slots))
+        least = MIN_FAIR_SHARE if self.fair else MIN_SHARE
+        return max(least, 1 - urgent / max(1, self.slots))
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
         if not self._is_held_back(ticket, now):
--- a/src/savoryhold/traffic/retry_schedule.py
+++ b/src/savoryhold/traffic/retry_schedule.py
@@ -15,7 +15,7 @@
 MIN_RETRY_MS = 100  # a sooner return costs more than it gains
 MAX_RETRY_MS = 10_000  # a longer wait tells a caller nothing more
 # Of the room that is left by more urgent work; new requests get the rest.
-RETURN_SHARE = 0.5
+RETURN_SHARE = 0.35
 WAIT_SHARE = 1 / 3  # of the time left, which callers wait at most
 
 
--- a/src/savoryhold/traffic/tests/contention_model.py
+++ b/src/savoryhold/traffic/tests/contention_model.py
@@ -9,7 +9,15 @@
 from functools import partial
 
 from savoryhold.core.poison import Fingerprint
-from savoryhold.traffic import ReturnTracker, Standing, TargetQueue, Ticket
+from savoryhold.traffic import (
+    Arrival,
+    EntryControl,
+    QueueRefusal,
+    ReturnTracker,
+    Standing,
+    TargetQueue,
+    Ticket,
+)
 from savoryhold.traffic.tests.model import MAX_BRIEF_WAIT, TICK_MS, Kind
 
 __all__ = ['Contention', 'Crowd']
@@ -76,6 +84,10 @@
         self.queue.fair = fair
         self.crowds = crowds
         self.trackers = {crowd.origin: ReturnTracker() for crowd in crowds}
+        self.entries = {
+            crowd.origin: EntryControl(random.Random(seed)) for crowd in crowds
+        }
+        self.relayed_count = 0
         self.at_ms: dict[int, Callable[[int], None]] = {}  # faults
         self._rng = random.Random(seed)
         self._numbers = itertools.count(1)
@@ -130,11 +142,34 @@
             returning=standing is Standing.RETURNING,
         )
         self._callers[ticket.number] = caller
+        if self.queue.fair and not crowd.nested:
+            arrival = Arrival(
+                '', ticket.urgency[:2], kind.aim_ms, caller.deadline - now
+            )
+            shed = self.entries[crowd.origin].enter(arrival, now)
+            if shed is not None:
+                self._ingress_refused(ticket, shed.retry_ms, now)
+                return
+        self.relayed_count += 1
         refusal = self.queue.offer(ticket, now)
         if refusal is not None:
-            self._owner_refused(ticket, refusal.retry_ms, now)
+            self._owner_refused(refusal, now)
+
+    def _owner_refused(self, refusal: QueueRefusal, now: int) -> None:
+        ticket = refusal.ticket
+        crowd = self._callers[ticket.number].crowd
+        if self.queue.fair and not crowd.nested:
+            self.entries[crowd.origin].record_refusal(
+                '', ticket.urgency[:2], now, refusal.room_ms
+            )
+        self._ingress_refused(ticket, refusal.retry_ms, now)
+
+    def _room_ms(self, ticket: Ticket, now: int) -> float:
+        return self.queue.room_ms(
+            ticket.priority, now, returning=ticket.returning
+        )
 
-    def _owner_refused(self, ticket: Ticket, retry_ms: int, now: int) -> None:
+    def _ingress_refused(self, ticket: Ticket, retry_ms: int, now: int) -> None:
         caller = self._callers.pop(ticket.number)
         waited = now - ticket.arrived_at
         if waited > MAX_BRIEF_WAIT * caller.crowd.kind.aim_ms:
@@ -158,7 +193,7 @@
 
     def _settle(self, now: int) -> None:
         for refusal in self.queue.refuse_late(now):
-            self._owner_refused(refusal.ticket, refusal.retry_ms, now)
+            self._owner_refused(refusal, now)
         started = self.queue.start_next(now)
         while started is not None:
             kind = self._callers[started.number].crowd.kind
@@ -174,6 +209,9 @@
         caller.crowd.served += now <= ticket.aim_at
         if self.queue.fair and not caller.crowd.nested:
             self.trackers[caller.crowd.origin].end(caller.fingerprint)
+            self.entries[caller.crowd.origin].record_answer(
+                '', ticket.urgency[:2], now, self._room_ms(ticket, now)
+            )
 
 
 def _pass(now: int) -> None:
