Ingress nodes and zones share a target evenly within a kind

Cause: a node that sends ten times as much as the others gets ten times as much of an overloaded target, whatever they need.

Change: owners keep start-time fair queueing tags of the ingress nodes, by kind and on expected work; zones weigh the same, and so do the nodes of a zone. A request of a node that is ahead of its share ranks after the others of its priority. A silent node's share passes to the others over 2 s. A priority that is refused has a turn for 0.01 of the capacity. Refusals state the node's share.

--- a/src/savoryhold/mesh/admission.py
+++ b/src/savoryhold/mesh/admission.py
@@ -16,6 +16,7 @@
     RelayedRequest,
 )
 from savoryhold.traffic import (
+    DUPLICATE_PENALTY,
     Arrival,
     EntryControl,
     Feature,
@@ -25,8 +26,6 @@
 
 __all__ = ['AdmissionTask']
 
-# Added to the priority of a duplicate, which thereby ranks behind all kinds.
-DUPLICATE_PENALTY = 100
 # Other refusals say nothing of room, which may be there before the time told.
 OVERLOAD_CODES = frozenset({BusyError.code, NoRoomError.code})
 STATUS_AGE_MS = 2000  # an older status says nothing of the present load
@@ -54,6 +53,7 @@
         self._clock = context.clock
         self._node = context.settings.node
         self._run_ms: dict[str, float] = {}
+        context.owner.queue.shares.zone_of = self._zone_of
 
     def is_enabled(self) -> bool:
         """Return whether the configuration in force asks for fairness."""
@@ -151,6 +151,13 @@
         """Return whether a request to a node is subject to control here."""
         return not req.nested and node != self._node
 
+    def _zone_of(self, node: str) -> str:
+        """Return the zone of an ingress node, empty if it is not known."""
+        if node == self._node:
+            return self._context.settings.zone
+        member = self._context.members.members.get(NodeId(node))
+        return '' if member is None else member.status.zone
+
     def _backlog_ms(self, node: NodeId, now: int) -> float | None:
         """Return the wait of a node's last status, if that is recent."""
         member = self._context.members.members.get(node)
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -96,7 +96,6 @@
         self.admission = AdmissionTask(context)
         self.telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
-        context.owner.is_fair = self.admission.is_enabled
         context.owner.runs.may_repeat_calls = self._may_repeat_calls
 
     def handle(self, exchange: Exchange) -> None:
--- a/src/savoryhold/mesh/tickets.py
+++ b/src/savoryhold/mesh/tickets.py
@@ -17,12 +17,16 @@
         req.deadline,
         nested=req.nested,
         returning=req.returning,
+        origin=req.origin,
     )
 
 
 def queue_error(refusal: QueueRefusal) -> BusyError:
     """Return the error of a request that the queue has refused."""
-    exc = BusyError(f'queue: {refusal.reason}', refusal.retry_ms)
+    text = f'queue: {refusal.reason}'
+    if refusal.share:
+        text += f', share {refusal.share:.2f} of {refusal.ticket.origin}'
+    exc = BusyError(text, refusal.retry_ms)
     exc.room_ms = refusal.room_ms
     return exc
 
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -3,8 +3,12 @@
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.choice import Candidate, Origin, choose
 from savoryhold.traffic.entry import Arrival, EntryControl, EntryRefusal
-from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
-from savoryhold.traffic.returns import ReturnTracker, Standing
+from savoryhold.traffic.queue import TargetQueue
+from savoryhold.traffic.returns import (
+    DUPLICATE_PENALTY,
+    ReturnTracker,
+    Standing,
+)
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -15,15 +19,19 @@
     ServiceInfo,
     WeightedService,
 )
+from savoryhold.traffic.shares import NodeShares
+from savoryhold.traffic.tickets import QueueRefusal, Ticket
 
 __all__ = [
     'Arrival',
     'CallerLimits',
     'Candidate',
+    'DUPLICATE_PENALTY',
     'EntryControl',
     'EntryRefusal',
     'Feature',
     'MeshConfig',
+    'NodeShares',
     'Origin',
     'QueueRefusal',
     'RetryDecision',
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -11,8 +11,11 @@
 import math
 
 from savoryhold.traffic.retry_schedule import RetrySchedule
+from savoryhold.traffic.returns import DUPLICATE_PENALTY
+from savoryhold.traffic.shares import KindTurns, NodeShares
+from savoryhold.traffic.tickets import QueueRefusal, Ticket
 
-__all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
+__all__ = ['TargetQueue']
 
 MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
 LONG_RATIO = 3.0  # a long kind exceeds another recent kind by this
@@ -27,54 +30,9 @@
 MIN_FAIR_SHARE = 0.35
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
-NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
 MEAN_RUN_LEFT = 0.5  # average part of its run time that a run has left
 
 
-@dataclasses.dataclass(slots=True)
-class Ticket:
-    """A request that is queued or running; times in ms.
-
-    ``aim_at`` is when it should have ended, ``deadline`` when it must have.
-    Run times are measured for each ``kind``.  ``nested`` calls precede all
-    callers' requests, and ``returning`` requests precede others of their
-    priority.  ``urgency`` is the place in the order of service.
-    """
-
-    number: int
-    kind: str
-    priority: int
-    arrived_at: int
-    aim_at: int
-    deadline: int
-    started_at: int = 0
-    nested: bool = False
-    returning: bool = False
-    urgency: tuple[int, bool, int, int] = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        """Derive the urgency, which does not change while it waits."""
-        self.urgency = (
-            NESTED_PRIORITY if self.nested else self.priority,
-            not self.returning,
-            self.aim_at,
-            self.number,
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueRefusal:
-    """A ticket that will not run, and when its caller may retry.
-
-    ``room_ms`` is the expected wait of such a ticket, 0 if it is not told.
-    """
-
-    ticket: Ticket
-    reason: str
-    retry_ms: int
-    room_ms: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class _Rate:
     """Arrival rate of work, in slots, at a time in ms."""
@@ -102,20 +60,23 @@
 
     Notes
     -----
-    `fair` enables the rules of fair admission.
+    The rules of fair admission apply (`fair`) while tickets state the node that
+    they come from, which ingress nodes do if the configuration asks for it.
     """
 
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.fair = False
+        self.shares = NodeShares()
+        self._turns = KindTurns()
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
         self._last_offered: dict[str, int] = {}
-        self._rates: dict[tuple[int, bool], _Rate] = {}
+        self._rates: dict[tuple[int, int], _Rate] = {}
         self._schedule = RetrySchedule()
         # The last forecast of a wait and its time, by level.
-        self._forecasts: dict[tuple[int, bool], tuple[float, int]] = {}
+        self._forecasts: dict[tuple[int, int], tuple[float, int]] = {}
 
     def service_ms(self, kind: str) -> float:
         """Return the average run time of a kind of request."""
@@ -195,6 +156,9 @@
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
+        self.fair = bool(ticket.origin)
+        if self.fair and not ticket.nested:
+            self._rank_by_share(ticket, now)
         rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         rate.add(self.service_ms(ticket.kind), now)
         wait = self.wait_ms(ticket, now)
@@ -207,10 +171,39 @@
         if ticket.aim_at - ticket.arrived_at < service:
             limit = ticket.deadline - now
         if wait and wait + service > min(limit, ticket.deadline - now):
-            return self._refusal(ticket, 'busy', wait + service - limit, now)
+            if not self._has_turn(ticket, limit - service, now):
+                excess = wait + service - limit
+                return self._refusal(ticket, 'busy', excess, now)
+        if self.fair:
+            ticket.start_tag = self.shares.admit(
+                ticket.kind, ticket.origin, service
+            )
         self.waiting[ticket.number] = ticket
         return None
 
+    def _rank_by_share(self, ticket: Ticket, now: int) -> None:
+        """Rank a ticket lower if its node exceeds its share."""
+        self.shares.hear(ticket.origin, now)
+        if not self.waiting:
+            self.shares.reset()
+        service = self.service_ms(ticket.kind)
+        if self.shares.exceeds(ticket.kind, ticket.origin, service):
+            ticket.demote()
+
+    def _has_turn(self, ticket: Ticket, limit: float, now: int) -> bool:
+        """Return whether a ticket's priority has a turn in time for it."""
+        priority = ticket.priority
+        if not self.fair or ticket.nested or priority >= DUPLICATE_PENALTY:
+            return False
+        service = self.service_ms(ticket.kind)
+        wait = self._turns.wait_ms(priority, now, service, self.slots)
+        if wait > limit:
+            return False
+        if self._turns.holder(priority) in self.waiting:
+            return False
+        self._turns.reserve(priority, ticket.number, now + wait)
+        return True
+
     def room_ms(self, priority: int, now: int, *, returning: bool) -> float:
         """Return the wait last forecast for a priority, less its age."""
         level = (priority, not returning)
@@ -255,6 +248,11 @@
         if not eligible:
             return None
         chosen = min(eligible, key=lambda ticket: self._rank(ticket, now))
+        if self.fair:
+            for number in self._turns.due(now):
+                chosen = self.waiting.get(number, chosen)
+            self._turns.start(chosen.priority, chosen.number, now)
+            self.shares.start(chosen.kind, chosen.start_tag)
         self.waiting.pop(chosen.number)
         chosen.started_at = now
         # Under overload, starts come at the rate of completions.
@@ -282,11 +280,12 @@
             room_share=self._capacity_left((ticket.priority, False), now),
         )
         room_ms = self.room_ms(ticket.priority, now, returning=ticket.returning)
-        return QueueRefusal(ticket, reason, retry_ms, room_ms)
+        share = self.shares.share(ticket.origin)
+        return QueueRefusal(ticket, reason, retry_ms, room_ms, share)
 
     def _rank(
         self, ticket: Ticket, now: int
-    ) -> tuple[bool, tuple[int, bool, int, int]]:
+    ) -> tuple[bool, tuple[int, int, int, int]]:
         missed = now + self.service_ms(ticket.kind) > ticket.aim_at
         return missed and not ticket.nested, ticket.urgency
 
@@ -294,7 +293,7 @@
         """Return whether even a fast run would end after a time."""
         return now + self.service_ms(ticket.kind) * QUICK_RUN > limit
 
-    def _capacity_left(self, level: tuple[int, bool], now: int) -> float:
+    def _capacity_left(self, level: tuple[int, int], now: int) -> float:
         """Return the share of the slots that more urgent work leaves.
 
         Notes
--- a/src/savoryhold/traffic/returns.py
+++ b/src/savoryhold/traffic/returns.py
@@ -11,11 +11,13 @@
 
 from savoryhold.core.poison import Fingerprint
 
-__all__ = ['ReturnTracker', 'Standing']
+__all__ = ['DUPLICATE_PENALTY', 'ReturnTracker', 'Standing']
 
 MAX_REFUSALS = 4096  # remembered at once, about 1 MB
 TOLERANCE_MS = 20  # callers' timers and clocks are that inexact
 RETURN_WINDOW_MS = 2000  # after the time told; later callers count as new
+# Added to the priority of a duplicate, which thereby ranks behind all kinds.
+DUPLICATE_PENALTY = 100
 FORGET_MS = 2000  # an older refusal does not show that an overload goes on
 
 
--- a/src/savoryhold/traffic/tests/contention_model.py
+++ b/src/savoryhold/traffic/tests/contention_model.py
@@ -10,6 +10,7 @@
 
 from savoryhold.core.poison import Fingerprint
 from savoryhold.traffic import (
+    DUPLICATE_PENALTY,
     Arrival,
     EntryControl,
     QueueRefusal,
@@ -24,7 +25,6 @@
 
 REPEAT_MS = 20  # pause of callers that repeat at once
 MAX_REPEATS = 10
-LAST = 100  # priority added to a duplicate
 END_MS = 5000  # after the last arrival
 
 
@@ -81,7 +81,9 @@
         self, slots: int, crowds: list[Crowd], seed: int, *, fair: bool
     ) -> None:
         self.queue = TargetQueue(slots)
-        self.queue.fair = fair
+        self.fair = fair
+        zones = {crowd.origin: crowd.zone for crowd in crowds}
+        self.queue.shares.zone_of = zones.__getitem__
         self.crowds = crowds
         self.trackers = {crowd.origin: ReturnTracker() for crowd in crowds}
         self.entries = {
@@ -125,7 +127,7 @@
         crowd, kind = caller.crowd, caller.crowd.kind
         standing = Standing.NEW
         tracker = self.trackers[crowd.origin]
-        if self.queue.fair and not crowd.nested:
+        if self.fair and not crowd.nested:
             standing = tracker.begin(caller.fingerprint, now)
             if standing is Standing.EARLY:
                 wait = tracker.wait_left_ms(caller.fingerprint, now)
@@ -134,17 +136,19 @@
         ticket = Ticket(
             next(self._numbers),
             kind.name,
-            kind.priority + LAST * (standing is Standing.DUPLICATE),
+            kind.priority
+            + DUPLICATE_PENALTY * (standing is Standing.DUPLICATE),
             now,
             now + kind.aim_ms,
             caller.deadline,
-            nested=crowd.nested and self.queue.fair,
+            nested=crowd.nested and self.fair,
             returning=standing is Standing.RETURNING,
+            origin=crowd.origin if self.fair else '',
         )
         self._callers[ticket.number] = caller
-        if self.queue.fair and not crowd.nested:
+        if self.fair and not crowd.nested:
             arrival = Arrival(
-                '', ticket.urgency[:2], kind.aim_ms, caller.deadline - now
+                '', _level(ticket), kind.aim_ms, caller.deadline - now
             )
             shed = self.entries[crowd.origin].enter(arrival, now)
             if shed is not None:
@@ -158,9 +162,9 @@
     def _owner_refused(self, refusal: QueueRefusal, now: int) -> None:
         ticket = refusal.ticket
         crowd = self._callers[ticket.number].crowd
-        if self.queue.fair and not crowd.nested:
+        if self.fair and not crowd.nested:
             self.entries[crowd.origin].record_refusal(
-                '', ticket.urgency[:2], now, refusal.room_ms
+                '', _level(ticket), now, refusal.room_ms
             )
         self._ingress_refused(ticket, refusal.retry_ms, now)
 
@@ -174,7 +178,7 @@
         waited = now - ticket.arrived_at
         if waited > MAX_BRIEF_WAIT * caller.crowd.kind.aim_ms:
             caller.crowd.refused_late += 1
-        if self.queue.fair and not caller.crowd.nested:
+        if self.fair and not caller.crowd.nested:
             tracker = self.trackers[caller.crowd.origin]
             tracker.end(caller.fingerprint)
             tracker.record_refusal(caller.fingerprint, now, retry_ms)
@@ -207,12 +211,16 @@
         self.queue.remove(ticket.number)
         self.queue.record_run_time(ticket.kind, now - ticket.started_at)
         caller.crowd.served += now <= ticket.aim_at
-        if self.queue.fair and not caller.crowd.nested:
+        if self.fair and not caller.crowd.nested:
             self.trackers[caller.crowd.origin].end(caller.fingerprint)
             self.entries[caller.crowd.origin].record_answer(
-                '', ticket.urgency[:2], now, self._room_ms(ticket, now)
+                '', _level(ticket), now, self._room_ms(ticket, now)
             )
 
 
+def _level(ticket: Ticket) -> tuple[int, bool]:
+    return ticket.priority, not ticket.returning
+
+
 def _pass(now: int) -> None:
     """Only let the queue settle."""
--- a/src/savoryhold/traffic/tests/test_contention.py
+++ b/src/savoryhold/traffic/tests/test_contention.py
@@ -8,11 +8,13 @@
 
 import dataclasses
 import unittest
+from collections.abc import Sequence
 
 from savoryhold.traffic.tests.contention_model import Contention, Crowd
 from savoryhold.traffic.tests.model import Kind
 
 SEEDS = (1, 2, 3)
+MANY_SEEDS = range(1, 13)  # where few requests of a kind come
 SLOTS = 5
 MAX_LOST_TWICE = 0.5  # of those refused more than once without the feature
 MIN_SERVED = 0.95  # of the requests served without the feature
@@ -34,10 +36,12 @@
     ]
 
 
-def simulated(load: list[Crowd], *, fair: bool) -> list[Crowd]:
+def simulated(
+    load: list[Crowd], *, fair: bool, seeds: Sequence[int] = SEEDS
+) -> list[Crowd]:
     """Return the crowds of a load, added up over the seeds."""
     totals = [dataclasses.replace(crowd) for crowd in load]
-    for seed in SEEDS:
+    for seed in seeds:
         crowds = [dataclasses.replace(crowd) for crowd in load]
         Contention(SLOTS, crowds, seed, fair=fair).run()
         for total, crowd in zip(totals, crowds, strict=True):
@@ -90,7 +94,11 @@
 
     def test_overload_that_ends_is_forgotten(self) -> None:
         """From 2 s after an overload on, callers are served as before it."""
-        crowds = simulated(burst(2, (0, 6)) + burst(0.7, (8, 14)), fair=True)
+        crowds = simulated(
+            burst(2, (0, 6)) + burst(0.7, (8, 14)),
+            fair=True,
+            seeds=MANY_SEEDS,
+        )
         for crowd in crowds[3:]:
             with self.subTest(kind=crowd.kind.name):
                 self.assertGreaterEqual(crowd.share, 0.9)
