An abandoned run keeps its slot in the queue while the target runs it

Cause: a non-idempotent run whose caller had gone went on at the target, but its slot in the queue was given to another request: the target got more than it has slots for.

Change: with fair admission the ticket stays until the run ends. Idempotent runs are cancelled and free their slot at once, as before.

Measured: mesh.tests.test_fair_admission, 100 ms after a caller has gone: 0 slots held by an idempotent run, 1 by a booking, 0 after its end.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.ids import NodeId, ServiceName
@@ -81,7 +82,6 @@
         self.machine_of: Callable[[ServiceName], GrantMachine | None] = (
             lambda service: None
         )
-        self.is_fair: Callable[[], bool] = bool  # without a configuration
         self.is_peer_alive: Callable[[NodeId], bool] = lambda node: False
         self._ticket_numbers = itertools.count(1)
         self._start_futures: dict[int, asyncio.Future[QueueRefusal | None]] = {}
@@ -172,7 +172,8 @@
 
     def _end_run(self, req: RelayedRequest, ticket: Ticket) -> None:
         self._runs.end(req)
-        self.queue.remove(ticket.number)
+        if not ticket.abandoned:
+            self.queue.remove(ticket.number)
         self._start_due()
 
     async def _wait_for_key(self, req: RelayedRequest) -> None:
@@ -235,7 +236,6 @@
     async def _admit(self, req: RelayedRequest) -> Ticket:
         now = self.clock.now()
         ticket = ticket_of(req, next(self._ticket_numbers), now)
-        self.queue.fair = self.is_fair()
         refusal = self.queue.offer(ticket, now)
         if refusal is None:
             refusal = await self._wait_for_start(ticket)
@@ -284,7 +284,8 @@
             self._log_stopped(req, ticket, goes_on=goes_on)
             if goes_on:
                 # A run that must not repeat is left to complete at the target.
-                started.add_done_callback(_retrieve_exception)
+                ticket.abandoned = self.queue.fair
+                started.add_done_callback(partial(self._end_abandoned, ticket))
             else:
                 started.cancel()
             raise
@@ -296,6 +297,14 @@
         self.target.acquit(req)
         return checked
 
+    def _end_abandoned(
+        self, ticket: Ticket, run: 'asyncio.Task[ClientAnswer]'
+    ) -> None:
+        if not run.cancelled():
+            run.exception()  # else it is logged as never retrieved
+        self.queue.remove(ticket.number)
+        self._start_due()
+
     def _log_stopped(
         self, req: RelayedRequest, ticket: Ticket, *, goes_on: bool
     ) -> None:
@@ -339,8 +348,3 @@
     def _count_heat(self, req: RelayedRequest, now: int) -> None:
         heat = self._unkeyed_heat if req.key == NO_KEY else self.heat
         heat.add(max(0, req.key), self.queue.service_ms(req.route), now)
-
-
-def _retrieve_exception(task: 'asyncio.Task[ClientAnswer]') -> None:
-    if not task.cancelled():
-        task.exception()
--- a/src/savoryhold/mesh/tests/test_fair_admission.py
+++ b/src/savoryhold/mesh/tests/test_fair_admission.py
@@ -92,6 +92,30 @@
         return callers
 
 
+class TestDepartedCallers(VirtualTimeCase):
+    """Slots of runs whose callers have disconnected."""
+
+    # A run that must not be cancelled lost its slot in the queue, so that the
+    # target got more requests than it has slots.
+    async def test_slots_follow_the_target(self) -> None:
+        """A slot is free at once if the run is cancelled, else at its end."""
+        for path, held in (('/files/', 0), ('/book/', 1)):
+            fleet = Fleet(3, seed=1, config=FAIR)
+            owner = fleet.nodes[2].owner
+            fleet.nodes[2].target.work_ms = 400
+            caller = fleet.nodes[0].ask(path, 'r1')
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(owner.queue.running), 1)
+            caller.disconnect()
+            await asyncio.sleep(0.1)
+            with self.subTest(path=path):
+                self.assertEqual(len(owner.queue.running), held)
+                self.assertEqual(len(fleet.running), held)
+                await asyncio.sleep(0.4)
+                self.assertEqual(len(owner.queue.running), 0)
+            await fleet.close()
+
+
 class TestReturningCallers(VirtualTimeCase):
     """Callers that repeat refused requests at once."""
 
