--- a/src/savoryhold/mesh/tests/test_fair_admission.py
+++ b/src/savoryhold/mesh/tests/test_fair_admission.py
@@ -16,6 +16,7 @@
 FILES_RATE = 200  # with the nested calls, 1.8 times the capacity of 2 targets
 FILES_MS = 150
 MIN_SERVED = 0.95
+MIN_USED = 0.42  # at twice the capacity; 0.5 fills the slots
 SETTLED_S = 2
 GOSSIP_EVERY = 60  # requests, thus each 200 ms
 
@@ -80,6 +81,21 @@
             self.assertEqual(await caller.status, 200)
         await fleet.close()
 
+    async def test_owner_restarts_under_overload(self) -> None:
+        """A new process of the owner, which has learned nothing, is used."""
+        fleet = Fleet(3, seed=1, config=FAIR)
+        owner = fleet.nodes[2]
+        owner.target.work_ms = FILES_MS
+        await self._ask(fleet, 160)
+        owner.process.kill()
+        owner.start()
+        owner.process.spawn(owner.owner.tick())
+        callers = await self._ask(fleet, 160)
+        await asyncio.sleep(SETTLED_S)
+        statuses = [caller.status.result() for caller in callers]
+        self.assertGreaterEqual(statuses.count(200), MIN_USED * len(statuses))
+        await fleet.close()
+
     async def _ask(self, fleet: Fleet, per_s: int) -> list[Caller]:
         callers = []
         for _ in range(LOAD_S * per_s):
