--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -188,7 +188,10 @@
 
     def _end_run(self, req: RelayedRequest, ticket: Ticket) -> None:
         self._runs.end(req)
-        self.starts.end(ticket.number)
+        if ticket.abandoned:
+            self.starts.start_due()
+        else:
+            self.starts.end(ticket.number)
 
     async def _wait_for_key(self, req: RelayedRequest) -> None:
         """Wait until the target holds the request's key, or refuse it."""
@@ -260,7 +263,8 @@
             self._log_stopped(req, ticket, goes_on=goes_on)
             if goes_on:
                 # A run that must not repeat is left to complete at the target.
-                started.add_done_callback(_retrieve_exception)
+                ticket.abandoned = self.queue.fair
+                started.add_done_callback(partial(self._end_abandoned, ticket))
             else:
                 started.cancel()
             raise
@@ -285,6 +289,13 @@
         sent.set()
         self.starts.record_sent(ticket)
 
+    def _end_abandoned(
+        self, ticket: Ticket, run: 'asyncio.Task[ClientAnswer]'
+    ) -> None:
+        if not run.cancelled():
+            run.exception()  # else it is logged as never retrieved
+        self.starts.end(ticket.number)
+
     def _log_stopped(
         self, req: RelayedRequest, ticket: Ticket, *, goes_on: bool
     ) -> None:
@@ -330,8 +341,3 @@
     def _count_heat(self, req: RelayedRequest, now: int) -> None:
         heat = self._unkeyed_heat if req.key == NO_KEY else self.heat
         heat.add(max(0, req.key), self.queue.service_ms(req.route), now)
-
-
-def _retrieve_exception(task: 'asyncio.Task[ClientAnswer]') -> None:
-    if not task.cancelled():
-        task.exception()
--- a/src/savoryhold/mesh/start_queue.py
+++ b/src/savoryhold/mesh/start_queue.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
 
 from savoryhold.core.clock import Clock
 from savoryhold.mesh.requests import RelayedRequest
@@ -32,7 +31,6 @@
     def __init__(
         self, queue: TargetQueue, capacity: TargetCapacity, clock: Clock
     ) -> None:
-        self.is_fair: Callable[[], bool] = bool  # without a configuration
         self._queue = queue
         self._capacity = capacity
         self._clock = clock
@@ -63,7 +61,6 @@
         """
         now = self._clock.now()
         ticket = ticket_of(req, next(self._numbers), now)
-        self._queue.fair = self.is_fair()
         refusal = self._queue.offer(ticket, now)
         if refusal is None:
             refusal = await self._wait_for_start(ticket)
--- a/src/savoryhold/mesh/tests/test_fair_admission.py
+++ b/src/savoryhold/mesh/tests/test_fair_admission.py
@@ -16,6 +16,7 @@
 FILES_RATE = 200  # with the nested calls, 1.8 times the capacity of 2 targets
 FILES_MS = 150
 MIN_SERVED = 0.95
+MIN_USED = 0.42  # at twice the capacity; 0.5 fills the slots
 SETTLED_S = 2
 GOSSIP_EVERY = 60  # requests, thus each 200 ms
 
@@ -71,6 +72,8 @@
         await self._ask(fleet, 160)
         shed = outcomes[('no-room', 'not-run')]
         self.assertGreater(shed, 0)
+        refusals = fleet.nodes[0].ingress.telemetry.refusals
+        self.assertEqual(refusals[('files', 'z', 'no-room')], shed)
         self.assertGreater(outcomes[('files', 'answered')], 180)
         await asyncio.sleep(SETTLED_S)
         fleet.gossip()
@@ -78,6 +81,21 @@
             self.assertEqual(await caller.status, 200)
         await fleet.close()
 
+    async def test_owner_restarts_under_overload(self) -> None:
+        """A new process of the owner, which has learned nothing, is used."""
+        fleet = Fleet(3, seed=1, config=FAIR)
+        owner = fleet.nodes[2]
+        owner.target.work_ms = FILES_MS
+        await self._ask(fleet, 160)
+        owner.process.kill()
+        owner.start()
+        owner.process.spawn(owner.owner.tick())
+        callers = await self._ask(fleet, 160)
+        await asyncio.sleep(SETTLED_S)
+        statuses = [caller.status.result() for caller in callers]
+        self.assertGreaterEqual(statuses.count(200), MIN_USED * len(statuses))
+        await fleet.close()
+
     async def _ask(self, fleet: Fleet, per_s: int) -> list[Caller]:
         callers = []
         for _ in range(LOAD_S * per_s):
@@ -92,6 +110,30 @@
         return callers
 
 
+class TestDepartedCallers(VirtualTimeCase):
+    """Slots of runs whose callers have disconnected."""
+
+    # A run that must not be cancelled lost its slot in the queue, so that the
+    # target got more requests than it has slots.
+    async def test_slots_follow_the_target(self) -> None:
+        """A slot is free at once if the run is cancelled, else at its end."""
+        for path, held in (('/files/', 0), ('/book/', 1)):
+            fleet = Fleet(3, seed=1, config=FAIR)
+            owner = fleet.nodes[2].owner
+            fleet.nodes[2].target.work_ms = 400
+            caller = fleet.nodes[0].ask(path, 'r1')
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(owner.queue.running), 1)
+            caller.disconnect()
+            await asyncio.sleep(0.1)
+            with self.subTest(path=path):
+                self.assertEqual(len(owner.queue.running), held)
+                self.assertEqual(len(fleet.running), held)
+                await asyncio.sleep(0.4)
+                self.assertEqual(len(owner.queue.running), 0)
+            await fleet.close()
+
+
 class TestReturningCallers(VirtualTimeCase):
     """Callers that repeat refused requests at once."""
 
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -1,15 +1,7 @@
 """Traffic decisions: routing, queueing, node selection and retry budgets."""
 
-from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
+from savoryhold.traffic.budget import RetryDecision, SharedRetryBudgets
 from savoryhold.traffic.capacity import UNLIMITED, Capacity
-from savoryhold.traffic.places import ANYWHERE, AllowedRegions
-from savoryhold.traffic.cold_start import (
-    ColdStartLimiter,
-    ReportDelay,
-    WarmupLimits,
-)
-from savoryhold.traffic.entry import Arrival, EntryControl, EntryRefusal
-from savoryhold.traffic.returns import ReturnTracker, Standing
 from savoryhold.traffic.choice import (
     Candidate,
     Origin,
@@ -18,15 +10,27 @@
     choose,
     choose_outlook,
 )
+from savoryhold.traffic.cold_start import (
+    ColdStartLimiter,
+    ReportDelay,
+    WarmupLimits,
+)
 from savoryhold.traffic.cost import CostModel, RequestTraits
-from savoryhold.traffic.queue import QueueRefusal, TargetQueue, Ticket
-from savoryhold.traffic.remaining import WorkLeft
+from savoryhold.traffic.entry import Arrival, EntryControl, EntryRefusal
 from savoryhold.traffic.fullness import FullnessBound, may_send_bytes
+from savoryhold.traffic.places import ANYWHERE, AllowedRegions
+from savoryhold.traffic.queue import TargetQueue
+from savoryhold.traffic.remaining import WorkLeft
 from savoryhold.traffic.reported_load import (
     LoadSample,
     ReportedLoad,
     parse_load,
 )
+from savoryhold.traffic.returns import (
+    DUPLICATE_PENALTY,
+    ReturnTracker,
+    Standing,
+)
 from savoryhold.traffic.routes import (
     CallerLimits,
     Feature,
@@ -38,10 +42,13 @@
     ServiceInfo,
     WeightedService,
 )
+from savoryhold.traffic.shares import NodeShares
 from savoryhold.traffic.target_record import PaceEstimate, TargetRecord
+from savoryhold.traffic.tickets import QueueRefusal, Ticket
 
 __all__ = [
     'ANYWHERE',
+    'DUPLICATE_PENALTY',
     'UNLIMITED',
     'AllowedRegions',
     'Arrival',
@@ -56,14 +63,15 @@
     'FullnessBound',
     'LoadSample',
     'MeshConfig',
+    'NodeShares',
     'Origin',
     'Outlook',
     'PaceEstimate',
     'QueueRefusal',
     'RefusedRoute',
     'ReportDelay',
-    'RequestTraits',
     'ReportedLoad',
+    'RequestTraits',
     'RetryDecision',
     'ReturnTracker',
     'Route',
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -14,12 +14,13 @@
 
 from savoryhold.traffic.capacity import Capacity, unlimited
 from savoryhold.traffic.fullness import may_send_bytes
-
-from savoryhold.traffic.retry_schedule import RetrySchedule
-
 from savoryhold.traffic.remaining import WorkLeft
+from savoryhold.traffic.retry_schedule import RetrySchedule
+from savoryhold.traffic.returns import DUPLICATE_PENALTY
+from savoryhold.traffic.shares import KindTurns, NodeShares
+from savoryhold.traffic.tickets import QueueRefusal, Ticket
 
-__all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
+__all__ = ['TargetQueue']
 
 MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
 LONG_RATIO = 3.0  # a long kind exceeds another recent kind by this
@@ -30,63 +31,15 @@
 RATE_DECAY_MS = 1000.0  # time constant of the average of arriving work
 QUICK_RUN = 0.5  # of the usual run time; few runs are faster
 MIN_SHARE = 0.2  # of the slots, at least, is assumed free of more urgent work
-# The forecast overrates urgent work that is itself refused.
+# Urgent work that is refused itself counts in the rates, and in a brief wait
+# less of it may come than usual.
 MIN_FAIR_SHARE = 0.35
+BRIEF_WAIT_MS = 600
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
-NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
 MEAN_RUN_LEFT = 0.5  # average part of its run time that a run has left
 
 
-@dataclasses.dataclass(slots=True)
-class Ticket:
-    """A request that is queued or running; times in ms.
-
-    ``aim_at`` is when it should have ended, ``deadline`` when it must have.
-    Run times are measured for each ``kind``.  ``nested`` calls precede all
-    callers' requests, and ``returning`` requests precede others of their
-    priority.  ``urgency`` is the place in the order of service.
-    Run times are measured for each ``kind``.  ``expected_ms`` is the forecast
-    of its run time at a target of usual pace, 0 if there is none.
-    ``size`` is that of the body in bytes.
-    """
-
-    number: int
-    kind: str
-    priority: int
-    arrived_at: int
-    aim_at: int
-    deadline: int
-    started_at: int = 0
-    expected_ms: float = 0.0
-    nested: bool = False
-    returning: bool = False
-    size: int = 0
-    urgency: tuple[int, bool, int, int] = dataclasses.field(init=False)
-
-    def __post_init__(self) -> None:
-        """Derive the urgency, which does not change while it waits."""
-        self.urgency = (
-            NESTED_PRIORITY if self.nested else self.priority,
-            not self.returning,
-            self.aim_at,
-            self.number,
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueRefusal:
-    """A ticket that will not run, and when its caller may retry.
-
-    ``room_ms`` is the expected wait of such a ticket, 0 if it is not told.
-    """
-
-    ticket: Ticket
-    reason: str
-    retry_ms: int
-    room_ms: float = 0.0
-
-
 @dataclasses.dataclass(slots=True)
 class _Rate:
     """Arrival rate of work, in slots, at a time in ms."""
@@ -114,7 +67,8 @@
 
     Notes
     -----
-    `fair` enables the rules of fair admission.
+    The rules of fair admission apply (`fair`) while tickets state the node that
+    they come from, which ingress nodes do if the configuration asks for it.
     With `work`, forecasts are those of the cost model; without, they are the
     averages of the kinds.
     """
@@ -124,14 +78,16 @@
         self.capacity: Callable[[], Capacity] = unlimited
         self.fair = False
         self.work: WorkLeft | None = None
+        self.shares = NodeShares()
+        self._turns = KindTurns()
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
         self._service_times: dict[str, float] = {}
         self._last_offered: dict[str, int] = {}
-        self._rates: dict[tuple[int, bool], _Rate] = {}
+        self._rates: dict[tuple[int, int], _Rate] = {}
         self._schedule = RetrySchedule()
         # The last forecast of a wait and its time, by level.
-        self._forecasts: dict[tuple[int, bool], tuple[float, int]] = {}
+        self._forecasts: dict[tuple[int, int], tuple[float, int]] = {}
 
     def service_ms(self, kind: str) -> float:
         """Return the average run time of a kind of request."""
@@ -179,6 +135,20 @@
             for other in self.waiting.values()
             if other.urgency < ticket.urgency
         ]
+        limits = self.capacity()
+        wait = self._slot_wait_ms(ticket, ahead, limits, now)
+        slots = self._usable_slots(limits)
+        left = self._capacity_left(ticket.urgency[:2], now, slots)
+        if self.fair and wait < BRIEF_WAIT_MS:
+            left = max(left, MIN_FAIR_SHARE)
+        return max(
+            wait / left, self._start_wait_ms(ticket, len(ahead), now, limits)
+        )
+
+    def _slot_wait_ms(
+        self, ticket: Ticket, ahead: list[Ticket], limits: Capacity, now: int
+    ) -> float:
+        """Return after how many ms a slot is free for a ticket."""
         running = list(self.running.values())
         long_ahead = [
             other for other in ahead if self._is_long(other.kind, now)
@@ -186,29 +156,25 @@
         long_running = [
             other for other in running if self._is_long(other.kind, now)
         ]
-        limits = self.capacity()
         slots = self._usable_slots(limits)
         if self._is_held_back(ticket, now):
-            wait = max(
+            return max(
                 self._slot_free_ms(ahead, running, slots, limits, now),
                 self._slot_free_ms(
                     long_ahead, long_running, self._long_slots(), limits, now
                 ),
             )
-        elif ticket.nested or len(long_running) < self._long_slots():
-            wait = self._slot_free_ms(ahead, running, slots, limits, now)
-        else:
-            # Long work fills all its slots, so none of it starts first.
-            short_ahead = [other for other in ahead if other not in long_ahead]
-            short_running = [
-                other for other in running if other not in long_running
-            ]
-            short_slots = slots - len(long_running)
-            wait = self._slot_free_ms(
-                short_ahead, short_running, short_slots, limits, now
-            )
-        wait /= self._capacity_left(ticket.urgency[:2], now, slots)
-        return max(wait, self._start_wait_ms(ticket, len(ahead), now, limits))
+        if ticket.nested or len(long_running) < self._long_slots():
+            return self._slot_free_ms(ahead, running, slots, limits, now)
+        # Long work fills all its slots, so none of it starts first.
+        short_ahead = [other for other in ahead if other not in long_ahead]
+        short_running = [
+            other for other in running if other not in long_running
+        ]
+        short_slots = slots - len(long_running)
+        return self._slot_free_ms(
+            short_ahead, short_running, short_slots, limits, now
+        )
 
     def _start_wait_ms(
         self, ticket: Ticket, ahead: int, now: int, limits: Capacity
@@ -265,6 +231,9 @@
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
         self._last_offered[ticket.kind] = now
+        self.fair = bool(ticket.origin)
+        if self.fair and not ticket.nested:
+            self._rank_by_share(ticket, now)
         rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         service = self.expected_ms(ticket, now)
         rate.add(service, now)
@@ -277,10 +246,39 @@
         if ticket.aim_at - ticket.arrived_at < service:
             limit = ticket.deadline - now
         if wait and wait + service > min(limit, ticket.deadline - now):
-            return self._refusal(ticket, 'busy', wait + service - limit, now)
+            if not self._has_turn(ticket, limit - service, now):
+                excess = wait + service - limit
+                return self._refusal(ticket, 'busy', excess, now)
+        if self.fair:
+            ticket.start_tag = self.shares.admit(
+                ticket.kind, ticket.origin, service
+            )
         self.waiting[ticket.number] = ticket
         return None
 
+    def _rank_by_share(self, ticket: Ticket, now: int) -> None:
+        """Rank a ticket lower if its node exceeds its share."""
+        self.shares.hear(ticket.origin, now)
+        if not self.waiting:
+            self.shares.reset()
+        service = self.expected_ms(ticket, now)
+        if self.shares.exceeds(ticket.kind, ticket.origin, service):
+            ticket.demote()
+
+    def _has_turn(self, ticket: Ticket, limit: float, now: int) -> bool:
+        """Return whether a ticket's priority has a turn in time for it."""
+        priority = ticket.priority
+        if not self.fair or ticket.nested or priority >= DUPLICATE_PENALTY:
+            return False
+        service = self.expected_ms(ticket, now)
+        wait = self._turns.wait_ms(priority, now, service, self.slots)
+        if wait > limit:
+            return False
+        if self._turns.holder(priority) in self.waiting:
+            return False
+        self._turns.reserve(priority, ticket.number, now + wait)
+        return True
+
     def room_ms(self, priority: int, now: int, *, returning: bool) -> float:
         """Return the wait last forecast for a priority, less its age."""
         level = (priority, not returning)
@@ -349,6 +347,11 @@
         if not eligible:
             return None
         chosen = min(eligible, key=lambda ticket: self._rank(ticket, now))
+        if self.fair:
+            for number in self._turns.due(now):
+                chosen = self.waiting.get(number, chosen)
+            self._turns.start(chosen.priority, chosen.number, now)
+            self.shares.start(chosen.kind, chosen.start_tag)
         self.waiting.pop(chosen.number)
         chosen.started_at = now
         # Under overload, starts come at the rate of completions.
@@ -374,24 +377,24 @@
         if not self.fair:
             retry_ms = round(min(MAX_RETRY_MS, max(MIN_RETRY_MS, excess_ms)))
             return QueueRefusal(ticket, reason, retry_ms)
+        left = self._capacity_left((ticket.priority, 0), now, self.slots)
         retry_ms = self._schedule.retry_ms(
             ticket.priority,
             now,
             earliest_ms=excess_ms,
             left_ms=ticket.deadline - now,
-            room_share=self._capacity_left(
-                (ticket.priority, False), now, self.slots
-            ),
+            room_share=max(left, MIN_FAIR_SHARE),
         )
         room_ms = self.room_ms(ticket.priority, now, returning=ticket.returning)
-        return QueueRefusal(ticket, reason, retry_ms, room_ms)
+        share = self.shares.share(ticket.origin)
+        return QueueRefusal(ticket, reason, retry_ms, room_ms, share)
 
     def _usable_slots(self, limits: Capacity) -> int:
         return max(1, self.slots if limits.slots is None else limits.slots)
 
     def _rank(
         self, ticket: Ticket, now: int
-    ) -> tuple[bool, tuple[int, bool, int, int]]:
+    ) -> tuple[bool, tuple[int, int, int, int]]:
         missed = now + self.expected_ms(ticket, now) > ticket.aim_at
         return missed and not ticket.nested, ticket.urgency
 
@@ -400,7 +403,7 @@
         return now + self.expected_ms(ticket, now) * QUICK_RUN > limit
 
     def _capacity_left(
-        self, level: tuple[int, bool], now: int, slots: float
+        self, level: tuple[int, int], now: int, slots: float
     ) -> float:
         """Return the share of the slots that more urgent work leaves.
 
@@ -413,8 +416,7 @@
             for other, rate in self._rates.items()
             if other < level
         )
-        least = MIN_FAIR_SHARE if self.fair else MIN_SHARE
-        return max(least, 1 - urgent / slots)
+        return max(MIN_SHARE, 1 - urgent / slots)
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
         if ticket.size:
