A refusal by place bars the whole zone, also where no other is left

Cause: taking rules out, one at a time, showed that three of them had no test. A test of the bar showed a fault: the chooser did not count barred zones when it asked whether another target is available, so that a request without a place was chosen for again every 30 ms (18 choices) until its latency objective. Change: the chooser leaves barred zones out there, too. Tests that one refusal bars the zone and that the second choice is final, and that an owner refuses on arrival, not when a slot is free.

--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -71,7 +71,10 @@
         node = choose(preferred or candidates, self._origin, large=large)
         if node is None:
             raise self._unavailable(
-                req, f'no target serves {req.service}', NO_TARGET_RETRY_MS
+                req,
+                f'no target serves {req.service}',
+                NO_TARGET_RETRY_MS,
+                barred,
             )
         return node
 
@@ -84,7 +87,10 @@
         table = self._context.tables.tables.get(req.service)
         if table is None:
             raise self._unavailable(
-                req, 'the key range table is not known yet', NO_TARGET_RETRY_MS
+                req,
+                'the key range table is not known yet',
+                NO_TARGET_RETRY_MS,
+                barred,
             )
         owner = table.row_at(req.key).owner
         self._check_place(req, owner, barred)
@@ -99,6 +105,7 @@
                 req,
                 f'{owner}, which owns the key, is not available',
                 AWAY_RETRY_MS,
+                barred,
             )
         return owner
 
@@ -124,7 +131,7 @@
         req: RelayedRequest,
         text: str,
         retry_ms: int,
-        barred: Collection[Zone] = (),
+        barred: Collection[Zone],
     ) -> RequestError:
         """Return the error for a request that no target can run now.
 
@@ -154,7 +161,7 @@
         )
 
     def _candidates(
-        self, req: RelayedRequest, barred: Collection[Zone] = ()
+        self, req: RelayedRequest, barred: Collection[Zone]
     ) -> list[Candidate]:
         members = self._context.members
         now = self._context.clock.now()
--- a/src/savoryhold/mesh/tests/test_evacuations.py
+++ b/src/savoryhold/mesh/tests/test_evacuations.py
@@ -10,6 +10,7 @@
 import unittest
 from collections import Counter
 from typing import Any, cast
+from unittest import mock
 
 from savoryhold.core.errors import HistoryLostError, PlatformError
 from savoryhold.core.ids import Region, Version, Zone
@@ -20,6 +21,7 @@
 )
 from savoryhold.mesh.interface import Listing, StoredObject
 from savoryhold.mesh.places import Place
+from savoryhold.mesh.requests import WrongPlaceError
 from savoryhold.mesh.tests.fleet import Fleet
 from savoryhold.mesh.tests.fleet_model import FleetModel, ModelNode
 from savoryhold.mesh.tests.test_platform import MeshCase
@@ -301,6 +303,49 @@
         self.assertEqual(here.target.received, ['running'])
         self.assertEqual(fleet.nodes[1].target.received, [])
 
+    async def test_one_refusal_bars_the_zone(self) -> None:
+        """Guards against a body that is relayed to each node of the zone."""
+        places = {number: Place(Zone('out'), Region('r')) for number in (0, 1)}
+        fleet = Fleet(6, 1, places=places)
+        checks = []
+        for node in fleet.nodes[:2]:
+            node.places.evacuated = frozenset({Zone('out')})
+            check = mock.Mock(wraps=node.owner.check_place)
+            node.owner.check_place = check
+            checks.append(check)
+        for node in fleet.nodes[3:5]:
+            node.owner.target.dead = True
+            for other in fleet.nodes:
+                if other is not node:
+                    member = other.members.members[node.name]
+                    member.status = dataclasses.replace(
+                        member.status, ready=False
+                    )
+        chooser = fleet.nodes[5].ingress._chooser
+        with mock.patch.object(
+            chooser, 'choose', wraps=chooser.choose
+        ) as choose:
+            self.assertEqual(
+                await fleet.nodes[5].ask('/plain/', 'a').status, 503
+            )
+        self.assertEqual(sum(check.call_count for check in checks), 1)
+        # The second choice finds no place, which is final.
+        self.assertEqual(choose.call_count, 2)
+
+    async def test_refusal_does_not_wait_for_a_slot(self) -> None:
+        """The ingress is to choose again while the deadline allows it."""
+        fleet = Fleet(3, 1)
+        node = fleet.nodes[0]
+        node.target.work_ms = 400
+        running = [node.ask('/plain/', f'r{number}') for number in range(24)]
+        await asyncio.sleep(0.01)
+        node.places.evacuated = frozenset({node.place.zone})
+        req, _ = node.ingress._reader.read(running[0].req)
+        began = fleet.clock.now()
+        with self.assertRaises(WrongPlaceError):
+            await node.owner.submit(req)
+        self.assertEqual(fleet.clock.now(), began)
+
     async def test_nothing_runs_until_the_set_is_known(self) -> None:
         """A node that restarts in an evacuated zone does not serve it."""
         fleet = Fleet(3, 1)
