Key ranges move by work, and hot spans to many targets at once

Heat counted the mean run time of a route at one target, so that a slow target counted its keys as more work than the taker would have with them. A hot span went to four targets every 1.5 s, longer than its peak lasts, and a key with more than the wanted work was handed on from target to target.

With cost routing, heat is the expected work of each request, demand is that work at the target's average pace, and parts are planned in units of work. A target at three times the mean use hands over to up to 16 others, the heat of what it hands over is dropped, and keys that have more than the wanted work stay while others leave. Without it, nothing changes.

--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -125,6 +125,7 @@
     def demand(self, now: int) -> float:
         """Return the load that requests offer, in slots."""
         total = self.heat.total(now) + self._unkeyed_heat.total(now)
+        total *= self.queue.steady_pace(now)
         return total / max(MIN_ACCEPTANCE, self._calls.acceptance)
 
     @property
@@ -343,7 +344,8 @@
 
     def _count_heat(self, req: RelayedRequest, now: int) -> None:
         heat = self._unkeyed_heat if req.key == NO_KEY else self.heat
-        heat.add(max(0, req.key), self.queue.service_ms(req.route), now)
+        work_ms = self.queue.usual_ms(req.route, req.expected_ms)
+        heat.add(max(0, req.key), work_ms, now)
 
 
 def _retrieve_exception(task: 'asyncio.Task[ClientAnswer]') -> None:
--- a/src/savoryhold/mesh/placement.py
+++ b/src/savoryhold/mesh/placement.py
@@ -90,7 +90,9 @@
                 self._log.warning('claim', service=service, lost=sorted(lost))
                 await self._tables.write(service, changes, (), 'claim')
                 return
-        for order in plan_handovers(loads):
+        for order in plan_handovers(
+            loads, by_work=self._owner.queue.work is not None
+        ):
             self._send_order(service, order, now)
 
     def _lost_owners(self, table: RangeTable, now: int) -> set[NodeId]:
--- a/src/savoryhold/mesh/tables.py
+++ b/src/savoryhold/mesh/tables.py
@@ -480,12 +480,14 @@
         """
         table = self.tables.get(service)
         keys = {} if table is None else table.key_counts()
+        by_work = self._owner.queue.work is not None
         loads = [
             TargetLoad(
                 member.status.node,
                 member.status.demand,
                 member.status.slots,
                 keys.get(member.status.node, 0),
+                member.status.pace if by_work else 1.0,
             )
             for member in self._members.serving_members(service, now)
         ]
@@ -500,6 +502,7 @@
                     self._owner.demand(now),
                     self._owner.target.report.slots,
                     keys.get(self.node, 0),
+                    self._owner.queue.steady_pace(now),
                 )
             )
         return sorted(loads, key=lambda load: load.node)
@@ -513,9 +516,17 @@
             return
         now = self._clock.now()
         spans = machine.free_spans()
-        cut = self._owner.heat.cut(spans, share, now)
+        heat = self._owner.heat
+        by_work = self._owner.queue.work is not None
+        if by_work:
+            cut = heat.cut_by_work(spans, share, now)
+        else:
+            cut = heat.cut(spans, share, now)
         if cut is None or not machine.start_handover(cut, taker):
             return
+        if by_work:
+            # The next order must not count the same work again.
+            heat.remove(cut)
         self._log.info(
             'giving',
             service=service,
--- a/src/savoryhold/ranges/heat.py
+++ b/src/savoryhold/ranges/heat.py
@@ -11,6 +11,7 @@
 MIN_HEAT = 0.01  # slots; keys with less are dropped
 EVEN_SHARE = 0.25  # part of the heat assumed to be uniform over all keys
 MIN_CUT_SHARE = 0.75  # of the wanted work, for the sake of a narrower span
+MAX_CUT_SHARE = 1.5  # of it, in one key; more would overload the next owner
 
 
 class KeyHeat:
@@ -36,6 +37,39 @@
             if heat * _decay(now - at) > MIN_HEAT
         }
 
+    def remove(self, span: Span) -> None:
+        """Drop the heat of keys that are handed over."""
+        self._heat = {
+            key: entry
+            for key, entry in self._heat.items()
+            if not span.first <= key <= span.last
+        }
+
+    def cut_by_work(
+        self, spans: Iterable[Span], share: float, now: int
+    ) -> Span | None:
+        """Return a span with a share of the work, but no key that has more.
+
+        Notes
+        -----
+        A single key cannot be split.  One that has more than the wanted work
+        stays, and other keys are handed over instead: it would overload each
+        target that it moves to.
+        """
+        ordered = sorted(spans)
+        heat_by_span = self._heat_by_span(ordered, now)
+        found = [entry for each in heat_by_span.values() for entry in each]
+        total = sum(heat for _, heat in found)
+        limit = share * total * MAX_CUT_SHARE
+        hot = {key: heat for key, heat in found if heat > limit}
+        if not hot:
+            return self.cut(ordered, share, now)
+        parts = [part for span in ordered for part in _without(span, list(hot))]
+        left = total - sum(hot.values())
+        if not parts or left <= 0:
+            return None
+        return self.cut(parts, min(1.0, share * total / left), now)
+
     def cut(self, spans: Iterable[Span], share: float, now: int) -> Span | None:
         """Return the narrowest span that carries a share of the work.
 
@@ -90,6 +124,21 @@
         )
 
 
+def _without(span: Span, keys: list[int]) -> list[Span]:
+    """Return the parts of a span between keys in ascending order."""
+    parts = []
+    first = span.first
+    for key in keys:
+        if not span.first <= key <= span.last:
+            continue
+        if key > first:
+            parts.append(Span(first, key - 1))
+        first = key + 1
+    if first <= span.last:
+        parts.append(Span(first, span.last))
+    return parts
+
+
 def _decay(age_ms: int) -> float:
     return math.exp(-age_ms / DECAY_MS)
 
--- a/src/savoryhold/ranges/planner.py
+++ b/src/savoryhold/ranges/planner.py
@@ -18,6 +18,8 @@
 MIN_IMBALANCE = 1.25  # ratio of busiest to mean use that justifies handovers
 MIN_HANDOVER_SLOTS = 0.3  # smaller handovers are within measurement noise
 MAX_HANDOVERS = 4  # spans that one node hands over in one round
+HOT_IMBALANCE = 3.0  # ratio to the mean use of a target with a hot span
+MAX_HOT_HANDOVERS = 16  # of such a one; peaks of a span last 4 to 5 s
 MAX_FILLERS = 4  # targets that hand over to one without keys
 MAX_FILLING_SHARE = 0.5  # of a target's work; it keeps the other half
 
@@ -36,12 +38,25 @@
         Number of requests that the target runs concurrently.
     keys : int
         Number of keys that the node owns.
+    pace : float
+        Run times at the target, as a multiple of usual ones.
     """
 
     node: NodeId
     demand: float
     slots: int
     keys: int
+    pace: float = 1.0
+
+    @property
+    def work(self) -> float:
+        """Return the demand in slots of a target of usual pace."""
+        return self.demand / self.pace
+
+    @property
+    def capacity(self) -> float:
+        """Return the slots, as a number of slots of usual pace."""
+        return self.slots / self.pace
 
     @property
     def utilization(self) -> float:
@@ -61,9 +76,13 @@
     share: float
 
 
-def plan_handovers(loads: Sequence[TargetLoad]) -> list[HandoverOrder]:
+def plan_handovers(
+    loads: Sequence[TargetLoad], *, by_work: bool = False
+) -> list[HandoverOrder]:
     """Return the handovers that balance the load.
 
+    With `by_work`, a hot target hands over to more targets at once.
+
     Targets without keys come first: the others hand over to them before any
     other imbalance is looked at.
     """
@@ -72,20 +91,24 @@
     filling_orders = _fill_empty_targets(loads)
     if filling_orders:
         return filling_orders
-    slots = sum(load.slots for load in loads)
-    mean = sum(load.demand for load in loads) / max(1, slots)
+    # A part moves in units of work, as it takes another time at the taker.
+    capacity = sum(load.capacity for load in loads) or 1.0
+    mean = sum(load.work for load in loads) / capacity
     givers = sorted(
         (load for load in loads if _is_overloaded(load, mean)),
         key=_busiest_first,
     )
     spare_slots = {
-        load.node: (mean - load.utilization) * load.slots
+        load.node: (mean - load.utilization) * load.capacity
         for load in loads
         if load.utilization < mean
     }
     found: list[HandoverOrder] = []
     for giver in givers:
-        found.extend(_offload(giver, mean, spare_slots))
+        limit = MAX_HANDOVERS
+        if by_work and giver.utilization > mean * HOT_IMBALANCE:
+            limit = MAX_HOT_HANDOVERS
+        found.extend(_offload(giver, mean, spare_slots, limit))
     return found
 
 
@@ -174,18 +197,21 @@
 
 
 def _offload(
-    giver: TargetLoad, mean: float, spare_slots: dict[NodeId, float]
+    giver: TargetLoad,
+    mean: float,
+    spare_slots: dict[NodeId, float],
+    limit: int,
 ) -> list[HandoverOrder]:
-    excess = giver.demand - mean * giver.slots
+    excess = giver.work - mean * giver.capacity
     found: list[HandoverOrder] = []
     by_spare_slots = sorted(
         spare_slots, key=spare_slots.__getitem__, reverse=True
     )
-    for taker in by_spare_slots[:MAX_HANDOVERS]:
+    for taker in by_spare_slots[:limit]:
         part = min(excess, spare_slots[taker])
         if part < MIN_HANDOVER_SLOTS:
             continue
-        found.append(HandoverOrder(giver.node, taker, part / giver.demand))
+        found.append(HandoverOrder(giver.node, taker, part / giver.work))
         spare_slots[taker] -= part
         excess -= part
     return found
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -120,6 +120,16 @@
             return self.service_ms(ticket.kind)
         return self.work.expected_ms(ticket, now)
 
+    def usual_ms(self, kind: str, expected_ms: float) -> float:
+        """Return the work of a request, whatever the present pace."""
+        if self.work is None or expected_ms <= 0:
+            return self.service_ms(kind)
+        return expected_ms
+
+    def steady_pace(self, now: int) -> float:
+        """Return by how much run times here exceed `usual_ms`."""
+        return 1.0 if self.work is None else self.work.steady_pace(now)
+
     def work_ms(self, now: int) -> float:
         """Return the expected work left in ms of one slot, 0 if unknown."""
         if self.work is None:
--- a/src/savoryhold/traffic/remaining.py
+++ b/src/savoryhold/traffic/remaining.py
@@ -9,6 +9,7 @@
 __all__ = ['RunningTicket', 'WorkLeft']
 
 MIN_LEFT_MS = 1.0
+STEADY_SAMPLES = 100.0  # longer than episodes, which move no keys
 
 
 class RunningTicket(Protocol):
@@ -34,6 +35,7 @@
         # Set from what the target reports; 1 if it reports nothing.
         self.reported_pace = 1.0
         self.pace = PaceEstimate()
+        self._steady = PaceEstimate(STEADY_SAMPLES)
         self._costs = costs
         self._service = service
         self._pace_now = 1.0
@@ -46,6 +48,10 @@
             self._pace_now = self.pace.current(now)
         return self._pace_now * self.reported_pace
 
+    def steady_pace(self, now: int) -> float:
+        """Return how much longer than usual runs take on average."""
+        return self._steady.current(now)
+
     def usual_ms(self, ticket: RunningTicket) -> float:
         """Return the forecast at a target of usual pace."""
         if ticket.expected_ms > 0:
@@ -73,8 +79,9 @@
 
     def record(self, ticket: RunningTicket, ran_ms: float, now: int) -> None:
         """Add the measured run time of a ticket."""
-        usual = self.usual_ms(ticket) * self.reported_pace
-        self.pace.record(ran_ms, usual, now)
+        usual = self.usual_ms(ticket)
+        self._steady.record(ran_ms, usual, now)
+        self.pace.record(ran_ms, usual * self.reported_pace, now)
         traits = RequestTraits(self._service, ticket.kind)
         self._costs.record(traits, ran_ms, self.present_pace(now), now)
         self._pace_at = -1
--- a/src/savoryhold/traffic/target_record.py
+++ b/src/savoryhold/traffic/target_record.py
@@ -13,11 +13,18 @@
 
 
 class PaceEstimate:
-    """Ratio of run times at a target to their forecast, 1 if usual."""
+    """Ratio of run times at a target to their forecast, 1 if usual.
 
-    __slots__ = ('_weight', '_total', '_at')
+    Parameters
+    ----------
+    samples : float
+        Number of runs over which it averages.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ('_keep', '_weight', '_total', '_at')
+
+    def __init__(self, samples: float = PACE_SAMPLES) -> None:
+        self._keep = 1 - 1 / samples
         self._weight = 0.0
         self._total = 0.0
         self._at = 0
@@ -26,10 +33,9 @@
         """Add a run time and its forecast at usual pace."""
         if expected_ms <= 0:
             return
-        keep = 1 - 1 / PACE_SAMPLES
         ratio = min(MAX_PACE_RATIO, run_ms / expected_ms)
-        self._weight = self._weight * keep + 1
-        self._total = self._total * keep + ratio
+        self._weight = self._weight * self._keep + 1
+        self._total = self._total * self._keep + ratio
         self._at = now
 
     def current(self, now: int) -> float:
