--- a/src/savoryhold/cli/tests/test_explain.py
+++ b/src/savoryhold/cli/tests/test_explain.py
@@ -14,6 +14,8 @@
     'request=0000 status=200',
     'timestamp=2026-01-23T21:55:09.700000Z level=info event=caller_gone '
     'node=a request=57d6.01 took_ms=3',
+    'timestamp=2026-01-23T21:55:09.700100Z level=info event=chosen node=a '
+    'request=57d6 chosen=b explored=False compared=12 best="b:120 c:133"',
     'rubbish',
 )
 
@@ -26,10 +28,16 @@
         found = explain('57d6', LINES)
         self.assertEqual(
             [fields['event'] for fields in found],
-            ['node_silent', 'caller_gone', 'refused'],
+            ['node_silent', 'caller_gone', 'chosen', 'refused'],
         )
         self.assertEqual(found[-1]['reason'], 'b is away')
 
+    def test_candidates_of_a_choice(self) -> None:
+        """The targets compared and their expected times are shown."""
+        chosen = explain('57d6', LINES)[-2]
+        self.assertEqual(chosen['best'], 'b:120 c:133')
+        self.assertEqual(chosen['compared'], '12')
+
     def test_unknown_request(self) -> None:
         """A request that no line names yields no lines."""
         self.assertEqual(explain('none', LINES), [])
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -91,7 +91,7 @@
         self._clock = context.clock
         self._reader = RequestReader(context, names)
         self.forecasts = Forecasts(context, telemetry)
-        self._chooser = NodeChooser(context, self.forecasts)
+        self._chooser = NodeChooser(context, self.forecasts, telemetry)
         self._telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
         context.owner.runs.may_repeat_calls = self._may_repeat_calls
@@ -118,7 +118,7 @@
             state = _RequestState(*self._reader.read(http))
             answer = await self._answer(state)
         except RequestError as exc:
-            self._refuse(exchange, exc)
+            self._refuse(exchange, exc, state)
             return
         except asyncio.CancelledError:
             self._record_caller_gone(http, state)
@@ -290,14 +290,23 @@
 
     # Refusals ---------------------------------------------------------------
 
-    def _refuse(self, exchange: Exchange, exc: RequestError) -> None:
+    def _refuse(
+        self,
+        exchange: Exchange,
+        exc: RequestError,
+        state: _RequestState | None = None,
+    ) -> None:
         head = b''
         if exc.status in REFUSALS:
             retry_ms = max(MIN_RETRY_MS, exc.retry_after_ms)
             head = b'retry-after: %.3f\r\n' % (retry_ms / MS_PER_SECOND)
         exchange.reply(exc.status, head)
         self._telemetry.record_refusal(
-            exchange.req, self.names, exc, self._context.configs.version
+            exchange.req,
+            self.names,
+            exc,
+            self._context.configs.version,
+            None if state is None else state.req,
         )
 
 
--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -7,6 +7,7 @@
 from savoryhold.mesh.members import Member
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.requests import NO_KEY, RelayedRequest, TargetDownError
+from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.traffic import Candidate, Origin, choose, choose_outlook
 
 __all__ = ['NodeChooser']
@@ -26,11 +27,19 @@
         Dependencies of the node's tasks.
     forecasts : Forecasts
         Costs of requests and outcomes at targets.
+    telemetry : Telemetry
+        Log lines of choices.
     """
 
-    def __init__(self, context: NodeContext, forecasts: Forecasts) -> None:
+    def __init__(
+        self,
+        context: NodeContext,
+        forecasts: Forecasts,
+        telemetry: Telemetry,
+    ) -> None:
         self._context = context
         self._forecasts = forecasts
+        self._telemetry = telemetry
         self._rng = random.Random()
         self._node = context.settings.node
         self._origin = Origin(context.settings.zone, context.settings.region)
@@ -83,14 +92,18 @@
                 f'no target serves {req.service}', NO_TARGET_RETRY_MS
             )
         preferred = [one for one in outlooks if one.node not in avoid]
-        chosen, _ = choose_outlook(
-            preferred or outlooks,
+        outlooks = preferred or outlooks
+        choice = choose_outlook(
+            outlooks,
             self._origin,
             req.expected_ms,
             self._forecasts.transfer(req, large=large),
             self._rng,
         )
-        return chosen.node
+        self._telemetry.record_choice(
+            req, choice, [one.node for one in outlooks], again=bool(avoid)
+        )
+        return choice.chosen.node
 
     def _serving_members(self, req: RelayedRequest, now: int) -> list[Member]:
         """Return the members whose targets may run a request."""
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -323,6 +323,9 @@
             waited_ms=ticket.started_at - ticket.arrived_at,
             took_ms=took,
             usual_ms=round(self.queue.service_ms(ticket.kind)),
+            expected_ms=round(
+                self.queue.expected_ms(ticket, ticket.started_at)
+            ),
             aim_missed_ms=self.clock.now() - req.aim_at,
             running=len(self.queue.running),
             waiting=len(self.queue.waiting),
--- a/src/savoryhold/mesh/telemetry.py
+++ b/src/savoryhold/mesh/telemetry.py
@@ -1,18 +1,21 @@
 """Telemetry of requests: log lines, counters and latency histograms."""
 
 from collections import Counter, defaultdict
+from collections.abc import Sequence
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.errors import RequestError
+from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import Log
 from savoryhold.mesh.requests import RelayedAnswer, RelayedRequest
-from savoryhold.traffic import RetryDecision
+from savoryhold.traffic import Choice, RetryDecision
 from savoryhold.wire import HeaderNames, HttpRequest
 
 __all__ = ['Telemetry']
 
 # One in so many answers is logged even if it is neither failed nor late.
 SAMPLE_EVERY = 64
+MAX_SHOWN = 5  # targets in a line on a choice
 LINES_PER_SECOND = 200  # limits the lines on requests in a burst
 BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1000, 2500)
 SERVER_ERROR = 500
@@ -41,6 +44,7 @@
         self.unlogged_count = 0
         self._clock = clock
         self._answer_count = 0
+        self._choice_count = 0
         self._current_second = 0
         self._lines_in_second = 0
 
@@ -82,8 +86,12 @@
         names: HeaderNames,
         exc: RequestError,
         config_version: int,
+        req: RelayedRequest | None = None,
     ) -> None:
-        """Record a request that this node answered with an error."""
+        """Record a request that this node answered with an error.
+
+        `req` is None if the request could not be read.
+        """
         self.outcomes[(exc.code, exc.verdict.value)] += 1
         if self.may_log():
             self.log.info(
@@ -96,8 +104,42 @@
                 retry_after_ms=exc.retry_after_ms,
                 took_ms=self._clock.now() - http.read_at,
                 config_version=config_version,
+                **({} if req is None else _forecast(req)),
             )
 
+    def record_choice(
+        self,
+        req: RelayedRequest,
+        choice: Choice,
+        considered: Sequence[NodeId],
+        *,
+        again: bool,
+    ) -> None:
+        """Record the choice of a target: a sample, and all second tries."""
+        self._choice_count += 1
+        if not again and self._choice_count % SAMPLE_EVERY:
+            return
+        if not self.may_log():
+            return
+        found = sorted(zip(choice.costs, considered, strict=False))
+        self.log.info(
+            'chosen',
+            request=req.request,
+            route=req.route,
+            chosen=choice.chosen.node,
+            explored=choice.explored,
+            again=again,
+            expected_ms=round(req.expected_ms),
+            pace=round(choice.chosen.pace, 2),
+            acceptance=round(choice.chosen.acceptance, 2),
+            news_ms=choice.chosen.age_ms,
+            compared=len(considered),
+            # Expected completion of the best ones in ms.
+            best=' '.join(
+                f'{node}:{cost:.0f}' for cost, node in found[:MAX_SHOWN]
+            ),
+        )
+
     def record_disconnect(
         self,
         http: HttpRequest,
@@ -203,6 +245,13 @@
         return True
 
 
+def _forecast(req: RelayedRequest) -> dict[str, float]:
+    """Return the fields of a forecast, none if there is none."""
+    if not req.expected_ms:
+        return {}
+    return {'expected_ms': round(req.expected_ms)}
+
+
 def _request_id(http: HttpRequest, names: HeaderNames) -> str:
     return http.header(names.request_id.lower()).decode('latin-1')
 
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -3,6 +3,7 @@
 from savoryhold.traffic.budget import SharedRetryBudgets, RetryDecision
 from savoryhold.traffic.choice import (
     Candidate,
+    Choice,
     Origin,
     Outlook,
     Transfer,
@@ -27,6 +28,7 @@
 __all__ = [
     'CallerLimits',
     'Candidate',
+    'Choice',
     'CostModel',
     'Feature',
     'MeshConfig',
--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     'Candidate',
+    'Choice',
     'Origin',
     'Outlook',
     'Transfer',
@@ -133,14 +134,26 @@
     is_local: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Choice:
+    """A chosen target, and the expected completion times of all in ms.
+
+    ``explored`` says that it was chosen to see whether it still refuses.
+    """
+
+    chosen: Outlook
+    costs: Sequence[float]
+    explored: bool = False
+
+
 def choose_outlook(
     outlooks: Sequence[Outlook],
     origin: Origin,
     usual_ms: float,
     transfer: Transfer,
     rng: random.Random,
-) -> tuple[Outlook, float]:
-    """Return a target with a low expected completion time, and that time.
+) -> Choice:
+    """Choose a target with a low expected completion time.
 
     Parameters
     ----------
@@ -163,8 +176,6 @@
     That work tends to nothing as the load falls below the capacity, when the
     nearest targets are as good as any.
     """
-    if len(outlooks) == 1:
-        return outlooks[0], 0.0
     if rng.random() < EXPLORED_SHARE:
         avoided = [
             outlook
@@ -172,15 +183,15 @@
             if outlook.acceptance < AVOIDED_ACCEPTANCE
         ]
         if avoided:
-            return rng.choice(avoided), 0.0
+            return Choice(rng.choice(avoided), (), explored=True)
     costs, rates = _costs_and_rates(outlooks, origin, usual_ms, transfer)
     level = _level(costs, rates, _arriving_ms(outlooks, sum(rates)))
     chances = [
         max(0.0, level - cost) * rate
         for cost, rate in zip(costs, rates, strict=True)
     ]
-    picked = rng.choices(range(len(outlooks)), chances)[0]
-    return outlooks[picked], costs[picked]
+    chosen = rng.choices(outlooks, chances)[0]
+    return Choice(chosen, costs)
 
 
 def _costs_and_rates(
--- a/src/savoryhold/traffic/tests/fleet_model.py
+++ b/src/savoryhold/traffic/tests/fleet_model.py
@@ -198,14 +198,14 @@
             return int(chosen or 0)
         if len(compared) > MAX_COMPARED:
             compared = self._rng.sample(compared, MAX_COMPARED)
-        outlook, _ = choose_outlook(
+        choice = choose_outlook(
             [self._outlook(now, request, one) for one in compared],
             origin,
             request.expected_ms,
             Transfer(),
             self._rng,
         )
-        return int(outlook.node)
+        return int(choice.chosen.node)
 
     def _candidate(self, now: int, request: _Request, one: int) -> Candidate:
         wait_ms, _, _, _, at = self._status[one]
