Large bodies go where their links lead first

A request of 360 KB left its host for other targets although they cost it 288 ms of the link: work that arrives near distant targets was assumed to fill the near ones, too, and the transfer to delay nobody else.

Work that is assumed to arrive unseen counts less for distant targets, and a transfer costs three times its own time on the host's link. Figures that peers report are bounded before they are used.

--- a/src/savoryhold/mesh/forecasts.py
+++ b/src/savoryhold/mesh/forecasts.py
@@ -22,6 +22,9 @@
 
 __all__ = ['Forecasts']
 
+MAX_REPORTED = 1e9  # of what a peer reports, which may be wrong
+MIN_PACE = 0.1
+MAX_PACE = 20.0
 NEWS_MS = 1500.0  # age at which half of a reported pace is believed
 SIZE_SMOOTHING = 0.1  # weight of a new answer in the average size
 SERVER_ERROR = 500
@@ -92,11 +95,11 @@
             status.region,
             status.slots,
             # Nodes that forecast no work report the wait for a slot.
-            status.work_ms or status.wait_ms * status.slots,
+            _bounded(status.work_ms or status.wait_ms * status.slots),
             record.pending_ms,
             record.pace.current(now) * _reported_pace(member, now),
-            min(status.acceptance, record.acceptance(now)),
-            status.demand,
+            min(max(0.0, status.acceptance), record.acceptance(now)),
+            _bounded(status.demand),
             max(0, now - member.received_at),
         )
 
@@ -185,8 +188,14 @@
     )
 
 
+def _bounded(reported: float) -> float:
+    """Return a figure of a peer that is finite and not negative."""
+    return min(MAX_REPORTED, max(0.0, reported))
+
+
 def _reported_pace(member: Member, now: int) -> float:
     """Return the pace that a target reports, which tends to 1 with its age."""
     age_ms = max(0, now - member.received_at)
     trust = NEWS_MS / (NEWS_MS + age_ms)
-    return 1 + (member.status.pace - 1) * trust
+    pace = min(MAX_PACE, max(MIN_PACE, member.status.pace))
+    return 1 + (pace - 1) * trust
--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -23,6 +23,7 @@
 LARGE_REGION_MS = 600.0  # and even more the only link between regions
 BITS_PER_BYTE = 8
 KBPS_PER_MBPS = 1000.0  # kbit/s are bits in a ms
+LINK_PRICE = 3.0  # a transfer also delays what waits for the link behind it
 REGION_BYTES_FACTOR = 10.0  # all hosts share the link between two regions
 MIN_ACCEPTANCE = 0.05
 RETRY_MS = 60.0  # pause and hops of the try after a refusal
@@ -184,8 +185,11 @@
         ]
         if avoided:
             return Choice(rng.choice(avoided), (), explored=True)
-    costs, rates = _costs_and_rates(outlooks, origin, usual_ms, transfer)
-    level = _level(costs, rates, _arriving_ms(outlooks, sum(rates)))
+    distances = [
+        _transfer_ms(outlook, origin, transfer) for outlook in outlooks
+    ]
+    costs, rates = _costs_and_rates(outlooks, distances, usual_ms)
+    level = _level(costs, rates, _arriving_ms(outlooks, distances, rates))
     chances = [
         max(0.0, level - cost) * rate
         for cost, rate in zip(costs, rates, strict=True)
@@ -195,21 +199,18 @@
 
 
 def _costs_and_rates(
-    outlooks: Sequence[Outlook],
-    origin: Origin,
-    usual_ms: float,
-    transfer: Transfer,
+    outlooks: Sequence[Outlook], distances: Sequence[float], usual_ms: float
 ) -> tuple[list[float], list[float]]:
     """Return the expected completion times, and the rates of finishing work."""
     slots = sum(outlook.slots for outlook in outlooks) or 1
     mean_ms = sum(outlook.work_ms for outlook in outlooks) / slots
     costs = []
     rates = []
-    for outlook in outlooks:
+    for outlook, distance in zip(outlooks, distances, strict=True):
         accepted = max(MIN_ACCEPTANCE, outlook.acceptance)
         rates.append(max(1, outlook.slots) * accepted / outlook.pace)
         cost = _run_ms(outlook, usual_ms, mean_ms) + RETRY_MS * (1 - accepted)
-        costs.append(cost / accepted + _transfer_ms(outlook, origin, transfer))
+        costs.append(cost / accepted + distance)
     return costs, rates
 
 
@@ -226,12 +227,26 @@
     return wait + run_ms
 
 
-def _arriving_ms(outlooks: Sequence[Outlook], capacity: float) -> float:
-    """Return the work that the targets are assumed to get unseen."""
+def _arriving_ms(
+    outlooks: Sequence[Outlook],
+    distances: Sequence[float],
+    rates: Sequence[float],
+) -> float:
+    """Return the work that the targets are assumed to get unseen.
+
+    Notes
+    -----
+    What arrives near a distant target stays there, so it does not fill the
+    near ones.
+    """
     demand = sum(outlook.demand for outlook in outlooks)
-    age_ms = sum(outlook.age_ms for outlook in outlooks) / len(outlooks)
-    load = min(1.0, demand / capacity)
-    return (age_ms * load**3 + MIN_SPREAD_MS) * capacity
+    load = min(1.0, demand / sum(rates))
+    nearest = min(distances)
+    arriving = 0.0
+    for outlook, distance, rate in zip(outlooks, distances, rates, strict=True):
+        spread = outlook.age_ms * load**3 + MIN_SPREAD_MS
+        arriving += rate * spread * spread / (spread + distance - nearest)
+    return arriving
 
 
 def _level(
@@ -258,7 +273,7 @@
     if not transfer.link_mbps:
         return network
     rate = transfer.link_mbps * KBPS_PER_MBPS
-    link_ms = transfer.size * BITS_PER_BYTE / rate
+    link_ms = transfer.size * BITS_PER_BYTE / rate * LINK_PRICE
     if target.region != origin.region:
         link_ms *= REGION_BYTES_FACTOR
     return max(network, link_ms)
--- a/src/savoryhold/traffic/tests/test_cost_routing.py
+++ b/src/savoryhold/traffic/tests/test_cost_routing.py
@@ -8,8 +8,11 @@
 
 import random
 import unittest
+from collections import Counter
 from collections.abc import Callable
 
+from savoryhold.core.ids import NodeId, Region, Zone
+from savoryhold.traffic import Origin, Outlook, Transfer, choose_outlook
 from savoryhold.traffic.tests.fleet_model import FleetModel, Load, ModelTarget
 
 SECONDS = 10
@@ -122,3 +125,57 @@
     sent = model.targets[0].sent
     found = sum(first_s <= at / 1000 < last_s for at in sent)
     return found / (last_s - first_s)
+
+
+class TestNearness(unittest.TestCase):
+    """Distance and bytes against waits."""
+
+    def setUp(self) -> None:
+        """Create four targets: here, in the zone, the region, and beyond."""
+        places = (('z', 'r'), ('z', 'r'), ('y', 'r'), ('x', 'q'))
+        self.outlooks = [
+            Outlook(
+                NodeId(f'{number}'),
+                Zone(zone),
+                Region(region),
+                5,
+                0.0,
+                0.0,
+                1.0,
+                1.0,
+                demand=1.0,
+                age_ms=500 if number else 0,
+                is_local=not number,
+            )
+            for number, (zone, region) in enumerate(places)
+        ]
+        self.rng = random.Random(SEED)
+
+    def _counts(self, transfer: Transfer) -> Counter[str]:
+        origin = Origin(Zone('z'), Region('r'))
+        return Counter(
+            choose_outlook(
+                self.outlooks, origin, 200.0, transfer, self.rng
+            ).chosen.node
+            for _ in range(1000)
+        )
+
+    def test_light_load_stays_in_its_zone(self) -> None:
+        """At a fifth of the capacity, few requests leave their zone."""
+        counts = self._counts(Transfer())
+        self.assertGreater(counts['0'] + counts['1'], 700)
+        self.assertEqual(counts['3'], 0)
+
+    def test_large_bodies_stay_local(self) -> None:
+        """360 KB over a link of 10 Mbit/s go elsewhere only if it helps.
+
+        They take 288 ms in the region, and fill the link between regions.
+        """
+        upload = Transfer(360_000, 10.0)
+        for outlook in self.outlooks:
+            outlook.demand = 5.0
+        self.assertGreater(self._counts(upload)['0'], 700)
+        self.outlooks[0].work_ms = 5 * 1500.0
+        counts = self._counts(upload)
+        self.assertLess(counts['0'], 100)
+        self.assertEqual(counts['3'], 0)
