Refusals of a target do not count as its quick runs

The run time of each answer was learned, also of those with which a target refuses or fails: a target that rejected nine of ten requests had a pace of 0.27 and looked fast.

Costs and paces are learned from answers under 500 that passed their checks; the means per route are as before. Forecasts and run times of peers beyond ten minutes are ignored.

--- a/src/savoryhold/mesh/forecasts.py
+++ b/src/savoryhold/mesh/forecasts.py
@@ -26,6 +26,7 @@
 MIN_PACE = 0.1
 MAX_PACE = 20.0
 NEWS_MS = 1500.0  # age at which half of a reported pace is believed
+MAX_RAN_MS = 600_000  # a longer time is an error of the peer
 SIZE_SMOOTHING = 0.1  # weight of a new answer in the average size
 SERVER_ERROR = 500
 # Refusals by nodes and not by their targets.
@@ -143,7 +144,7 @@
         self._answer_bytes[req.route] = known + growth
         accepted = answer.status < SERVER_ERROR
         self._record_outcome(node, accepted=accepted, now=now)
-        if answer.ran_ms > 0 and req.expected_ms > 0:
+        if accepted and 0 < answer.ran_ms < MAX_RAN_MS:
             self._record_run(node, req, answer.ran_ms, now)
 
     def record_error(self, node: NodeId, exc: RequestError) -> None:
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable
+from http import HTTPStatus
 
 from savoryhold.core.clock import Clock
 from savoryhold.core.ids import NodeId, ServiceName
@@ -295,10 +296,13 @@
                 started.cancel()
             raise
         took = self.clock.now() - now
-        self.queue.record_run(ticket, took, self.clock.now())
+        self.queue.record_run_time(ticket.kind, took)
         if now + took > req.aim_at and self.may_log():
             self._log_late(req, ticket, took)
         checked = self._calls.check(req, answer)
+        if checked.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            # Failures are faster than runs, and say nothing of their cost.
+            self.queue.record_run(ticket, took, self.clock.now())
         self.target.acquit(req)
         return checked
 
--- a/src/savoryhold/mesh/tests/test_cost_routing.py
+++ b/src/savoryhold/mesh/tests/test_cost_routing.py
@@ -45,6 +45,11 @@
         mean = sum(target.arrived for target in good) / len(good)
         self.assertLess(bad.arrived, mean / 2)
         self.assertGreater(bad.arrived, 0)
+        # Its quick refusals must not count as quick runs.
+        assert bad.node is not None
+        work = bad.node.owner.queue.work
+        assert work is not None
+        self.assertGreater(work.steady_pace(fleet.clock.now()), 0.7)
 
     async def test_slow_target_gets_less(self) -> None:
         """A target that is five times slower gets under half of its share."""
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 
-from savoryhold.traffic.remaining import WorkLeft
+from savoryhold.traffic.remaining import MAX_EXPECTED_MS, WorkLeft
 
 __all__ = ['QueueRefusal', 'TargetQueue', 'Ticket']
 
@@ -109,8 +109,7 @@
             self._service_times[kind] = known + SMOOTHING * (took_ms - known)
 
     def record_run(self, ticket: Ticket, took_ms: float, now: int) -> None:
-        """Update all forecasts with the run time of a ticket."""
-        self.record_run_time(ticket.kind, took_ms)
+        """Learn the cost of a ticket that the target has run."""
         if self.work is not None:
             self.work.record(ticket, took_ms, now)
 
@@ -122,7 +121,7 @@
 
     def usual_ms(self, kind: str, expected_ms: float) -> float:
         """Return the work of a request, whatever the present pace."""
-        if self.work is None or expected_ms <= 0:
+        if self.work is None or not 0 < expected_ms < MAX_EXPECTED_MS:
             return self.service_ms(kind)
         return expected_ms
 
--- a/src/savoryhold/traffic/remaining.py
+++ b/src/savoryhold/traffic/remaining.py
@@ -6,9 +6,10 @@
 from savoryhold.traffic.cost import CostModel, RequestTraits
 from savoryhold.traffic.target_record import PaceEstimate
 
-__all__ = ['RunningTicket', 'WorkLeft']
+__all__ = ['MAX_EXPECTED_MS', 'RunningTicket', 'WorkLeft']
 
 MIN_LEFT_MS = 1.0
+MAX_EXPECTED_MS = 600_000.0  # a longer forecast of a peer is an error
 STEADY_SAMPLES = 100.0  # longer than episodes, which move no keys
 
 
@@ -54,7 +55,7 @@
 
     def usual_ms(self, ticket: RunningTicket) -> float:
         """Return the forecast at a target of usual pace."""
-        if ticket.expected_ms > 0:
+        if 0 < ticket.expected_ms < MAX_EXPECTED_MS:
             return ticket.expected_ms
         return self._costs.route_class(self._service, ticket.kind).mean_ms()
 
--- a/src/savoryhold/traffic/tests/fleet_model.py
+++ b/src/savoryhold/traffic/tests/fleet_model.py
@@ -277,6 +277,7 @@
         queue = self._queues[request.target]
         queue.remove(ticket.number)
         ran_ms = now - ticket.started_at
+        queue.record_run_time(ticket.kind, ran_ms)
         queue.record_run(ticket, ran_ms, now)
         in_aim = now + HOP_MS <= request.at + request.load.aim_ms
         self.in_aim += in_aim
