--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -97,7 +97,7 @@
         self._clock = context.clock
         self._reader = RequestReader(context, names)
         self.forecasts = Forecasts(context, telemetry)
-        self._chooser = NodeChooser(context, self.forecasts)
+        self._chooser = NodeChooser(context, self.forecasts, telemetry)
         self.admission = AdmissionTask(context)
         self.telemetry = telemetry
         self._tasks: set[asyncio.Task[None]] = set()
@@ -125,7 +125,7 @@
             state = _RequestState(*self._reader.read(http))
             answer = await self._answer_fairly(state)
         except RequestError as exc:
-            self._refuse(exchange, exc)
+            self._refuse(exchange, exc, state)
             self._count_refusal(state, exc)
             return
         except asyncio.CancelledError:
@@ -339,14 +339,23 @@
 
     # Refusals ---------------------------------------------------------------
 
-    def _refuse(self, exchange: Exchange, exc: RequestError) -> None:
+    def _refuse(
+        self,
+        exchange: Exchange,
+        exc: RequestError,
+        state: _RequestState | None = None,
+    ) -> None:
         head = b''
         if exc.status in REFUSALS:
             retry_ms = max(MIN_RETRY_MS, exc.retry_after_ms)
             head = b'retry-after: %.3f\r\n' % (retry_ms / MS_PER_SECOND)
         exchange.reply(exc.status, head)
         self.telemetry.record_refusal(
-            exchange.req, self.names, exc, self._context.configs.version
+            exchange.req,
+            self.names,
+            exc,
+            self._context.configs.version,
+            None if state is None else state.req,
         )
 
     def _count_refusal(
--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -14,6 +14,7 @@
     RelayedRequest,
     TargetDownError,
 )
+from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.traffic import Candidate, Origin, choose, choose_outlook
 
 __all__ = ['NodeChooser']
@@ -34,11 +35,19 @@
         Dependencies of the node's tasks.
     forecasts : Forecasts
         Costs of requests and outcomes at targets.
+    telemetry : Telemetry
+        Log lines of choices.
     """
 
-    def __init__(self, context: NodeContext, forecasts: Forecasts) -> None:
+    def __init__(
+        self,
+        context: NodeContext,
+        forecasts: Forecasts,
+        telemetry: Telemetry,
+    ) -> None:
         self._context = context
         self._forecasts = forecasts
+        self._telemetry = telemetry
         self._rng = random.Random()
         self._node = context.settings.node
         self._origin = Origin(context.settings.zone, context.settings.region)
@@ -117,14 +126,18 @@
                 barred,
             )
         preferred = [one for one in outlooks if one.node not in avoid]
-        chosen, _ = choose_outlook(
-            preferred or outlooks,
+        outlooks = preferred or outlooks
+        choice = choose_outlook(
+            outlooks,
             self._origin,
             req.expected_ms,
             self._forecasts.transfer(req, large=large),
             self._rng,
         )
-        return chosen.node
+        self._telemetry.record_choice(
+            req, choice, [one.node for one in outlooks], again=bool(avoid)
+        )
+        return choice.chosen.node
 
     def _serving_members(
         self, req: RelayedRequest, now: int, barred: Collection[Zone]
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -130,6 +130,7 @@
     def demand(self, now: int) -> float:
         """Return the load that requests offer, in slots."""
         total = self.heat.total(now) + self._unkeyed_heat.total(now)
+        total *= self.queue.steady_pace(now)
         return total / max(MIN_ACCEPTANCE, self._calls.acceptance)
 
     def advertised_slots(self) -> int:
@@ -271,11 +272,14 @@
         took = self.clock.now() - now
         if answer.status == HTTPStatus.MISDIRECTED_REQUEST:
             self.capacity.limiter.return_sent()
-        self.queue.record_run(ticket, took, self.clock.now())
+        self.queue.record_run_time(ticket.kind, took)
         self.capacity.record_run_time(took)
         if now + took > req.aim_at and self.may_log():
             self._log_late(req, ticket, took)
         checked = self._calls.check(req, answer, took)
+        if checked.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            # Failures are faster than runs, and say nothing of their cost.
+            self.queue.record_run(ticket, took, self.clock.now())
         self.target.acquit(req)
         return checked
 
@@ -318,6 +322,9 @@
             took_ms=took,
             usual_ms=round(self.queue.service_ms(ticket.kind)),
             pace=round(self.capacity.load.pace(self.clock.now()), 1),
+            expected_ms=round(
+                self.queue.expected_ms(ticket, ticket.started_at)
+            ),
             aim_missed_ms=self.clock.now() - req.aim_at,
             running=len(self.queue.running),
             waiting=len(self.queue.waiting),
@@ -340,4 +347,5 @@
 
     def _count_heat(self, req: RelayedRequest, now: int) -> None:
         heat = self._unkeyed_heat if req.key == NO_KEY else self.heat
-        heat.add(max(0, req.key), self.queue.service_ms(req.route), now)
+        work_ms = self.queue.usual_ms(req.route, req.expected_ms)
+        heat.add(max(0, req.key), work_ms, now)
--- a/src/savoryhold/traffic/__init__.py
+++ b/src/savoryhold/traffic/__init__.py
@@ -4,6 +4,7 @@
 from savoryhold.traffic.capacity import UNLIMITED, Capacity
 from savoryhold.traffic.choice import (
     Candidate,
+    Choice,
     Origin,
     Outlook,
     Transfer,
@@ -55,6 +56,7 @@
     'CallerLimits',
     'Candidate',
     'Capacity',
+    'Choice',
     'ColdStartLimiter',
     'CostModel',
     'EntryControl',
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -14,7 +14,7 @@
 
 from savoryhold.traffic.capacity import Capacity, unlimited
 from savoryhold.traffic.fullness import may_send_bytes
-from savoryhold.traffic.remaining import WorkLeft
+from savoryhold.traffic.remaining import MAX_EXPECTED_MS, WorkLeft
 from savoryhold.traffic.retry_schedule import RetrySchedule
 from savoryhold.traffic.returns import DUPLICATE_PENALTY
 from savoryhold.traffic.shares import KindTurns, NodeShares
@@ -102,8 +102,7 @@
             self._service_times[kind] = known + SMOOTHING * (took_ms - known)
 
     def record_run(self, ticket: Ticket, took_ms: float, now: int) -> None:
-        """Update all forecasts with the run time of a ticket."""
-        self.record_run_time(ticket.kind, took_ms)
+        """Learn the cost of a ticket that the target has run."""
         if self.work is not None:
             self.work.record(ticket, took_ms, now)
 
@@ -113,6 +112,16 @@
             return self.service_ms(ticket.kind)
         return self.work.expected_ms(ticket, now)
 
+    def usual_ms(self, kind: str, expected_ms: float) -> float:
+        """Return the work of a request, whatever the present pace."""
+        if self.work is None or not 0 < expected_ms < MAX_EXPECTED_MS:
+            return self.service_ms(kind)
+        return expected_ms
+
+    def steady_pace(self, now: int) -> float:
+        """Return by how much run times here exceed `usual_ms`."""
+        return 1.0 if self.work is None else self.work.steady_pace(now)
+
     def work_ms(self, now: int) -> float:
         """Return the expected work left in ms of one slot, 0 if unknown."""
         if self.work is None:
--- a/src/savoryhold/traffic/remaining.py
+++ b/src/savoryhold/traffic/remaining.py
@@ -6,9 +6,11 @@
 from savoryhold.traffic.cost import CostModel, RequestTraits
 from savoryhold.traffic.target_record import PaceEstimate
 
-__all__ = ['RunningTicket', 'WorkLeft']
+__all__ = ['MAX_EXPECTED_MS', 'RunningTicket', 'WorkLeft']
 
 MIN_LEFT_MS = 1.0
+MAX_EXPECTED_MS = 600_000.0  # a longer forecast of a peer is an error
+STEADY_SAMPLES = 100.0  # longer than episodes, which move no keys
 
 
 class RunningTicket(Protocol):
@@ -34,6 +36,7 @@
         # Set from what the target reports; 1 if it reports nothing.
         self.reported_pace = 1.0
         self.pace = PaceEstimate()
+        self._steady = PaceEstimate(STEADY_SAMPLES)
         self._costs = costs
         self._service = service
         self._pace_now = 1.0
@@ -46,9 +49,13 @@
             self._pace_now = self.pace.current(now)
         return self._pace_now * self.reported_pace
 
+    def steady_pace(self, now: int) -> float:
+        """Return how much longer than usual runs take on average."""
+        return self._steady.current(now)
+
     def usual_ms(self, ticket: RunningTicket) -> float:
         """Return the forecast at a target of usual pace."""
-        if ticket.expected_ms > 0:
+        if 0 < ticket.expected_ms < MAX_EXPECTED_MS:
             return ticket.expected_ms
         return self._costs.route_class(self._service, ticket.kind).mean_ms()
 
@@ -73,8 +80,9 @@
 
     def record(self, ticket: RunningTicket, ran_ms: float, now: int) -> None:
         """Add the measured run time of a ticket."""
-        usual = self.usual_ms(ticket) * self.reported_pace
-        self.pace.record(ran_ms, usual, now)
+        usual = self.usual_ms(ticket)
+        self._steady.record(ran_ms, usual, now)
+        self.pace.record(ran_ms, usual * self.reported_pace, now)
         traits = RequestTraits(self._service, ticket.kind)
         self._costs.record(traits, ran_ms, self.present_pace(now), now)
         self._pace_at = -1
