Equal requests of different callers are told apart by answers

Cause: callers that ask for the same page have the same fingerprint. One refused of them had the others refused as returning early, and of several at once all but one ranked behind all kinds.

Change: a caller does not repeat what was answered. For 10 s after an answer (below 500, not to a duplicate), equal requests count as those of different callers. Only a caller that has waited as told counts as returning.

--- a/src/savoryhold/mesh/admission.py
+++ b/src/savoryhold/mesh/admission.py
@@ -131,11 +131,19 @@
             now = self._clock.now()
             self.entry.record_refusal(place, level, now, exc.room_ms)
 
-    def end(self, req: RelayedRequest, exc: RequestError | None = None) -> None:
+    def end(
+        self,
+        req: RelayedRequest,
+        exc: RequestError | None = None,
+        *,
+        answered: bool = False,
+    ) -> None:
         """Record that a request was answered, refused or given up."""
         if not req.origin or req.nested:
             return
         self.returns.end(req.fingerprint)
+        if answered and req.priority < DUPLICATE_PENALTY:
+            self.returns.record_answer(req.fingerprint, self._clock.now())
         if exc is not None and exc.verdict is Verdict.NOT_RUN:
             self.returns.record_refusal(
                 req.fingerprint,
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -156,6 +156,7 @@
         nested = self._reader.is_nested_call(state.req.request)
         state.req = self.admission.begin(state.req, nested=nested)
         refusal: RequestError | None = None
+        answer: RelayedAnswer | None = None
         try:
             answer = await self._answer(state)
         except RequestError as exc:
@@ -164,7 +165,8 @@
                 self.admission.record_refusal(state.req, state.last_node, exc)
             raise
         finally:
-            self.admission.end(state.req, refusal)
+            answered = answer is not None and not _has_failed(answer)
+            self.admission.end(state.req, refusal, answered=answered)
         if state.last_node is not None:
             self.admission.record_answer(state.req, state.last_node, answer)
         return answer
@@ -177,8 +179,7 @@
             except RequestError as exc:
                 await self._prepare_retry(state, exc)
                 continue
-            failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
-            again = failed and state.req.repeatable
+            again = _has_failed(answer) and state.req.repeatable
             cause = f'status-{answer.status}'
             if not again or not self._may_retry(state, cause):
                 return answer
@@ -336,5 +337,9 @@
         self.telemetry.refusals[(state.req.route, zone, exc.code)] += 1
 
 
+def _has_failed(answer: RelayedAnswer) -> bool:
+    return answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+
+
 def _cancel(task: 'asyncio.Task[None]') -> None:
     task.cancel()
--- a/src/savoryhold/traffic/returns.py
+++ b/src/savoryhold/traffic/returns.py
@@ -15,6 +15,7 @@
 
 MAX_REFUSALS = 4096  # remembered at once, about 1 MB
 TOLERANCE_MS = 20  # callers' timers and clocks are that inexact
+SHARED_MS = 10_000  # after an answer, equal requests are of other callers
 RETURN_WINDOW_MS = 2000  # after the time told; later callers count as new
 # Added to the priority of a duplicate, which thereby ranks behind all kinds.
 DUPLICATE_PENALTY = 100
@@ -43,13 +44,16 @@
 
     Notes
     -----
-    Attempts of one caller have different ids and equal fingerprints.  Equal
-    requests of different callers are not told apart, and share one place.
+    Attempts of one caller have different ids and equal fingerprints.  A caller
+    whose request was answered does not repeat it.  Equal requests soon after
+    an answer therefore are of different callers, and each has its own place.
     """
 
     def __init__(self) -> None:
         self._refusals: OrderedDict[Fingerprint, _Refusal] = OrderedDict()
         self._active: dict[Fingerprint, int] = {}
+        # When requests were last answered, of many callers or of one.
+        self._answered: OrderedDict[Fingerprint, int] = OrderedDict()
 
     def __len__(self) -> int:
         """Return the number of refusals that are remembered."""
@@ -66,13 +70,14 @@
             Time in ms.
         """
         refusal = self._refusals.get(fingerprint)
-        if refusal is not None and now < refusal.refuse_until:
+        shared = self._is_shared(fingerprint, now)
+        if refusal is not None and now < refusal.refuse_until and not shared:
             return Standing.EARLY
         active = self._active.get(fingerprint, 0)
         self._active[fingerprint] = active + 1
-        if active:
+        if active and not shared:
             return Standing.DUPLICATE
-        if refusal is None:
+        if refusal is None or now < refusal.wait_until - TOLERANCE_MS:
             return Standing.NEW
         del self._refusals[fingerprint]
         if now > refusal.wait_until + RETURN_WINDOW_MS:
@@ -80,13 +85,25 @@
         return Standing.RETURNING
 
     def end(self, fingerprint: Fingerprint) -> None:
-        """Record that an active request was answered or refused."""
+        """Record that a request is no longer active."""
         left = self._active.get(fingerprint, 0) - 1
         if left > 0:
             self._active[fingerprint] = left
         else:
             self._active.pop(fingerprint, None)
 
+    def record_answer(self, fingerprint: Fingerprint, now: int) -> None:
+        """Record that a request, but not a duplicate, was answered."""
+        self._answered[fingerprint] = now
+        self._answered.move_to_end(fingerprint)
+        if len(self._answered) > MAX_REFUSALS:
+            self._answered.popitem(last=False)
+
+    def _is_shared(self, fingerprint: Fingerprint, now: int) -> bool:
+        """Return whether different callers send equal requests."""
+        answered_at = self._answered.get(fingerprint)
+        return answered_at is not None and now - answered_at < SHARED_MS
+
     def record_refusal(
         self,
         fingerprint: Fingerprint,
@@ -108,6 +125,10 @@
         enforced : bool
             Whether a caller that returns sooner is refused.
         """
+        known = self._refusals.get(fingerprint)
+        if known is not None and self._is_shared(fingerprint, now):
+            # The first of several callers is the next to return.
+            retry_ms = min(retry_ms, max(0, known.wait_until - now))
         enforced_ms = min(retry_ms - TOLERANCE_MS, FORGET_MS) * enforced
         self._refusals[fingerprint] = _Refusal(
             now + retry_ms, now + enforced_ms
