One slow owner of an unkeyed service does not shed what others have room for

Cause: a told wait beyond the objective shed all requests to its place, which for an unkeyed service is all of its targets.

Change: such a wait counts only where the place is a single owner; for a service the refusals of all its owners decide, as before.

Measured: the added test fails without the change (sheds the request after the probe) and passes with it.

--- a/src/savoryhold/mesh/admission.py
+++ b/src/savoryhold/mesh/admission.py
@@ -100,6 +100,7 @@
             req.deadline - now,
             req.expected_ms or self._run_ms.get(req.route, 0.0),
             self._backlog_ms(node, now),
+            one_owner=req.key != NO_KEY,
         )
         refusal = self.entry.enter(arrival, now)
         if refusal is not None:
--- a/src/savoryhold/traffic/entry.py
+++ b/src/savoryhold/traffic/entry.py
@@ -37,6 +37,7 @@
     ``aim_left`` and ``time_left`` are the times until its latency objective
     and its deadline, ``run_ms`` its expected run time, and ``backlog_ms`` the
     wait that a recent status of the chosen node tells, if there is one.
+    ``one_owner`` is whether the told waits are those of a single owner.
     """
 
     place: str
@@ -45,6 +46,7 @@
     time_left: int
     run_ms: float = 0.0
     backlog_ms: float | None = None
+    one_owner: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -185,8 +187,8 @@
         room_until = arrival.aim_left * ROOM_SHARE - arrival.run_ms
         if arrival.backlog_ms is not None and arrival.backlog_ms <= room_until:
             return 0.0
-        expected = counts.expects_ms(now)
-        if expected + arrival.run_ms > arrival.aim_left:
+        expected = counts.expects_ms(now) + arrival.run_ms
+        if arrival.one_owner and expected > arrival.aim_left:
             return 1.0
         if counts.refused and counts.room_ms <= room_until:
             return 0.0
--- a/src/savoryhold/traffic/tests/test_entry.py
+++ b/src/savoryhold/traffic/tests/test_entry.py
@@ -4,6 +4,7 @@
 third; then the overload ends, or all news of it stop.
 """
 
+import dataclasses
 import random
 import unittest
 
@@ -75,6 +76,20 @@
         self.assertGreater(self.shed(OVERLOAD_MS), 0)
         self.assertEqual(self.shed(OVERLOAD_MS + 2000), 0)
 
+    # One slow owner had requests refused that others had room for.
+    def test_one_slow_owner_of_many(self) -> None:
+        """A wait beyond the objective sheds all only at a single owner."""
+        for one_owner, shed in ((True, True), (False, False)):
+            entry = EntryControl(random.Random(1))
+            need = dataclasses.replace(arrival(), one_owner=one_owner)
+            for now in (0, 200, 220):
+                self.assertIsNone(entry.enter(need, now))
+                entry.record_answer('owner', USUAL, now, FULL_MS)
+            entry.record_refusal('owner', USUAL, 230, 5 * AIM_MS)
+            self.assertIsNone(entry.enter(need, 240))  # a probe
+            with self.subTest(one_owner=one_owner):
+                self.assertEqual(entry.enter(need, 260) is not None, shed)
+
     def test_memory_is_bounded(self) -> None:
         """A fleet of any size takes a bounded memory."""
         for number in range(2 * MAX_PLACES):
