Queues look up the class of a route once

Each forecast of a ticket touched three classes in the order of their last use.

WorkLeft keeps up to 64 classes at hand, and multiplies waiting work by the pace once.

--- a/src/savoryhold/traffic/remaining.py
+++ b/src/savoryhold/traffic/remaining.py
@@ -3,12 +3,13 @@
 from collections.abc import Collection, Iterable
 from typing import Protocol
 
-from savoryhold.traffic.cost import CostModel, RequestTraits
+from savoryhold.traffic.cost import CostClass, CostModel, RequestTraits
 from savoryhold.traffic.target_record import PaceEstimate
 
 __all__ = ['MAX_EXPECTED_MS', 'RunningTicket', 'WorkLeft']
 
 MIN_LEFT_MS = 1.0
+MAX_CLASSES = 64  # kept at hand; the model has the others
 MAX_EXPECTED_MS = 600_000.0  # a longer forecast of a peer is an error
 STEADY_SAMPLES = 100.0  # longer than episodes, which move no keys
 
@@ -41,6 +42,7 @@
         self._service = service
         self._pace_now = 1.0
         self._pace_at = -1
+        self._classes: dict[str, CostClass] = {}
 
     def present_pace(self, now: int) -> float:
         """Return how much longer than usual runs take at present."""
@@ -57,7 +59,7 @@
         """Return the forecast at a target of usual pace."""
         if 0 < ticket.expected_ms < MAX_EXPECTED_MS:
             return ticket.expected_ms
-        return self._costs.route_class(self._service, ticket.kind).mean_ms()
+        return self._class_of(ticket.kind).mean_ms()
 
     def expected_ms(self, ticket: RunningTicket, now: int) -> float:
         """Return the expected run time of a ticket here."""
@@ -73,7 +75,7 @@
         long one, so its rest may be longer than at its start.
         """
         pace = self.present_pace(now)
-        kind = self._costs.route_class(self._service, ticket.kind)
+        kind = self._class_of(ticket.kind)
         scale = self.usual_ms(ticket) / kind.mean_ms()
         elapsed = max(0, now - ticket.started_at) / (pace * scale)
         return max(MIN_LEFT_MS, kind.left_ms(elapsed) * scale * pace)
@@ -86,6 +88,8 @@
         traits = RequestTraits(self._service, ticket.kind)
         self._costs.record(traits, ran_ms, self.present_pace(now), now)
         self._pace_at = -1
+        # The model may have dropped the class of the route, and made another.
+        self._classes.pop(ticket.kind, None)
 
     def total_ms(
         self,
@@ -95,7 +99,7 @@
     ) -> float:
         """Return the work left in ms of one slot."""
         left = sum(self.left_ms(ticket, now) for ticket in running)
-        return left + sum(self.expected_ms(ticket, now) for ticket in waiting)
+        return left + self._waiting_ms(waiting, now)
 
     def slot_free_ms(
         self,
@@ -119,7 +123,20 @@
         first = 0.0 if free > 0 else 1 / sum(1 / rest for rest in left)
         if not ahead:
             return first
-        work = sum(self.expected_ms(ticket, now) for ticket in ahead)
+        work = self._waiting_ms(ahead, now)
         horizon = max(work / len(ahead), work / max(1, slots))
         usable = sum(min(1.0, horizon / rest) for rest in left) + max(0, free)
         return first + work / max(1.0, usable)
+
+    def _waiting_ms(self, tickets: Iterable[RunningTicket], now: int) -> float:
+        work = sum(self.usual_ms(ticket) for ticket in tickets)
+        return work * self.present_pace(now)
+
+    def _class_of(self, kind: str) -> CostClass:
+        found = self._classes.get(kind)
+        if found is None:
+            if len(self._classes) >= MAX_CLASSES:
+                self._classes.clear()
+            found = self._costs.route_class(self._service, kind)
+            self._classes[kind] = found
+        return found
