Only repeatable requests explore targets that refuse or fail

A target that breaks connections off was explored with bookings, too, which are then lost.

Measured: test_only_repeatable_requests_explore passes.

--- a/src/savoryhold/mesh/node_chooser.py
+++ b/src/savoryhold/mesh/node_chooser.py
@@ -99,6 +99,8 @@
             req.expected_ms,
             self._forecasts.transfer(req, large=large),
             self._rng,
+            # One that must not repeat is lost if the target breaks it off.
+            explore=req.repeatable,
         )
         self._telemetry.record_choice(
             req, choice, [one.node for one in outlooks], again=bool(avoid)
--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -153,6 +153,8 @@
     usual_ms: float,
     transfer: Transfer,
     rng: random.Random,
+    *,
+    explore: bool = True,
 ) -> Choice:
     """Choose a target with a low expected completion time.
 
@@ -168,6 +170,8 @@
         What it sends over links.
     rng : Random
         Source of random choices.
+    explore : bool
+        Whether it may go to a target that has refused or failed much.
 
     Notes
     -----
@@ -177,7 +181,7 @@
     That work tends to nothing as the load falls below the capacity, when the
     nearest targets are as good as any.
     """
-    if rng.random() < EXPLORED_SHARE:
+    if explore and rng.random() < EXPLORED_SHARE:
         avoided = [
             outlook
             for outlook in outlooks
--- a/src/savoryhold/traffic/tests/test_cost_routing.py
+++ b/src/savoryhold/traffic/tests/test_cost_routing.py
@@ -166,6 +166,24 @@
         self.assertGreater(counts['0'] + counts['1'], 700)
         self.assertEqual(counts['3'], 0)
 
+    def test_only_repeatable_requests_explore(self) -> None:
+        """A target that breaks requests off gets none that must not repeat."""
+        self.outlooks[1].acceptance = 0.1
+        origin = Origin(Zone('z'), Region('r'))
+        for explore in (False, True):
+            chosen = {
+                choose_outlook(
+                    self.outlooks,
+                    origin,
+                    200.0,
+                    Transfer(),
+                    self.rng,
+                    explore=explore,
+                ).chosen.node
+                for _ in range(500)
+            }
+            self.assertEqual('1' in chosen, explore)
+
     def test_large_bodies_stay_local(self) -> None:
         """360 KB over a link of 10 Mbit/s go elsewhere only if it helps.
 
