Tests of cost routing state their configuration

Cause: the test fleet takes its configuration as an argument, whose default is fixed when the module is read; replacing the module's constant had no effect, so that two tests ran with the feature off and failed.

--- a/src/savoryhold/mesh/tests/test_cost_routing.py
+++ b/src/savoryhold/mesh/tests/test_cost_routing.py
@@ -12,14 +12,18 @@
 
 from savoryhold.core.ids import NodeId, Region, Zone
 from savoryhold.mesh.telemetry import SAMPLE_EVERY, Telemetry
-from savoryhold.mesh.tests import fleet as fleet_module
-from savoryhold.mesh.tests.fleet import DESK, Fleet, VirtualTimeCase
+from savoryhold.mesh.tests.fleet import (
+    CONFIG,
+    DESK,
+    Fleet,
+    VirtualTimeCase,
+)
 from savoryhold.traffic import Choice, Feature, Outlook
 
 RATES = {'/desk/': 60.0, '/files/': 60.0}
 PLAY_S = 10
 BY_COST = dataclasses.replace(
-    fleet_module.CONFIG, features=frozenset({Feature.COST_ROUTING})
+    CONFIG, features=frozenset({Feature.COST_ROUTING})
 )
 
 
@@ -37,11 +41,10 @@
 
     async def test_rejecting_target_gets_less(self) -> None:
         """A target that rejects requests gets under half of its share."""
-        with mock.patch.object(fleet_module, 'CONFIG', BY_COST):
-            fleet = Fleet(6, seed=6)
-            bad, *good = fleet.targets(DESK)
-            bad.reject_rate = 0.9
-            await fleet.run_load(PLAY_S, RATES)
+        fleet = Fleet(6, seed=6, config=BY_COST)
+        bad, *good = fleet.targets(DESK)
+        bad.reject_rate = 0.9
+        await fleet.run_load(PLAY_S, RATES)
         mean = sum(target.arrived for target in good) / len(good)
         self.assertLess(bad.arrived, mean / 2)
         self.assertGreater(bad.arrived, 0)
@@ -53,11 +56,10 @@
 
     async def test_slow_target_gets_less(self) -> None:
         """A target that is five times slower gets under half of its share."""
-        with mock.patch.object(fleet_module, 'CONFIG', BY_COST):
-            fleet = Fleet(6, seed=7)
-            slow, *usual = fleet.targets(DESK)
-            slow.work_ms *= 5
-            await fleet.run_load(PLAY_S, RATES)
+        fleet = Fleet(6, seed=7, config=BY_COST)
+        slow, *usual = fleet.targets(DESK)
+        slow.work_ms *= 5
+        await fleet.run_load(PLAY_S, RATES)
         mean = sum(target.arrived for target in usual) / len(usual)
         self.assertLess(slow.arrived, mean / 2)
         node = fleet.nodes[1]
