Bytes in flight of a process draw on one memory budget

Bodies were kept in pieces, joined, joined again with the request and copied into the relay message; nothing bounded them over all connections, and errors kept them until the next collection of garbage.

One budget, derived from memory_mb, counts requests, relayed messages, answers and unread data. Without room, input stays unread; connections without progress are closed, the largest first; readers that wait too long are refused as not run, the largest first. A body is held once: it grows in place and is passed on and written by reference. Limits on lines, trailers, chunk framing, the rate of a body, connections and unfinished requests are settings (IntakeLimits). A read is parsed in slices; nothing is parsed after a refusal.

--- a/src/savoryhold/core/errors.py
+++ b/src/savoryhold/core/errors.py
@@ -21,6 +21,7 @@
     'UnknownServiceError',
     'VersionConflictError',
     'WriteUncertainError',
+    'release_frames',
 ]
 
 
@@ -129,3 +130,15 @@
     verdict = Verdict.MAY_HAVE_RUN
     status = 504
     code = 'uncertain'
+
+
+def release_frames(exc: BaseException) -> None:
+    """Drop the tracebacks of an error and its causes.
+
+    The frames refer to a request's body and to the error itself, so that only
+    the garbage collector would free them.
+    """
+    found: BaseException | None = exc
+    while found is not None:
+        found.__traceback__ = None
+        found = found.__cause__ or found.__context__
--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -1,7 +1,7 @@
 """Conversion between typed values and messages between nodes."""
 
 import json
-from typing import Any
+from typing import Any, cast
 
 from savoryhold.core.decoding import UNREADABLE, parse_json
 from savoryhold.core.errors import (
@@ -293,6 +293,7 @@
 def as_bytes(field: Any) -> bytes:
     """Return a binary field of a message."""
     # The thrift decoder returns text or None for an empty binary field.
-    if isinstance(field, bytes):
-        return field
+    if isinstance(field, (bytes, bytearray)):
+        # An array that nobody changes any more serves as bytes.
+        return cast(bytes, field)
     return (field or '').encode('latin-1')
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -5,7 +5,12 @@
 from functools import partial
 from http import HTTPStatus
 
-from savoryhold.core.errors import LinkError, RequestError, UncertainError
+from savoryhold.core.errors import (
+    LinkError,
+    RequestError,
+    UncertainError,
+    release_frames,
+)
 from savoryhold.core.ids import NodeId, ServiceName
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.codec import answer_from_message, relay_message
@@ -117,6 +122,7 @@
             answer = await self._answer(state)
         except RequestError as exc:
             self._refuse(exchange, exc)
+            release_frames(exc)
             return
         except asyncio.CancelledError:
             self._record_caller_gone(http, state)
@@ -150,6 +156,7 @@
             try:
                 answer = await self._try(state)
             except RequestError as exc:
+                release_frames(exc)
                 await self._prepare_retry(state, exc)
                 continue
             failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- a/src/savoryhold/mesh/local_target.py
+++ b/src/savoryhold/mesh/local_target.py
@@ -1,6 +1,7 @@
 """State of the local target: its reports, its leave and its end."""
 
 import asyncio
+import dataclasses
 from collections import deque
 from collections.abc import Callable
 
@@ -137,7 +138,9 @@
 
     def record_interrupted(self, req: RelayedRequest) -> None:
         """Record a request whose connection broke while it ran."""
-        self._interrupted.append((req, self._clock.now()))
+        # The fingerprint identifies it; its body is not kept.
+        bodiless = dataclasses.replace(req, body=b'')
+        self._interrupted.append((bodiless, self._clock.now()))
 
     def acquit(self, req: RelayedRequest) -> None:
         """Clear the strikes of a request that has run to its end."""
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -37,7 +37,7 @@
 from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import Link, LinkStream, PeerPool, messages
-from savoryhold.wire import Exchange, HttpServer
+from savoryhold.wire import PROCESS_BUDGET, Exchange, HttpServer
 
 __all__ = [
     'MeshNode',
@@ -140,8 +140,12 @@
         self._reports = ReportHandler(
             adapter, context, self._proofs, self.departures
         )
+        PROCESS_BUDGET.set_memory(settings.memory_mb)
         self.caller_server = HttpServer(
-            self.ingress.handle, clock.now, self.configs.limits
+            self.ingress.handle,
+            clock.now,
+            self.configs.limits,
+            settings.intake,
         )
         self.report_server = HttpServer(self._reports.handle, clock.now)
         self.ready_server = HttpServer(self._on_ready, clock.now)
@@ -231,6 +235,9 @@
             self._placement.run(),
             self.pool.probe_silent_links(),
             self.caller_server.sweep(),
+            self.report_server.sweep(),
+            self.ready_server.sweep(),
+            self.metrics_server.sweep(),
             self._flush(),
             self._maintain(),
         ]
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from savoryhold.core.errors import LinkError, RequestError
+from savoryhold.core.errors import LinkError, RequestError, release_frames
 from savoryhold.core.ids import Epoch, NodeId, ServiceName
 from savoryhold.core.poison import Fingerprint, Strike
 from savoryhold.mesh.codec import (
@@ -274,6 +274,7 @@
         try:
             answer = await self._owner.submit(req)
         except RequestError as exc:
+            release_frames(exc)
             call.send(error_message(exc))
             return
         call.send(
--- a/src/savoryhold/mesh/settings.py
+++ b/src/savoryhold/mesh/settings.py
@@ -8,6 +8,7 @@
 
 from savoryhold.core.errors import ConfigurationError
 from savoryhold.core.ids import NodeId, Region, ServiceName, Zone
+from savoryhold.wire import IntakeLimits
 
 __all__ = ['MeshSettings', 'load_mesh_settings', 'parse_mesh_settings']
 
@@ -50,7 +51,7 @@
     target : str
         Address of the local target; if empty, the one that it reports.
     memory_mb : int
-        Memory of the process in MB, 0 if unknown.
+        Memory of the process in MB, 0 if unknown (256 is then assumed).
     max_fds : int
         Descriptors that the process may open, 0 if unknown.
     link_mbps : float
@@ -62,6 +63,8 @@
         the second, in any second.
     terms : tuple of str
         Names of the platform's terms of service that are in force.
+    intake : IntakeLimits
+        Limits on callers; each of its fields is a setting.
     """
 
     node: NodeId
@@ -90,6 +93,7 @@
     warmup_over: float = 1.0
     warmup_slack: float = 0.0
     terms: tuple[str, ...] = ()
+    intake: IntakeLimits = IntakeLimits()
 
 
 def _text(field: str, given: Any) -> str:
@@ -202,9 +206,21 @@
         entry = given.get(field)
         if entry is not None:
             found[field] = read(field, entry)
+    found['intake'] = _intake_limits(given, found.get('max_fds', 0))
     return MeshSettings(**found)
 
 
+def _intake_limits(given: dict[str, Any], max_fds: int) -> IntakeLimits:
+    names = [field.name for field in dataclasses.fields(IntakeLimits)]
+    stated = {
+        name: _count(name, given[name]) for name in names if name in given
+    }
+    for name, count in stated.items():
+        if not count:
+            raise ConfigurationError(f'{name}: expected a number above 0')
+    return IntakeLimits(**stated).with_fds(max_fds)
+
+
 def load_mesh_settings(path: pathlib.Path) -> MeshSettings:
     """Read a settings file.
 
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -29,6 +29,7 @@
 DOWN_RETRY_MS = 400
 SHED_RETRY_MS = 25
 SHED_SMOOTHING = 0.05
+COPIED_BYTES = 65_536  # smaller bodies are joined with their head
 FOREIGN_HEADER = b'content-encoding'  # not written by targets
 
 
@@ -68,14 +69,18 @@
         if pool is None or life is None:
             raise TargetDownError('no target has reported', DOWN_RETRY_MS)
         left = req.deadline - now
-        request = self._request_bytes(req, left, life)
+        head = self._head_bytes(req, left, life)
         request_id = req.request.encode()
         answer_matches = partial(
             _has_request_id, self._names.request_id.lower(), request_id
         )
         try:
+            if len(req.body) < COPIED_BYTES:
+                return await pool.ask(
+                    head + req.body, left, answer_matches, on_sent, request_id
+                )
             return await pool.ask(
-                request, left, answer_matches, on_sent, request_id
+                head, left, answer_matches, on_sent, request_id, req.body
             )
         except LinkError as exc:
             raise self.link_error(req, exc) from exc
@@ -119,7 +124,7 @@
         head = encode_headers(answer.headers, NOT_FORWARDED)
         return RelayedAnswer(answer.status, head, answer.body)
 
-    def _request_bytes(
+    def _head_bytes(
         self, req: RelayedRequest, left: int, life: TargetLife
     ) -> bytes:
         names = self._names
@@ -131,7 +136,7 @@
         ]
         if req.body or req.method not in {b'GET', b'HEAD'}:
             lines.append(b'content-length: %d\r\n' % len(req.body))
-        lines.extend((b'\r\n', req.body))
+        lines.append(b'\r\n')
         return b''.join(lines)
 
 
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -161,6 +161,7 @@
         answer_matches: Any = None,
         on_sent: Callable[[], None] | None = None,
         request_id: bytes = b'',
+        body: bytes = b'',
     ) -> ClientAnswer:
         """Run a request, in place of a pool of connections to the target."""
         if self.dial_ms:
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -10,7 +10,14 @@
 from savoryhold.core.transit import TransitDelay
 from savoryhold.peer import messages
 from savoryhold.peer.endpoint import Endpoint
-from savoryhold.peer.frames import Frame, FrameReader, pack_frame
+from savoryhold.peer.frames import (
+    LARGE_BYTES,
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameReader,
+    pack_parts,
+)
+from savoryhold.peer.link_memory import LinkMemory
 from savoryhold.peer.resumable import ResumableCalls
 from savoryhold.peer.served_calls import ProcessId
 from savoryhold.peer.stream import LinkStream
@@ -59,14 +66,19 @@
         self.retired = False
         self._endpoint = endpoint
         self._nonce = secrets.token_hex(NONCE_BYTES)
-        self._reader = FrameReader()
+        self._resumable_calls = ResumableCalls(self, endpoint)
+        self._memory = LinkMemory(self, endpoint, self._resumable_calls)
+        self._reader = FrameReader(self._memory.may_hold)
+        # A peer that is not authenticated yet fills no memory.
+        self._reader.max_bytes = 2 * MAX_HANDSHAKE_BYTES
+        self._is_paused = False
+        self._writes_pause = False
         self._transport: asyncio.Transport | None = None
         # Calls opened by this end, and by the peer, by number; resumable
         # calls of the peer are in `Endpoint.served` instead.
         self._calls: dict[int, LinkStream] = {}
         self._served: dict[int, LinkStream] = {}
         self._closed = False
-        self._resumable_calls = ResumableCalls(self, endpoint)
 
     @property
     def closed(self) -> bool:
@@ -81,6 +93,9 @@
     @property
     def silent_since(self) -> float:
         """Return since when calls have waited without any bytes arriving."""
+        if self._is_paused:
+            # This end does not read.
+            return _now()
         return max(self.last_received, self.waiting_since)
 
     @property
@@ -123,6 +138,32 @@
             self._endpoint.on_malformed(str(exc))
             self.abort(exc)
 
+    def pause_writing(self) -> None:
+        """Count the large replies that are sent from now on."""
+        self._writes_pause = True
+
+    def resume_writing(self) -> None:
+        """Count no replies, as the peer has read them."""
+        self._writes_pause = False
+        self._memory.on_drained()
+
+    def pause_reading(self) -> None:
+        """Leave the bytes of the peer unread."""
+        if self._transport is not None and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._is_paused = False
+        self.last_received = _now()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def served_call(self, number: int) -> LinkStream | None:
+        """Return a call of the peer that is not resumable."""
+        return self._served.get(number)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Close the link and end its calls."""
         self.abort(exc or ConnectionError('connection closed'))
@@ -132,6 +173,7 @@
         if self._closed:
             return
         self._closed = True
+        self._memory.close()
         self.reason = str(exc)
         self._endpoint.on_closed(self)
         if self._transport is not None:
@@ -220,12 +262,18 @@
         """
         if self._closed or self._transport is None:
             raise LinkError(f'link to {self.peer} is closed', sent=False)
-        payload = messages.encode(message)
+        parts = messages.encode_parts(message)
         code = messages.code_of(message)
-        frame = Frame(code, correlation, is_reply, payload, resumable)
-        packed = pack_frame(frame)
-        self.bytes_sent += len(packed)
-        self._transport.write(packed)
+        frame = Frame(code, correlation, is_reply, b'', resumable)
+        packed = pack_parts(frame, parts)
+        size = sum(map(len, packed))
+        self.bytes_sent += size
+        if len(packed) == 1:
+            self._transport.write(packed[0])
+        else:
+            self._transport.writelines(packed)
+        if self._writes_pause and is_reply and size > LARGE_BYTES:
+            self._memory.on_reply_sent(size)
 
     def forget(self, correlation: int, *, is_initiator: bool) -> None:
         """Drop the state of a call."""
@@ -245,7 +293,15 @@
     def _on_frame(self, frame: Frame) -> None:
         if not self.ready.done():
             self._check_handshake(frame)
-        message = messages.decode(frame.code, frame.payload)
+        if frame.dropped:
+            self._memory.refuse(frame)
+            return
+        is_large = len(frame.payload) > LARGE_BYTES
+        self._dispatch(frame, messages.decode(frame.code, frame.payload))
+        if is_large:
+            self._memory.on_handled(frame)
+
+    def _dispatch(self, frame: Frame, message: messages.Message) -> None:
         if not self.ready.done():
             self._on_handshake(message)
         elif frame.is_reply:
@@ -314,6 +370,7 @@
             )
         self.peer = node
         self.life = message.life or ''
+        self._reader.max_bytes = MAX_FRAME_BYTES
         self.order = next(self._endpoint.link_orders)
         self.ready.set_result(None)
 
--- a/src/savoryhold/peer/messages.py
+++ b/src/savoryhold/peer/messages.py
@@ -13,6 +13,8 @@
 from thriftpy2.utils import deserialize, serialize
 
 from savoryhold.core.errors import MalformedMessageError
+from savoryhold.peer.bodies import append_body, cut_body
+from savoryhold.peer.frames import LARGE_BYTES
 
 __all__ = [
     'Ack',
@@ -67,6 +69,7 @@
     'code_of',
     'decode',
     'encode',
+    'encode_parts',
     'is_handshake',
 ]
 
@@ -176,6 +179,7 @@
 )
 _CODES = {kind: code for code, kind in _BY_CODE.items()}
 _HANDSHAKE = frozenset({Challenge, Hello, Welcome})
+_BODY_FIELDS = {Relay: 8, RelayAnswer: 3}
 _ENCODER = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
 _STRING_FIELD = struct.Struct('!BHI')
 _STRING_TYPE = 11
@@ -197,8 +201,21 @@
     return encoded
 
 
+def encode_parts(message: Message) -> tuple[bytes, ...]:
+    """Serialize a message into parts, of which one is a large body."""
+    field = _BODY_FIELDS.get(type(message))
+    body = getattr(message, 'body', None)
+    if field is None or not body or len(body) < LARGE_BYTES:
+        return (encode(message),)
+    message.body = None
+    try:
+        return append_body(encode(message), field, body)
+    finally:
+        message.body = body
+
+
 def decode(code: int, payload: bytes) -> Message:
-    """Deserialize a message.
+    """Deserialize a message; a large payload is used up.
 
     Raises
     ------
@@ -210,6 +227,17 @@
         raise MalformedMessageError(f'message code {code} is unknown')
     if is_handshake(code):
         _check_strings(payload)
+    body = None
+    field = _BODY_FIELDS.get(kind)
+    if field is not None and isinstance(payload, bytearray):
+        payload, body = cut_body(payload, field)
+    message = _deserialize(kind, bytes(payload))
+    if body is not None:
+        message.body = body
+    return message
+
+
+def _deserialize(kind: type, payload: bytes) -> Message:
     try:
         return deserialize(kind(), payload, _ENCODER)
     except Exception as exc:
--- a/src/savoryhold/peer/resumable.py
+++ b/src/savoryhold/peer/resumable.py
@@ -72,6 +72,23 @@
         if handle is not None:
             handle(key, message)
 
+    def refuse(self, number: int, refusal: messages.Message) -> None:
+        """Refuse a call whose first message was dropped, unless it is known."""
+        key = CallKey(self._link.process, number)
+        served = self._endpoint.served
+        arrival = served.classify(
+            key, self._link, self._link.order, retired=self._link.retired
+        )
+        if arrival is Arrival.BEGIN:
+            call = ServedCall(self._link, number, self._link.order)
+            served.begin(key, call, _now())
+            call.send(refusal)
+            served.end(key, _now())
+        elif arrival is Arrival.RESUMED:
+            self._resume(key, refusal)
+        elif arrival is Arrival.ENDED:
+            self._send_ended(key, refusal)
+
     def _get_call(self, key: CallKey) -> ServedCall:
         call = self._endpoint.served.get(key)
         assert call is not None
--- /dev/null
+++ b/src/savoryhold/wire/server_connection.py
@@ -0,0 +1,497 @@
+"""One connection of a caller: its requests, answers and memory."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol, cast
+
+from savoryhold.traffic.routes import CallerLimits
+from savoryhold.wire.connection_counts import ConnectionCounts
+from savoryhold.wire.exchange import Exchange, HttpRequest
+from savoryhold.wire.intake_limits import IntakeLimits
+from savoryhold.wire.memory_budget import (
+    PROCESS_BUDGET,
+    STALL_S,
+    Part,
+    Waiter,
+)
+from savoryhold.wire.request_parser import RequestParser
+
+__all__ = ['ServerConnection']
+
+MS_PER_SECOND = 1000
+MAX_PIPELINED = 32  # requests of a connection being handled; others wait
+MAX_WAITING_BYTES = 1_048_576  # of waiting requests; above, reading pauses
+CLOSE_WAIT_MS = 200  # for the caller to read its answers and close its end
+GROW_BYTES = 262_144  # by which room for a body of unknown length grows
+PROGRESS_BYTES = 4096  # fewer bytes than that are no progress
+RETRY_S = 1  # after which a refused caller may find room
+
+
+class Server(Protocol):
+    """The part of a server that its connections use."""
+
+    handler: Callable[[Exchange], None]
+    now: Callable[[], int]
+    limits: Callable[[], CallerLimits]
+    intake: IntakeLimits
+    counts: ConnectionCounts
+    closing: bool
+    connections: set['ServerConnection']
+    on_error: Callable[[int], None]
+
+    def admit(self, conn: 'ServerConnection', address: str) -> bool:
+        """Add a connection; return whether there is room for it."""
+
+
+class ServerConnection(RequestParser, asyncio.Protocol):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    server : Server
+        The server that accepted it.
+    """
+
+    def __init__(self, server: Server) -> None:
+        super().__init__(server.limits(), server.intake)
+        self.server = server
+        self.address = ''
+        self.open_exchanges: deque[Exchange] = deque()
+        self.idle_since = server.now()
+        # When the caller last made progress, in ms.
+        self.progress_at = self.idle_since
+        self._transport: asyncio.Transport | None = None
+        self._closing = False
+        self._caller_closes = False
+        self._close_timer: asyncio.TimerHandle | None = None
+        self._waiting: deque[Exchange] = deque()
+        self._waiting_bytes = 0
+        self._is_scheduled = False
+        # Reasons for which reading is paused.
+        self._pauses: set[str] = set()
+        # Bytes counted in the budget for the request that is being read.
+        self._held = 0
+        self._waiter: Waiter | None = None
+        # Bytes of answers that the caller has not read, if writing is paused.
+        self._unread = 0
+        self._progress_bytes = 0
+
+    # asyncio.Protocol -------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        self._transport = cast(asyncio.Transport, transport)
+        peer = transport.get_extra_info('peername')
+        address = str(peer[0]) if peer else ''
+        if not self.server.admit(self, address):
+            self._closing = True
+            self._transport.abort()
+            return
+        self.address = address
+        self.server.counts.add_connection(address, 1)
+
+    def data_received(self, received: bytes) -> None:
+        """Parse bytes; malformed HTTP/1.1 is answered with 400."""
+        if self._closing:
+            return
+        self.feed(received)
+        if self.started_at is not None or self._held:
+            self._count_unfinished()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as closed."""
+        self._end()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Deregister the connection."""
+        if self in self.server.connections:
+            self.server.connections.discard(self)
+            self.server.counts.add_connection(self.address, -1)
+        if self._close_timer is not None:
+            self._close_timer.cancel()
+        self._end()
+        self._count_unread(0)
+
+    def pause_writing(self) -> None:
+        """Write no further answers: the caller does not read."""
+        assert self._transport is not None
+        self.progress_at = self.server.now()
+        self._count_unread(self._transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Write the answers that have become ready meanwhile."""
+        self.progress_at = self.server.now()
+        self._count_unread(0)
+        self.flush()
+
+    # Parsing ------------------------------------------------------------
+
+    def now(self) -> int:
+        """Return the time in ms."""
+        return self.server.now()
+
+    def current_limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self.server.limits()
+
+    @property
+    def blocked(self) -> bool:
+        """Return whether nothing may be parsed at present."""
+        return self._closing or bool(self._pauses)
+
+    def on_begun(self) -> None:
+        """Count the request; refuse it beyond the limits on their number."""
+        counts = self.server.counts
+        counts.add_request(self.address, 1)
+        limit = counts.request_limit(self.address)
+        if limit:
+            self.refuse(HTTPStatus.TOO_MANY_REQUESTS, limit)
+
+    def on_length(self, length: int) -> None:
+        """Wait for room for a large body before it is read."""
+        if length > PROCESS_BUDGET.largest():
+            self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'memory_mb')
+        else:
+            self._ask_for_room(length)
+
+    def on_costly_slice(self) -> None:
+        """Parse the rest in the loop's next turn."""
+        self._pause('slice')
+        self._count_unfinished()
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._unpause, 'slice')
+
+    def on_request(self, req: HttpRequest, *, keep_alive: bool) -> None:
+        """Queue the complete request for the handler."""
+        self.server.counts.add_request(self.address, -1)
+        if self._closing:
+            return
+        exchange = Exchange(self, req)
+        self._hold(0)
+        exchange.hold(Part.REQUESTS, exchange.size)
+        self._caller_closes = not keep_alive
+        exchange.last = self._caller_closes
+        self.open_exchanges.append(exchange)
+        self._waiting.append(exchange)
+        self._waiting_bytes += exchange.size
+        if self.server.closing:
+            self.finish()
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            self._pause('waiting')
+        self._schedule_take()
+
+    # Memory ---------------------------------------------------------------
+
+    @property
+    def may_evict(self) -> bool:
+        """Return whether closing the connection aborts no request."""
+        return not self.open_exchanges and not self._unread
+
+    def stalled_bytes(self, now: float) -> int:
+        """Return the bytes held without progress, 0 if there are none."""
+        if self._waiter is not None:
+            return 0
+        if self._unread and self._transport is not None:
+            self._note_progress(-self._transport.get_write_buffer_size())
+        elif self.open_exchanges and not self._closing:
+            # Closing the connection would abort a request that may run.
+            return 0
+        else:
+            self._note_progress(self.body_bytes)
+        stalled_ms = self.server.now() - self.progress_at
+        if stalled_ms < STALL_S * MS_PER_SECOND:
+            return 0
+        answers = sum(one.held for one in self.open_exchanges if one.answered)
+        return self._held + self._unread + answers
+
+    def evict(self) -> None:
+        """Refuse the unfinished request, or give up the unread answer."""
+        if self._unread or self._closing:
+            self.abort()
+        else:
+            self.refuse(HTTPStatus.REQUEST_TIMEOUT, 'memory_mb')
+
+    def _note_progress(self, place: int) -> None:
+        if place - self._progress_bytes >= PROGRESS_BYTES:
+            self._progress_bytes = place
+            self.progress_at = self.server.now()
+        elif place < self._progress_bytes:
+            self._progress_bytes = place
+
+    def _count_unread(self, count: int) -> None:
+        PROCESS_BUDGET.take(Part.UNREAD, count - self._unread)
+        if count < self._unread:
+            PROCESS_BUDGET.give(Part.UNREAD, 0)
+        self._unread = count
+        self._progress_bytes = -count
+        self._set_holder()
+
+    def _hold(self, count: int) -> None:
+        """Count other bytes for the request being read than before."""
+        if count < self._held:
+            PROCESS_BUDGET.give(Part.REQUESTS, self._held - count)
+        else:
+            PROCESS_BUDGET.take(Part.REQUESTS, count - self._held)
+        self._held = count
+        self._set_holder()
+
+    def _set_holder(self) -> None:
+        if self._held or self._unread:
+            PROCESS_BUDGET.holders.add(self)
+        else:
+            PROCESS_BUDGET.holders.discard(self)
+
+    def _count_unfinished(self) -> None:
+        """Count the request that is being read; wait if there is no room."""
+        count = self.unfinished_bytes
+        if not count:
+            self._hold(0)
+            return
+        self._note_progress(self.body_bytes)
+        if count <= self._held or self._waiter is not None:
+            return
+        if self.in_head or count <= PROGRESS_BYTES:
+            self._hold(count)
+        if count > self._held:
+            self._ask_for_room(max(GROW_BYTES, count - self._held))
+        elif not PROCESS_BUDGET.fits(Part.REQUESTS, 0, count):
+            self._ask_for_room(0)
+
+    def _ask_for_room(self, count: int) -> None:
+        if PROCESS_BUDGET.reserve(Part.REQUESTS, count, self._held):
+            self._held += count
+            self._set_holder()
+            return
+        if self._held + count > PROCESS_BUDGET.largest():
+            self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'memory_mb')
+            return
+        loop = asyncio.get_running_loop()
+        self._waiter = Waiter(
+            Part.REQUESTS,
+            count,
+            self._held,
+            loop.time(),
+            self._on_room,
+            self._on_no_room,
+        )
+        self._pause('memory')
+        PROCESS_BUDGET.wait(self._waiter)
+
+    def _on_room(self) -> None:
+        assert self._waiter is not None
+        self._held += self._waiter.need
+        self._waiter = None
+        self.progress_at = self.server.now()
+        self._set_holder()
+        self._unpause('memory')
+
+    def _on_no_room(self) -> None:
+        self._waiter = None
+        self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, 'memory_mb')
+
+    def _release(self) -> None:
+        """Release the memory of the request that is being read."""
+        if self.started_at is not None:
+            self.server.counts.add_request(self.address, -1)
+        self.drop()
+        if self._waiter is not None:
+            PROCESS_BUDGET.forget(self._waiter)
+            self._waiter = None
+        self._hold(0)
+
+    # Reading --------------------------------------------------------------
+
+    def _pause(self, reason: str) -> None:
+        if not self._pauses and self._transport is not None:
+            self._transport.pause_reading()
+        self._pauses.add(reason)
+
+    def _unpause(self, reason: str) -> None:
+        if reason not in self._pauses:
+            return
+        self._pauses.discard(reason)
+        if self._unparsed and not self._closing:
+            self.feed_unparsed()
+            self._count_unfinished()
+        transport = self._transport
+        if not self._pauses and transport and not transport.is_closing():
+            transport.resume_reading()
+
+    # Waiting requests ----------------------------------------------------
+
+    def _schedule_take(self) -> None:
+        """Schedule `_take` after the next poll, which may read a close."""
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            loop = asyncio.get_running_loop()
+            # The loop polls its sockets between the two callbacks.
+            loop.call_soon(loop.call_soon, self._take)
+
+    def _take(self) -> None:
+        """Pass waiting requests to the handler, up to the limit."""
+        self._is_scheduled = False
+        while self._waiting:
+            running = len(self.open_exchanges) - len(self._waiting)
+            # The answers of a caller that does not read take memory.
+            if running >= MAX_PIPELINED or (running and self._unread):
+                return
+            exchange = self._waiting.popleft()
+            self._waiting_bytes -= exchange.size
+            self.server.handler(exchange)
+        self._unpause('waiting')
+
+    def _end(self) -> None:
+        """Drop all requests; notify the handlers that the caller is gone."""
+        self._closing = True
+        self._release()
+        self._waiting.clear()
+        while self.open_exchanges:
+            exchange = self.open_exchanges.popleft()
+            exchange.release()
+            if exchange.on_disconnect is not None and not exchange.answered:
+                exchange.on_disconnect()
+
+    # Answers -------------------------------------------------------------
+
+    def finish(self) -> None:
+        """Close the connection after the answer to the last request read."""
+        if self.open_exchanges:
+            # A later request would be handled, but its answer cut off.
+            self.open_exchanges[-1].last = True
+            self._closing = True
+
+    def flush(self) -> None:
+        """Write the answers that are ready, in the order of requests."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._close_timer:
+            return
+        while self.open_exchanges and not self._unread:
+            exchange = self.open_exchanges[0]
+            if exchange.answer is None:
+                break
+            self.open_exchanges.popleft()
+            exchange.release()
+            if len(exchange.answer) == 1:
+                transport.write(exchange.answer[0])
+            else:
+                transport.writelines(exchange.answer)
+            self.idle_since = self.server.now()
+            self.progress_at = self.idle_since
+            if exchange.last:
+                self._close()
+                return
+        if self._waiting:
+            self._schedule_take()
+
+    def sweep(self, now: int) -> None:
+        """Close the connection if it is idle or its caller is too slow."""
+        if self._unread and self._transport is not None:
+            self._note_progress(-self._transport.get_write_buffer_size())
+            if now - self.progress_at > self.server.intake.max_unread_ms:
+                PROCESS_BUDGET.refusals['max_unread_ms'] += 1
+                self.abort()
+            return
+        if self.started_at is not None:
+            self._sweep_request(now, now - self.started_at)
+            return
+        if self._closing:
+            return
+        idle_ms = self.server.limits().idle_ms
+        idle = not self.open_exchanges and now - self.idle_since > idle_ms
+        if idle or (self.server.closing and not self.open_exchanges):
+            self._close_idle(now)
+
+    def _sweep_request(self, now: int, took_ms: int) -> None:
+        """Refuse a request that arrives too slowly."""
+        if self.in_head:
+            if took_ms > self.limits.header_ms:
+                self.refuse(HTTPStatus.REQUEST_TIMEOUT, 'header_timeout_ms')
+            return
+        if self._waiter is not None:
+            return
+        least = self.server.intake.min_body_rate * took_ms // MS_PER_SECOND
+        if took_ms > self.limits.idle_ms and self.body_bytes < least:
+            self.refuse(HTTPStatus.REQUEST_TIMEOUT, 'min_body_rate')
+
+    def abort(self) -> None:
+        """Abort the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _close(self) -> None:
+        """Close the sending side, then wait for the caller to close.
+
+        Notes
+        -----
+        Closing a socket that has unread bytes, or receives more later, resets
+        the connection, and the caller may lose an answer that it has not read
+        yet (RFC 9112, section 9.6).
+        """
+        self._closing = True
+        self._waiting.clear()
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._close_timer:
+            return
+        if self._caller_closes:
+            transport.close()
+            return
+        if self._pauses:
+            self._pauses.clear()
+            transport.resume_reading()
+        self._end_sending(transport)
+
+    def _close_idle(self, now: int) -> None:
+        """Close a connection without open requests."""
+        self._closing = True
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        unsent = transport.get_write_buffer_size()
+        if now - self.idle_since > CLOSE_WAIT_MS and not unsent:
+            transport.close()
+            return
+        # The caller may not have read its last answers yet.  A request that
+        # crosses the close stays unread, so that it is safe to send it again.
+        self._pause('closing')
+        self._end_sending(transport)
+
+    def _end_sending(self, transport: asyncio.Transport) -> None:
+        try:
+            transport.write_eof()
+        except OSError:
+            # The caller has reset the connection; the loop has not read that.
+            transport.abort()
+            return
+        self._close_later()
+
+    def _close_later(self) -> None:
+        transport = self._transport
+        if transport is None:
+            return
+        then = self._close_later
+        if not transport.get_write_buffer_size():
+            then = transport.close
+        loop = asyncio.get_running_loop()
+        self._close_timer = loop.call_later(CLOSE_WAIT_MS / MS_PER_SECOND, then)
+
+    def refuse(self, status: int, limit: str = '') -> None:
+        """Answer with an error that names a limit, then close."""
+        if self._closing:
+            return
+        self._closing = True
+        if limit:
+            PROCESS_BUDGET.refusals[limit] += 1
+        self._release()
+        req = HttpRequest(b'', b'', [], b'', self.server.now(), {})
+        exchange = Exchange(self, req)
+        exchange.last = True
+        self.open_exchanges.append(exchange)
+        self.server.on_error(status)
+        head = b''
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            head = b'retry-after: %d\r\n' % RETRY_S
+        body = f'limit: {limit}\n'.encode() if limit else b''
+        exchange.reply(status, head, body)
--- a/src/savoryhold/wire/tests/test_client.py
+++ b/src/savoryhold/wire/tests/test_client.py
@@ -12,10 +12,10 @@
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import LinkError
 from savoryhold.wire import ClientAnswer, ClientPool, Exchange, HttpServer
-from savoryhold.wire.client import (
+from savoryhold.wire.client import MAX_TOTAL_BYTES
+from savoryhold.wire.client_connection import (
     MAX_FAILED_IDS,
     MAX_HEAD_BYTES,
-    MAX_TOTAL_BYTES,
     MS_PER_SECOND,
     UNACKED_MS,
 )
--- a/src/savoryhold/wire/tests/test_server.py
+++ b/src/savoryhold/wire/tests/test_server.py
@@ -59,7 +59,7 @@
         """Wait until the start of a request has been read."""
         async with asyncio.timeout(LIMIT_S):
             while not any(
-                conn._started_at is not None for conn in self.server.connections
+                conn.started_at is not None for conn in self.server.connections
             ):
                 await asyncio.sleep(0)
 
