Limits of internal servers, metrics and log line of the budget

Reports are limited to 4 MiB, checks and metrics to 64 KiB, and idle connections of these servers are closed. Heads of many lines that are complete are refused as not run when there is no room; they were counted but admitted. Metrics show the budget, its use by part and refusals by limit; one line a second, callers_limited, tells what was refused. The modules of a connection are split into parsing, memory, and answers.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -20,6 +20,7 @@
 from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
+from savoryhold.mesh.intake_telemetry import IntakeLog, intake_gauges
 from savoryhold.mesh.interface import (
     NODE_KIND,
     Adapter,
@@ -37,6 +38,7 @@
 from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import Link, LinkStream, PeerPool, messages
+from savoryhold.traffic import CallerLimits
 from savoryhold.wire import PROCESS_BUDGET, Exchange, HttpServer
 
 __all__ = [
@@ -66,6 +68,8 @@
 MAINTENANCE_MS = 1000
 FIGURES_ROUNDS = 10  # maintenance rounds between two lines of figures
 CONFIG_WATCHERS = 2  # per region; other nodes learn of changes from them
+MAX_REPORT_BYTES = 4_194_304  # with thousands of key ranges
+MAX_CHECK_BYTES = 65_536
 EXIT_OK = 0
 EXIT_FAILED = 1
 TRACE_FRAMES = 4
@@ -147,9 +151,16 @@
             self.configs.limits,
             settings.intake,
         )
-        self.report_server = HttpServer(self._reports.handle, clock.now)
-        self.ready_server = HttpServer(self._on_ready, clock.now)
-        self.metrics_server = HttpServer(self._on_metrics, clock.now)
+        self.report_server = HttpServer(
+            self._reports.handle, clock.now, _limit_reports, settings.intake
+        )
+        self.ready_server = HttpServer(
+            self._on_ready, clock.now, _limit_checks, settings.intake
+        )
+        self.metrics_server = HttpServer(
+            self._on_metrics, clock.now, _limit_checks, settings.intake
+        )
+        self._intake_log = IntakeLog(self.log, PROCESS_BUDGET)
         self._lines = lines
         self._reload = reload
         self.draining = False
@@ -410,6 +421,7 @@
             'calls_cut': float(self._calls_cut),
             'log_lines_lost': float(self._lines.lost_count),
             'reports_refused': float(self._reports.refused_count),
+            **intake_gauges(PROCESS_BUDGET, self.caller_server),
         }
         exchange.reply(
             HTTPStatus.OK,
@@ -445,6 +457,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_MS / MS_PER_SECOND)
             self.owner.heat.drop_cold_keys(self.clock.now())
+            self._intake_log.write()
             rounds += 1
             if rounds % FIGURES_ROUNDS == 0:
                 self._log_figures()
@@ -540,6 +553,14 @@
     return leave_ms(grace_ms) - slack
 
 
+def _limit_reports() -> CallerLimits:
+    return CallerLimits(body_bytes=MAX_REPORT_BYTES)
+
+
+def _limit_checks() -> CallerLimits:
+    return CallerLimits(body_bytes=MAX_CHECK_BYTES)
+
+
 def _format_frames(exc: BaseException | None) -> str:
     """Return file and line of an exception's last frames, innermost last."""
     if exc is None:
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -10,10 +10,10 @@
 from typing import cast
 
 from savoryhold.core.errors import LinkError
+from savoryhold.wire.client_answer import ClientAnswer
 from savoryhold.wire.client_connection import (
     COPIED_BYTES,
     AnswerMatcher,
-    ClientAnswer,
     ClientConnection,
 )
 from savoryhold.wire.memory_budget import PROCESS_BUDGET, Part
--- a/src/savoryhold/wire/client_connection.py
+++ b/src/savoryhold/wire/client_connection.py
@@ -1,18 +1,18 @@
 """One connection to a server, with at most one request under way."""
 
 import asyncio
-import dataclasses
 import socket
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import cast
 
 import httptools
 
 from savoryhold.core.errors import LinkError
 from savoryhold.receive_buffer import has_unread_input
+from savoryhold.wire.client_answer import ClientAnswer, Pool
 from savoryhold.wire.memory_budget import PROCESS_BUDGET, Part, Waiter
 
-__all__ = ['AnswerMatcher', 'ClientAnswer', 'ClientConnection']
+__all__ = ['AnswerMatcher', 'ClientConnection']
 
 MS_PER_SECOND = 1000
 IDLE_MS = 8000  # below the usual idle timeouts of servers
@@ -43,45 +43,10 @@
 AnswerMatcher = Callable[[dict[bytes, bytes]], bool]
 
 
-@dataclasses.dataclass(slots=True)
-class ClientAnswer:
-    """A complete answer."""
-
-    status: int
-    headers: list[tuple[bytes, bytes]]
-    fields: dict[bytes, bytes]
-    body: bytes
-
-    def header(self, name: bytes) -> bytes:
-        """Return a header by its lower-case name, empty if absent."""
-        return self.fields.get(name, b'')
-
-
-class _Budget(Protocol):
-    """Counts the bytes of the answers that are under way."""
-
-    def take(self, conn: 'ClientConnection', count: int) -> None:
-        """Count bytes of an answer; abort the longest one beyond the limit."""
-
-
-class _Pool(Protocol):
-    """The part of a pool that its connections use."""
-
-    open_count: int
-    stray_answers: int
-
-    @property
-    def budget(self) -> _Budget:
-        """Return the bound on the answers under way."""
-
-    def remove(self, conn: 'ClientConnection') -> None:
-        """Remove a closed connection from the pool."""
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection, with at most one request under way."""
 
-    def __init__(self, pool: _Pool) -> None:
+    def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.fut: asyncio.Future[ClientAnswer] | None = None
         self.answer_matches: AnswerMatcher | None = None
@@ -309,12 +274,11 @@
             self.reserved += need
             self.has_room = need > 0
             return
-        loop = asyncio.get_running_loop()
         self._waiter = Waiter(
             Part.ANSWERS,
             need,
             self.size,
-            loop.time(),
+            asyncio.get_running_loop().time(),
             self._on_room,
             self._on_no_room,
         )
@@ -331,8 +295,7 @@
     def _on_no_room(self) -> None:
         # The answer waits until its deadline: its target has run the request.
         assert self._waiter is not None
-        loop = asyncio.get_running_loop()
-        self._waiter.since = loop.time()
+        self._waiter.since = asyncio.get_running_loop().time()
         PROCESS_BUDGET.wait(self._waiter)
 
     def _is_flushed(self) -> bool:
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -2,21 +2,14 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol, cast
+from typing import cast
 
 from savoryhold.traffic.routes import CallerLimits
-from savoryhold.wire.connection_counts import ConnectionCounts
+from savoryhold.wire.connection_memory import ConnectionMemory
 from savoryhold.wire.exchange import Exchange, HttpRequest
-from savoryhold.wire.intake_limits import IntakeLimits
-from savoryhold.wire.memory_budget import (
-    PROCESS_BUDGET,
-    STALL_S,
-    Part,
-    Waiter,
-)
-from savoryhold.wire.request_parser import RequestParser
+from savoryhold.wire.memory_budget import PROCESS_BUDGET, STALL_S, Part
+from savoryhold.wire.server_interface import Server
 
 __all__ = ['ServerConnection']
 
@@ -24,28 +17,10 @@
 MAX_PIPELINED = 32  # requests of a connection being handled; others wait
 MAX_WAITING_BYTES = 1_048_576  # of waiting requests; above, reading pauses
 CLOSE_WAIT_MS = 200  # for the caller to read its answers and close its end
-GROW_BYTES = 262_144  # by which room for a body of unknown length grows
-PROGRESS_BYTES = 4096  # fewer bytes than that are no progress
 RETRY_S = 1  # after which a refused caller may find room
 
 
-class Server(Protocol):
-    """The part of a server that its connections use."""
-
-    handler: Callable[[Exchange], None]
-    now: Callable[[], int]
-    limits: Callable[[], CallerLimits]
-    intake: IntakeLimits
-    counts: ConnectionCounts
-    closing: bool
-    connections: set['ServerConnection']
-    on_error: Callable[[int], None]
-
-    def admit(self, conn: 'ServerConnection', address: str) -> bool:
-        """Add a connection; return whether there is room for it."""
-
-
-class ServerConnection(RequestParser, asyncio.Protocol):
+class ServerConnection(ConnectionMemory, asyncio.Protocol):
     """One connection of a caller.
 
     Parameters
@@ -55,28 +30,16 @@
     """
 
     def __init__(self, server: Server) -> None:
-        super().__init__(server.limits(), server.intake)
+        super().__init__(server.limits(), server.intake, server.now())
         self.server = server
         self.address = ''
         self.open_exchanges: deque[Exchange] = deque()
         self.idle_since = server.now()
-        # When the caller last made progress, in ms.
-        self.progress_at = self.idle_since
-        self._transport: asyncio.Transport | None = None
-        self._closing = False
         self._caller_closes = False
         self._close_timer: asyncio.TimerHandle | None = None
         self._waiting: deque[Exchange] = deque()
         self._waiting_bytes = 0
         self._is_scheduled = False
-        # Reasons for which reading is paused.
-        self._pauses: set[str] = set()
-        # Bytes counted in the budget for the request that is being read.
-        self._held = 0
-        self._waiter: Waiter | None = None
-        # Bytes of answers that the caller has not read, if writing is paused.
-        self._unread = 0
-        self._progress_bytes = 0
 
     # asyncio.Protocol -------------------------------------------------
 
@@ -137,11 +100,6 @@
         """Return the limits in force."""
         return self.server.limits()
 
-    @property
-    def blocked(self) -> bool:
-        """Return whether nothing may be parsed at present."""
-        return self._closing or bool(self._pauses)
-
     def on_begun(self) -> None:
         """Count the request; refuse it beyond the limits on their number."""
         counts = self.server.counts
@@ -150,19 +108,9 @@
         if limit:
             self.refuse(HTTPStatus.TOO_MANY_REQUESTS, limit)
 
-    def on_length(self, length: int) -> None:
-        """Wait for room for a large body before it is read."""
-        if length > PROCESS_BUDGET.largest():
-            self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'memory_mb')
-        else:
-            self._ask_for_room(length)
-
-    def on_costly_slice(self) -> None:
-        """Parse the rest in the loop's next turn."""
-        self._pause('slice')
-        self._count_unfinished()
-        loop = asyncio.get_running_loop()
-        loop.call_soon(loop.call_soon, self._unpause, 'slice')
+    def on_dropped(self) -> None:
+        """Count a request no longer that was not read to its end."""
+        self.server.counts.add_request(self.address, -1)
 
     def on_request(self, req: HttpRequest, *, keep_alive: bool) -> None:
         """Queue the complete request for the handler."""
@@ -170,6 +118,9 @@
         if self._closing:
             return
         exchange = Exchange(self, req)
+        if self._lacks_room(exchange.size):
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, 'memory_mb')
+            return
         self._hold(0)
         exchange.hold(Part.REQUESTS, exchange.size)
         self._caller_closes = not keep_alive
@@ -183,7 +134,7 @@
             self._pause('waiting')
         self._schedule_take()
 
-    # Memory ---------------------------------------------------------------
+    # Memory ------------------------------------------------------------
 
     @property
     def may_evict(self) -> bool:
@@ -214,112 +165,6 @@
         else:
             self.refuse(HTTPStatus.REQUEST_TIMEOUT, 'memory_mb')
 
-    def _note_progress(self, place: int) -> None:
-        if place - self._progress_bytes >= PROGRESS_BYTES:
-            self._progress_bytes = place
-            self.progress_at = self.server.now()
-        elif place < self._progress_bytes:
-            self._progress_bytes = place
-
-    def _count_unread(self, count: int) -> None:
-        PROCESS_BUDGET.take(Part.UNREAD, count - self._unread)
-        if count < self._unread:
-            PROCESS_BUDGET.give(Part.UNREAD, 0)
-        self._unread = count
-        self._progress_bytes = -count
-        self._set_holder()
-
-    def _hold(self, count: int) -> None:
-        """Count other bytes for the request being read than before."""
-        if count < self._held:
-            PROCESS_BUDGET.give(Part.REQUESTS, self._held - count)
-        else:
-            PROCESS_BUDGET.take(Part.REQUESTS, count - self._held)
-        self._held = count
-        self._set_holder()
-
-    def _set_holder(self) -> None:
-        if self._held or self._unread:
-            PROCESS_BUDGET.holders.add(self)
-        else:
-            PROCESS_BUDGET.holders.discard(self)
-
-    def _count_unfinished(self) -> None:
-        """Count the request that is being read; wait if there is no room."""
-        count = self.unfinished_bytes
-        if not count:
-            self._hold(0)
-            return
-        self._note_progress(self.body_bytes)
-        if count <= self._held or self._waiter is not None:
-            return
-        if self.in_head or count <= PROGRESS_BYTES:
-            self._hold(count)
-        if count > self._held:
-            self._ask_for_room(max(GROW_BYTES, count - self._held))
-        elif not PROCESS_BUDGET.fits(Part.REQUESTS, 0, count):
-            self._ask_for_room(0)
-
-    def _ask_for_room(self, count: int) -> None:
-        if PROCESS_BUDGET.reserve(Part.REQUESTS, count, self._held):
-            self._held += count
-            self._set_holder()
-            return
-        if self._held + count > PROCESS_BUDGET.largest():
-            self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'memory_mb')
-            return
-        loop = asyncio.get_running_loop()
-        self._waiter = Waiter(
-            Part.REQUESTS,
-            count,
-            self._held,
-            loop.time(),
-            self._on_room,
-            self._on_no_room,
-        )
-        self._pause('memory')
-        PROCESS_BUDGET.wait(self._waiter)
-
-    def _on_room(self) -> None:
-        assert self._waiter is not None
-        self._held += self._waiter.need
-        self._waiter = None
-        self.progress_at = self.server.now()
-        self._set_holder()
-        self._unpause('memory')
-
-    def _on_no_room(self) -> None:
-        self._waiter = None
-        self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, 'memory_mb')
-
-    def _release(self) -> None:
-        """Release the memory of the request that is being read."""
-        if self.started_at is not None:
-            self.server.counts.add_request(self.address, -1)
-        self.drop()
-        if self._waiter is not None:
-            PROCESS_BUDGET.forget(self._waiter)
-            self._waiter = None
-        self._hold(0)
-
-    # Reading --------------------------------------------------------------
-
-    def _pause(self, reason: str) -> None:
-        if not self._pauses and self._transport is not None:
-            self._transport.pause_reading()
-        self._pauses.add(reason)
-
-    def _unpause(self, reason: str) -> None:
-        if reason not in self._pauses:
-            return
-        self._pauses.discard(reason)
-        if self._unparsed and not self._closing:
-            self.feed_unparsed()
-            self._count_unfinished()
-        transport = self._transport
-        if not self._pauses and transport and not transport.is_closing():
-            transport.resume_reading()
-
     # Waiting requests ----------------------------------------------------
 
     def _schedule_take(self) -> None:
--- /dev/null
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -0,0 +1,193 @@
+"""Limits on callers other than sizes and timeouts, and the memory budget."""
+
+import asyncio
+import unittest
+from functools import partial
+from unittest import mock
+
+from savoryhold.core.clock import MonotonicClock
+from savoryhold.traffic import CallerLimits
+from savoryhold.wire import Exchange, HttpServer, IntakeLimits, MemoryBudget
+from savoryhold.wire.memory_budget import Part, Waiter
+
+LIMIT_S = 10
+HEAD = b'POST /a HTTP/1.1\r\nhost: h\r\n'
+CHUNKED = HEAD + b'transfer-encoding: chunked\r\n\r\n'
+LARGE_BYTES = 1_000_000
+COUNTING = ('connection_memory', 'exchange', 'server', 'server_connection')
+INTAKE = IntakeLimits(
+    max_header_lines=20,
+    max_trailer_lines=5,
+    max_trailer_bytes=1000,
+    max_chunk_overhead=2,
+    max_unfinished=2,
+    min_body_rate=1_000_000,
+)
+
+
+class IntakeCase(unittest.IsolatedAsyncioTestCase):
+    """A server with low limits, which answers with the body that it got."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port, with a budget of its own."""
+        self.budget = MemoryBudget()
+        for module in COUNTING:
+            name = f'savoryhold.wire.{module}.PROCESS_BUDGET'
+            patched = mock.patch(name, self.budget)
+            patched.start()
+            self.addCleanup(patched.stop)
+        self.server = HttpServer(
+            self.on_exchange,
+            MonotonicClock().now,
+            lambda: CallerLimits(idle_ms=100),
+            INTAKE,
+        )
+        await self.server.start('127.0.0.1:0', 16)
+        listener = self.server._server
+        assert listener is not None
+        self.port = listener.sockets[0].getsockname()[1]
+
+    async def asyncTearDown(self) -> None:
+        """Stop listening."""
+        self.server.stop()
+
+    def on_exchange(self, exchange: Exchange) -> None:
+        """Answer with the size of the body and the headers."""
+        names = b' '.join(sorted(exchange.req.fields))
+        exchange.reply(200, b'', b'%d %s' % (len(exchange.req.body), names))
+
+    async def send(self, *parts: bytes) -> bytes:
+        """Send bytes; return the answer up to the close or the last body."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        try:
+            writer.writelines(parts)
+            async with asyncio.timeout(LIMIT_S):
+                head = await reader.readuntil(b'\r\n\r\n')
+                length = head.partition(b'content-length: ')[2].split()[0]
+                return head + await reader.readexactly(int(length))
+        finally:
+            writer.close()
+
+    async def check(self, status: bytes, limit: bytes, *parts: bytes) -> None:
+        """Expect a refusal that names a limit, and memory that is released."""
+        found = await self.send(*parts)
+        self.assertIn(b'HTTP/1.1 ' + status, found)
+        self.assertIn(b'limit: ' + limit, found)
+        self.assertEqual(self.budget.refusals[limit.decode()], 1)
+
+
+class TestLimits(IntakeCase):
+    """Each limit is enforced, and the refusal names it."""
+
+    async def test_header_lines(self) -> None:
+        """A head of many short lines is refused."""
+        await self.check(b'431', b'max_header_lines', HEAD, b'a:\r\n' * 30)
+
+    async def test_trailer_lines(self) -> None:
+        """A trailer of many short lines is refused."""
+        lines = b'1\r\nx\r\n0\r\n' + b'a:\r\n' * 6000
+        await self.check(b'431', b'max_trailer_lines', CHUNKED, lines)
+
+    async def test_chunk_overhead(self) -> None:
+        """A body whose chunks are mostly framing is refused."""
+        chunks = b'1\r\nx\r\n' * 20_000
+        await self.check(b'431', b'max_chunk_overhead', CHUNKED, chunks)
+
+    async def test_unfinished_requests(self) -> None:
+        """Requests beyond the number of unfinished ones get 429."""
+        for _ in range(2):
+            _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+            writer.write(HEAD)
+            self.addCleanup(writer.close)
+        async with asyncio.timeout(LIMIT_S):
+            while self.server.counts.unfinished < 2:
+                await asyncio.sleep(0)
+        await self.check(b'429', b'max_unfinished', HEAD)
+
+    async def test_slow_body(self) -> None:
+        """A body below the least rate is refused once it took long."""
+        sweeping = asyncio.ensure_future(self.server.sweep())
+        self.addCleanup(sweeping.cancel)
+        body = b'content-length: 90\r\n\r\nx'
+        await self.check(b'408', b'min_body_rate', HEAD, body)
+
+    # The lines of a trailer replaced headers, such as the request's id.
+    async def test_trailers_are_no_headers(self) -> None:
+        """A request with a short trailer is served without its lines."""
+        found = await self.send(
+            CHUNKED, b'2\r\nxy\r\n0\r\nhost: z\r\nq: 1\r\n\r\n'
+        )
+        self.assertIn(b'\r\n\r\n2 host transfer-encoding', found)
+
+    # The body of an earlier request counted as framing of the next.
+    async def test_requests_with_large_bodies_follow_each_other(self) -> None:
+        """Two large bodies on one connection are served."""
+        one = HEAD + b'content-length: %d\r\n\r\n' % LARGE_BYTES
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        for _ in range(2):
+            writer.write(one + bytes(LARGE_BYTES))
+            async with asyncio.timeout(LIMIT_S):
+                await reader.readuntil(b'\r\n\r\n1000000 content-length host')
+        writer.close()
+
+
+class TestBudget(IntakeCase):
+    """Memory is shared by size and progress."""
+
+    async def test_large_body_without_room_is_refused_as_not_run(self) -> None:
+        """A large body waits, then gets 503; a small one is served."""
+        self.budget.set_memory(75)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        body = b'content-length: %d\r\n\r\n' % LARGE_BYTES
+        small = await self.send(HEAD, b'content-length: 2\r\n\r\nxy')
+        self.assertIn(b' 200 ', small)
+        await self.check(b'503', b'memory_mb', HEAD, body)
+
+    async def test_body_above_the_memory_is_refused(self) -> None:
+        """A body that can never fit gets 413 at once."""
+        self.budget.set_memory(60)
+        body = b'content-length: 60000000\r\n\r\n'
+        await self.check(b'413', b'memory_mb', HEAD, body)
+
+    async def test_unfinished_body_makes_room(self) -> None:
+        """A connection without progress is closed for one that waits."""
+        self.budget.set_memory(75)
+        large = round(self.budget.limit * 0.5)
+        start = HEAD + b'content-length: %d\r\n\r\n' % large
+        _, stalled = await asyncio.open_connection('127.0.0.1', self.port)
+        stalled.write(start)
+        async with asyncio.timeout(LIMIT_S):
+            while not self.budget.used:
+                await asyncio.sleep(0)
+        found = await self.send(start, bytes(large))
+        self.assertIn(b' 200 ', found)
+        self.assertEqual(self.budget.refusals['memory_mb:closed'], 1)
+        stalled.close()
+
+    async def test_all_memory_is_given_back(self) -> None:
+        """Nothing is counted once all is answered and closed."""
+        body = b'content-length: %d\r\n\r\n' % LARGE_BYTES
+        await self.send(HEAD, body, bytes(LARGE_BYTES))
+        await self.check(b'431', b'max_header_lines', HEAD, b'a:\r\n' * 30)
+        async with asyncio.timeout(LIMIT_S):
+            while self.server.connections:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.budget.used, 0)
+        self.assertEqual(self.budget.holders, set())
+        self.assertEqual(self.server.counts.open, 0)
+        self.assertEqual(self.server.counts.unfinished, 0)
+
+    async def test_answers_are_granted_before_requests(self) -> None:
+        """Room goes to an answer first: it will release its request."""
+        self.budget.set_memory(75)
+        self.budget.take(Part.ANSWERS, self.budget.limit)
+        granted: list[Part] = []
+        for part in (Part.REQUESTS, Part.ANSWERS):
+            need = self.budget.limit // 2
+            grant = partial(granted.append, part)
+            self.budget.wait(Waiter(part, need, 0, 0.0, grant, self.fail))
+        self.budget.give(Part.ANSWERS, self.budget.limit)
+        async with asyncio.timeout(LIMIT_S):
+            while not granted:
+                await asyncio.sleep(0)
+        self.assertEqual(granted[0], Part.ANSWERS)
