--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from soak.proxy import ConnectionFault
 from soak.store import StoreFault
 from soak.deployment import Deployment
+from soak.hostile import HostileCrowd, exceeds_memory
 
 __all__ = ['FaultInjector']
 
@@ -236,6 +237,17 @@
     injector.deployment.store.fault = StoreFault.NONE
 
 
+async def crowd_node(injector: FaultInjector, host: Host) -> None:
+    """Let a crowd of hostile callers fill the memory of a node."""
+    crowd = HostileCrowd(host)
+    crowd.start()
+    await injector.wait_duration()
+    violation = exceeds_memory(host)
+    await crowd.stop()
+    if violation:
+        injector.deployment.violations.append(violation)
+
+
 FAULTS: list[FaultAction] = [
     kill_node,
     kill_target,
@@ -251,6 +263,7 @@
     fault_connections,
     cut_host,
     fault_store,
+    crowd_node,
 ]
 PROCESS_FAULTS = frozenset(
     {
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -14,7 +14,7 @@
 from soak.events import Event, parse_line
 from soak.proxy import ConnectionFault, Proxy
 
-__all__ = ['Host', 'HostPlan', 'PathKind']
+__all__ = ['MEMORY_MB', 'Host', 'HostPlan', 'PathKind']
 
 ROOT = pathlib.Path(__file__).parents[1]
 LOOPBACK = '127.0.0.1'
@@ -22,6 +22,7 @@
 DRAIN_MS = 1000
 GRACE_MS = 4000
 HOLD_MAX_MS = 10_000
+MEMORY_MB = 150  # below the smallest hosts
 EXIT_TIMEOUT_S = 8.0
 STARTED_EVENT = b'event=started'
 SETTINGS_VARIABLE = 'SAVORYHOLD_NODE_FILE'
@@ -237,6 +238,7 @@
             'retry_ratio': 0.2,
             'retry_slack': 50,
             'retry_window_ms': 10_000,
+            'memory_mb': MEMORY_MB,
         }
         self.settings.write_text(tomli_w.dumps(fields), encoding='utf-8')
 
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -9,6 +9,7 @@
 from savoryhold.wire.connection_memory import ConnectionMemory
 from savoryhold.wire.exchange import Exchange, HttpRequest
 from savoryhold.wire.memory_budget import PROCESS_BUDGET, STALL_S, Part
+from savoryhold.wire.request_parser import SMALL_BODY
 from savoryhold.wire.server_interface import Server
 
 __all__ = ['ServerConnection']
@@ -218,11 +219,15 @@
             if exchange.answer is None:
                 break
             self.open_exchanges.popleft()
-            exchange.release()
             if len(exchange.answer) == 1:
                 transport.write(exchange.answer[0])
             else:
                 transport.writelines(exchange.answer)
+                # The loop may call `pause_writing` only later.
+                unsent = transport.get_write_buffer_size()
+                if unsent > SMALL_BODY:
+                    self._count_unread(unsent)
+            exchange.release()
             self.idle_since = self.server.now()
             self.progress_at = self.idle_since
             if exchange.last:
