--- a/src/savoryhold/mesh/intake_telemetry.py
+++ b/src/savoryhold/mesh/intake_telemetry.py
@@ -4,6 +4,7 @@
 
 from savoryhold.daemon.logs import Log
 from savoryhold.wire import HttpServer, MemoryBudget
+from savoryhold.wire.memory_budget import Part
 
 __all__ = ['IntakeLog', 'intake_gauges']
 
@@ -18,8 +19,9 @@
         'callers_connected': float(server.counts.open),
         'callers_unfinished': float(server.counts.unfinished),
     }
-    for part, used in budget.parts.items():
-        found[f'memory_used_bytes{{part="{part.value}"}}'] = float(used)
+    for part in Part:
+        name = f'memory_used_bytes{{part="{part.name.lower()}"}}'
+        found[name] = float(budget.parts[part])
     for limit, count in budget.refusals.items():
         found[f'callers_limited_total{{limit="{limit}"}}'] = float(count)
     return found
--- a/src/savoryhold/mesh/tests/hostile.py
+++ b/src/savoryhold/mesh/tests/hostile.py
@@ -23,7 +23,7 @@
 
 from standins import ObjectApi, Target, make_config  # noqa: E402
 
-__all__ = ['HostileCase', 'Member', 'head']
+__all__ = ['FREE_PATH', 'KEYED_PATH', 'HostileCase', 'Member', 'head']
 
 # The bounds that the settings of the nodes name.
 MEMORY_MB = 100
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -1,8 +1,6 @@
 """One multiplexed connection to another node."""
 
 import asyncio
-import hmac
-import secrets
 from functools import partial
 from typing import cast
 
@@ -17,6 +15,7 @@
     FrameReader,
     pack_parts,
 )
+from savoryhold.peer.handshake import MAX_HANDSHAKE_BYTES, Handshake
 from savoryhold.peer.link_memory import LinkMemory
 from savoryhold.peer.resumable import ResumableCalls
 from savoryhold.peer.served_calls import ProcessId
@@ -25,9 +24,6 @@
 
 __all__ = ['Link']
 
-NONCE_BYTES = 16
-MAX_HANDSHAKE_BYTES = 1024
-
 
 class Link(asyncio.Protocol):
     """A connection between two nodes, authenticated by a shared secret.
@@ -38,11 +34,6 @@
         State that the links of this process share.
     dialled : bool
         Whether this end opened the connection.
-
-    Notes
-    -----
-    In the handshake, each end proves that it knows the secret by an
-    HMAC-SHA256 over the other end's nonce.
     """
 
     def __init__(self, endpoint: Endpoint, *, dialled: bool) -> None:
@@ -65,7 +56,7 @@
         # Whether a newer link of the peer's process has replaced this one.
         self.retired = False
         self._endpoint = endpoint
-        self._nonce = secrets.token_hex(NONCE_BYTES)
+        self._handshake = Handshake(endpoint, dialled=dialled)
         self._resumable_calls = ResumableCalls(self, endpoint)
         self._memory = LinkMemory(self, endpoint, self._resumable_calls)
         self._reader = FrameReader(self._memory.may_hold)
@@ -124,7 +115,7 @@
         """Start the handshake; the accepting end sends the challenge."""
         self._transport = cast(asyncio.Transport, transport)
         if not self.dialled:
-            self.send(messages.Challenge(nonce=self._nonce), 0)
+            self.send(self._handshake.challenge(), 0)
 
     def data_received(self, received: bytes) -> None:
         """Parse bytes; malformed data closes the link."""
@@ -292,7 +283,7 @@
 
     def _on_frame(self, frame: Frame) -> None:
         if not self.ready.done():
-            self._check_handshake(frame)
+            self._handshake.check_frame(frame)
         if frame.dropped:
             self._memory.refuse(frame)
             return
@@ -334,49 +325,16 @@
         # no `finally`; a callback always runs.
         served.task.add_done_callback(partial(_close, served))
 
-    def _check_handshake(self, frame: Frame) -> None:
-        small = len(frame.payload) <= MAX_HANDSHAKE_BYTES
-        if not small or not messages.is_handshake(frame.code):
-            raise MalformedMessageError('link does not start with a handshake')
-
     def _on_handshake(self, message: messages.Message) -> None:
-        node, life = self._endpoint.node, self._endpoint.life
-        if isinstance(message, messages.Challenge) and self.dialled:
-            mac = self._mac(message.nonce, node)
-            hello = messages.Hello(
-                node=node, nonce=self._nonce, mac=mac, life=life
-            )
-            self.send(hello, 0)
-        elif isinstance(message, messages.Hello) and not self.dialled:
-            self._authenticate(message, self._nonce)
-            mac = self._mac(message.nonce, node)
-            self.send(messages.Welcome(node=node, mac=mac, life=life), 0)
-        elif isinstance(message, messages.Welcome) and self.dialled:
-            self._authenticate(message, self._nonce)
-        else:
-            name = type(message).__name__
-            raise MalformedMessageError(
-                f'{name} is out of order in the handshake'
-            )
-
-    def _authenticate(self, message: messages.Message, nonce: str) -> None:
-        node = message.node
-        expected = self._mac(nonce, node)
-        if not hmac.compare_digest(
-            str(message.mac).encode(), expected.encode()
-        ):
-            raise MalformedMessageError(
-                f'handshake of {node!r} does not prove the shared secret'
-            )
-        self.peer = node
-        self.life = message.life or ''
-        self._reader.max_bytes = MAX_FRAME_BYTES
-        self.order = next(self._endpoint.link_orders)
-        self.ready.set_result(None)
-
-    def _mac(self, nonce: str, node: str) -> str:
-        text = f'{nonce}|{node}'.encode()
-        return hmac.new(self._endpoint.secret, text, 'sha256').hexdigest()
+        reply = self._handshake.reply_to(message)
+        if not isinstance(message, messages.Challenge):
+            self.peer = message.node
+            self.life = message.life or ''
+            self._reader.max_bytes = MAX_FRAME_BYTES
+            self.order = next(self._endpoint.link_orders)
+            self.ready.set_result(None)
+        if reply is not None:
+            self.send(reply, 0)
 
 
 def _close(call: LinkStream, task: 'asyncio.Task[None]') -> None:
--- a/src/savoryhold/wire/connection_counts.py
+++ b/src/savoryhold/wire/connection_counts.py
@@ -1,14 +1,55 @@
 """Counts of connections and unfinished requests, in total and by address."""
 
-from collections import Counter
-
 from savoryhold.wire.intake_limits import MAX_CONNECTIONS, IntakeLimits
 
-__all__ = ['ConnectionCounts']
+__all__ = ['AddressCount', 'ConnectionCounts']
+
+
+class AddressCount:
+    """Counts what the callers of one address hold open.
+
+    Parameters
+    ----------
+    total : ConnectionCounts
+        Counts of all addresses.
+    address : str
+        The address.
+    """
+
+    __slots__ = ('_address', '_total', 'open', 'unfinished')
+
+    def __init__(self, total: 'ConnectionCounts', address: str) -> None:
+        self.open = 0
+        self.unfinished = 0
+        self._total = total
+        self._address = address
+
+    def begin_request(self) -> str:
+        """Count a request; return the limit that it exceeds, if any."""
+        total, intake = self._total, self._total.intake
+        self.unfinished += 1
+        total.unfinished += 1
+        if total.unfinished > intake.max_unfinished:
+            return 'max_unfinished'
+        if self.unfinished > intake.max_unfinished_per_address:
+            return 'max_unfinished_per_address'
+        return ''
+
+    def end_request(self) -> None:
+        """Count a request no longer, as its end has been read."""
+        self.unfinished -= 1
+        self._total.unfinished -= 1
+
+    def close(self) -> None:
+        """Count a connection no longer."""
+        self.open -= 1
+        self._total.open -= 1
+        if not self.open:
+            self._total.by_address.pop(self._address, None)
 
 
 class ConnectionCounts:
-    """Counts what callers hold open.
+    """Counts what all callers hold open.
 
     Parameters
     ----------
@@ -19,41 +60,27 @@
     def __init__(self, intake: IntakeLimits) -> None:
         self.open = 0
         self.unfinished = 0
-        self._intake = intake
+        self.intake = intake
+        self.by_address: dict[str, AddressCount] = {}
         self._max_open = intake.max_connections or MAX_CONNECTIONS
-        self._open_by_address: Counter[str] = Counter()
-        self._unfinished_by_address: Counter[str] = Counter()
 
     def connection_limit(self, address: str) -> str:
         """Return the limit that one more connection exceeds, if any."""
         if self.open >= self._max_open:
             return 'max_connections'
-        most = self._intake.max_connections_per_address
-        if self._open_by_address[address] >= most:
+        count = self.by_address.get(address)
+        most = self.intake.max_connections_per_address
+        if count is not None and count.open >= most:
             return 'max_connections_per_address'
         return ''
 
-    def request_limit(self, address: str) -> str:
-        """Return the limit that the unfinished requests exceed, if any."""
-        if self.unfinished > self._intake.max_unfinished:
-            return 'max_unfinished'
-        most = self._intake.max_unfinished_per_address
-        if self._unfinished_by_address[address] > most:
-            return 'max_unfinished_per_address'
-        return ''
-
-    def add_connection(self, address: str, count: int) -> None:
-        """Count an opened connection, or with -1 a closed one."""
-        self.open += count
-        _add(self._open_by_address, address, count)
-
-    def add_request(self, address: str, count: int) -> None:
-        """Count a request whose end is unread, or with -1 its end."""
-        self.unfinished += count
-        _add(self._unfinished_by_address, address, count)
-
+    def open_connection(self, address: str) -> AddressCount:
+        """Count a connection; return the counts of its address."""
+        count = self.by_address.setdefault(address, AddressCount(self, address))
+        count.open += 1
+        self.open += 1
+        return count
 
-def _add(counts: Counter[str], address: str, count: int) -> None:
-    counts[address] += count
-    if counts[address] <= 0:
-        del counts[address]
+    def of_none(self) -> AddressCount:
+        """Return the counts of a connection that is not open yet."""
+        return AddressCount(self, '')
--- a/src/savoryhold/wire/connection_memory.py
+++ b/src/savoryhold/wire/connection_memory.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 from http import HTTPStatus
 
 from savoryhold.traffic.routes import CallerLimits
@@ -25,20 +26,23 @@
 
     Parameters
     ----------
-    limits : CallerLimits
-        Sizes that apply to the first request.
+    limits : callable
+        Returns the `CallerLimits` in force.
     intake : IntakeLimits
         Further limits.
-    now : int
-        The time in ms.
+    now : callable
+        Returns the time in ms.
     """
 
     def __init__(
-        self, limits: CallerLimits, intake: IntakeLimits, now: int
+        self,
+        limits: Callable[[], CallerLimits],
+        intake: IntakeLimits,
+        now: Callable[[], int],
     ) -> None:
-        super().__init__(limits, intake)
+        super().__init__(limits, intake, now)
         # When the caller last made progress, in ms.
-        self.progress_at = now
+        self.progress_at = now()
         self._transport: asyncio.Transport | None = None
         self._closing = False
         # Reasons for which reading is paused.
--- a/src/savoryhold/wire/exchange.py
+++ b/src/savoryhold/wire/exchange.py
@@ -55,6 +55,7 @@
         'on_disconnect',
         'req',
         'size',
+        'written',
     )
 
     def __init__(self, conn: _Connection, req: HttpRequest) -> None:
@@ -62,6 +63,8 @@
         self.req = req
         self.size = size_of(req)
         self.on_disconnect: Callable[[], None] | None = None
+        # Whether the answer has been passed to the transport.
+        self.written = False
         # Whether the connection closes after this answer.
         self.last = False
         self._answer: tuple[bytes, ...] | None = None
@@ -93,9 +96,10 @@
         PROCESS_BUDGET.take(part, count)
 
     def release(self) -> None:
-        """Count no bytes any more, as the exchange has ended."""
-        PROCESS_BUDGET.give(self._part, self._held)
-        self._held = 0
+        """Count no bytes any more."""
+        if self._held:
+            PROCESS_BUDGET.give(self._part, self._held)
+            self._held = 0
 
     def reply(
         self,
@@ -136,8 +140,10 @@
             # A large body is not copied.
             self._answer = (first, body)
         self.req.body = b''
-        self.hold(Part.ANSWERS, len(first) + len(body))
+        self.release()
         self.conn.flush()
+        if not self.written:
+            self.hold(Part.ANSWERS, len(first) + len(body))
 
     def abort(self) -> None:
         """Abort the connection instead of answering."""
--- a/src/savoryhold/wire/memory_budget.py
+++ b/src/savoryhold/wire/memory_budget.py
@@ -33,13 +33,13 @@
 MAX_WAIT_S = 2.0  # afterwards the largest reader that waits is refused
 
 
-class Part(enum.Enum):
-    """What the bytes in flight belong to."""
+class Part(enum.IntEnum):
+    """What bytes in flight belong to; an index into `MemoryBudget.parts`."""
 
-    REQUESTS = 'requests'
-    RELAYS = 'relays'
-    ANSWERS = 'answers'
-    UNREAD = 'unread'
+    REQUESTS = 0
+    RELAYS = 1
+    ANSWERS = 2
+    UNREAD = 3
 
 
 _INPUT = frozenset({Part.REQUESTS, Part.RELAYS})
@@ -83,7 +83,7 @@
         # Without `set_memory`, as in tools and stand-ins, there is no bound.
         self.limit = sys.maxsize
         self.used = 0
-        self.parts: dict[Part, int] = dict.fromkeys(Part, 0)
+        self.parts = [0 for _ in Part]
         # Refusals and closes, by the name of the limit.
         self.refusals: Counter[str] = Counter()
         self.holders: set[Holder] = set()
--- a/src/savoryhold/wire/request_parser.py
+++ b/src/savoryhold/wire/request_parser.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import cast
 
@@ -26,17 +27,26 @@
 
     Parameters
     ----------
-    limits : CallerLimits
-        Sizes that apply to the first request.
+    limits : callable
+        Returns the `CallerLimits` in force.
     intake : IntakeLimits
         Further limits.
+    now : callable
+        Returns the time in ms.
     """
 
-    def __init__(self, limits: CallerLimits, intake: IntakeLimits) -> None:
+    def __init__(
+        self,
+        limits: Callable[[], CallerLimits],
+        intake: IntakeLimits,
+        now: Callable[[], int],
+    ) -> None:
+        self.now = now
+        self.current_limits = limits
         self.started_at: int | None = None
         self.body_bytes = 0
         self.in_head = False
-        self.limits = limits
+        self.limits = limits()
         self._intake = intake
         # None once the connection reads nothing more.  The parser refers back
         # to this object, so that it is dropped to free the memory at once.
@@ -49,6 +59,7 @@
         self._body: bytes | bytearray = b''
         self._head_bytes = 0
         self._framing_bytes = 0
+        self._slice_bytes = 0
         # Bytes of all bodies of the connection.
         self._delivered = 0
         self._trailer_lines = 0
@@ -56,14 +67,6 @@
 
     # What the connection does -------------------------------------------
 
-    @abc.abstractmethod
-    def now(self) -> int:
-        """Return the time in ms."""
-
-    @abc.abstractmethod
-    def current_limits(self) -> CallerLimits:
-        """Return the limits in force."""
-
     @abc.abstractmethod
     def refuse(self, status: int, limit: str = '') -> None:
         """Answer with an error that names a limit; read nothing more."""
@@ -142,6 +145,7 @@
             return
         if self.in_head or not self._fields:
             self._head_bytes += len(piece)
+        self._slice_bytes = len(piece)
         delivered = self._delivered
         try:
             parser.feed_data(piece)
@@ -213,15 +217,21 @@
         """Check the size of the head and the announced body length."""
         self.in_head = False
         limits = self.limits
-        size = sum(len(name) + len(text) + 4 for name, text in self._headers)
-        length = self._fields.get(b'content-length', b'0')
-        if size + len(self._url) > limits.header_bytes:
+        length = self._fields.get(b'content-length', b'')
+        # The head is within these bytes; mostly, they need no closer look.
+        most = self._head_bytes + self._slice_bytes
+        is_long = most > limits.header_bytes
+        if is_long and self._head_size() > limits.header_bytes:
             self._refuse_head('max_header_bytes')
         elif len(self._headers) > self._intake.max_header_lines:
             self._refuse_head('max_header_lines')
-        else:
+        elif length:
             self._check_length(length, limits.body_bytes)
 
+    def _head_size(self) -> int:
+        lines = sum(len(name) + len(text) + 4 for name, text in self._headers)
+        return lines + len(self._url)
+
     def _check_length(self, length: bytes, most: int) -> None:
         if not length.isdigit():
             return
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from typing import cast
 
-from savoryhold.traffic.routes import CallerLimits
 from savoryhold.wire.connection_memory import ConnectionMemory
 from savoryhold.wire.exchange import Exchange, HttpRequest
 from savoryhold.wire.memory_budget import PROCESS_BUDGET, STALL_S, Part
@@ -31,9 +30,11 @@
     """
 
     def __init__(self, server: Server) -> None:
-        super().__init__(server.limits(), server.intake, server.now())
+        super().__init__(server.limits, server.intake, server.now)
         self.server = server
         self.address = ''
+        # Replaced by the counts of the address once it is known.
+        self._count = server.counts.of_none()
         self.open_exchanges: deque[Exchange] = deque()
         self.idle_since = server.now()
         self._caller_closes = False
@@ -54,7 +55,7 @@
             self._transport.abort()
             return
         self.address = address
-        self.server.counts.add_connection(address, 1)
+        self._count = self.server.counts.open_connection(address)
 
     def data_received(self, received: bytes) -> None:
         """Parse bytes; malformed HTTP/1.1 is answered with 400."""
@@ -73,7 +74,7 @@
         """Deregister the connection."""
         if self in self.server.connections:
             self.server.connections.discard(self)
-            self.server.counts.add_connection(self.address, -1)
+            self._count.close()
         if self._close_timer is not None:
             self._close_timer.cancel()
         self._end()
@@ -82,40 +83,30 @@
     def pause_writing(self) -> None:
         """Write no further answers: the caller does not read."""
         assert self._transport is not None
-        self.progress_at = self.server.now()
+        self.progress_at = self.now()
         self._count_unread(self._transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Write the answers that have become ready meanwhile."""
-        self.progress_at = self.server.now()
+        self.progress_at = self.now()
         self._count_unread(0)
         self.flush()
 
     # Parsing ------------------------------------------------------------
 
-    def now(self) -> int:
-        """Return the time in ms."""
-        return self.server.now()
-
-    def current_limits(self) -> CallerLimits:
-        """Return the limits in force."""
-        return self.server.limits()
-
     def on_begun(self) -> None:
         """Count the request; refuse it beyond the limits on their number."""
-        counts = self.server.counts
-        counts.add_request(self.address, 1)
-        limit = counts.request_limit(self.address)
+        limit = self._count.begin_request()
         if limit:
             self.refuse(HTTPStatus.TOO_MANY_REQUESTS, limit)
 
     def on_dropped(self) -> None:
         """Count a request no longer that was not read to its end."""
-        self.server.counts.add_request(self.address, -1)
+        self._count.end_request()
 
     def on_request(self, req: HttpRequest, *, keep_alive: bool) -> None:
         """Queue the complete request for the handler."""
-        self.server.counts.add_request(self.address, -1)
+        self._count.end_request()
         if self._closing:
             return
         exchange = Exchange(self, req)
@@ -153,7 +144,7 @@
             return 0
         else:
             self._note_progress(self.body_bytes)
-        stalled_ms = self.server.now() - self.progress_at
+        stalled_ms = self.now() - self.progress_at
         if stalled_ms < STALL_S * MS_PER_SECOND:
             return 0
         answers = sum(one.held for one in self.open_exchanges if one.answered)
@@ -219,6 +210,7 @@
             if exchange.answer is None:
                 break
             self.open_exchanges.popleft()
+            exchange.written = True
             if len(exchange.answer) == 1:
                 transport.write(exchange.answer[0])
             else:
@@ -228,7 +220,7 @@
                 if unsent > SMALL_BODY:
                     self._count_unread(unsent)
             exchange.release()
-            self.idle_since = self.server.now()
+            self.idle_since = self.now()
             self.progress_at = self.idle_since
             if exchange.last:
                 self._close()
@@ -335,7 +327,7 @@
         if limit:
             PROCESS_BUDGET.refusals[limit] += 1
         self._release()
-        req = HttpRequest(b'', b'', [], b'', self.server.now(), {})
+        req = HttpRequest(b'', b'', [], b'', self.now(), {})
         exchange = Exchange(self, req)
         exchange.last = True
         self.open_exchanges.append(exchange)
