--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -5,7 +5,12 @@
 from functools import partial
 from http import HTTPStatus
 
-from savoryhold.core.errors import LinkError, RequestError, UncertainError
+from savoryhold.core.errors import (
+    LinkError,
+    RequestError,
+    UncertainError,
+    release_frames,
+)
 from savoryhold.core.ids import NodeId, ServiceName, Zone
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.admission import AdmissionTask
@@ -127,6 +132,7 @@
         except RequestError as exc:
             self._refuse(exchange, exc, state)
             self._count_refusal(state, exc)
+            release_frames(exc)
             return
         except asyncio.CancelledError:
             self._record_caller_gone(http, state)
@@ -183,6 +189,7 @@
             try:
                 answer = await self._try(state)
             except RequestError as exc:
+                release_frames(exc)
                 await self._prepare_retry(state, exc)
                 continue
             again = _has_failed(answer) and state.req.repeatable
--- a/src/savoryhold/mesh/local_target.py
+++ b/src/savoryhold/mesh/local_target.py
@@ -1,6 +1,7 @@
 """State of the local target: its reports, its leave and its end."""
 
 import asyncio
+import dataclasses
 from collections import deque
 from collections.abc import Callable
 
@@ -144,7 +145,9 @@
     ) -> None:
         """Record a request whose connection broke while it ran."""
         entries = self._reset if full else self._interrupted
-        entries.append((req, self._clock.now()))
+        # The fingerprint identifies it; its body is not kept.
+        bodiless = dataclasses.replace(req, body=b'')
+        entries.append((bodiless, self._clock.now()))
 
     def record_answer(self) -> None:
         """Forget resets that the target has survived, as it answers.
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -21,6 +21,7 @@
 from savoryhold.mesh.evacuations import EvacuationTask
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
+from savoryhold.mesh.intake_telemetry import IntakeLog, intake_gauges
 from savoryhold.mesh.interface import (
     NODE_KIND,
     Adapter,
@@ -39,8 +40,8 @@
 from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.telemetry import Telemetry
 from savoryhold.peer import Link, LinkStream, PeerPool, messages
-from savoryhold.traffic import RouteTable
-from savoryhold.wire import Exchange, HttpServer
+from savoryhold.traffic import CallerLimits, RouteTable
+from savoryhold.wire import PROCESS_BUDGET, Exchange, HttpServer
 
 __all__ = [
     'MeshNode',
@@ -69,6 +70,8 @@
 MAINTENANCE_MS = 1000
 FIGURES_ROUNDS = 10  # maintenance rounds between two lines of figures
 CONFIG_WATCHERS = 2  # per region; other nodes learn of changes from them
+MAX_REPORT_BYTES = 4_194_304  # with thousands of key ranges
+MAX_CHECK_BYTES = 65_536
 EXIT_OK = 0
 EXIT_FAILED = 1
 TRACE_FRAMES = 4
@@ -146,12 +149,23 @@
         self._reports = ReportHandler(
             adapter, context, self._proofs, self.departures
         )
+        PROCESS_BUDGET.set_memory(settings.memory_mb)
         self.caller_server = HttpServer(
-            self.ingress.handle, clock.now, self.configs.limits
+            self.ingress.handle,
+            clock.now,
+            self.configs.limits,
+            settings.intake,
         )
-        self.report_server = HttpServer(self._reports.handle, clock.now)
-        self.ready_server = HttpServer(self._on_ready, clock.now)
-        self.metrics_server = HttpServer(self._on_metrics, clock.now)
+        self.report_server = HttpServer(
+            self._reports.handle, clock.now, _limit_reports, settings.intake
+        )
+        self.ready_server = HttpServer(
+            self._on_ready, clock.now, _limit_checks, settings.intake
+        )
+        self.metrics_server = HttpServer(
+            self._on_metrics, clock.now, _limit_checks, settings.intake
+        )
+        self._intake_log = IntakeLog(self.log, PROCESS_BUDGET)
         self._lines = lines
         self._reload = reload
         self.draining = False
@@ -252,6 +266,9 @@
             self._placement.run(),
             self.pool.probe_silent_links(),
             self.caller_server.sweep(),
+            self.report_server.sweep(),
+            self.ready_server.sweep(),
+            self.metrics_server.sweep(),
             self._flush(),
             self._maintain(),
         ]
@@ -433,6 +450,7 @@
             'log_lines_lost': float(self._lines.lost_count),
             'reports_refused': float(self._reports.refused_count),
             **self.owner.capacity.gauges(),
+            **intake_gauges(PROCESS_BUDGET, self.caller_server),
         }
         exchange.reply(
             HTTPStatus.OK,
@@ -469,6 +487,7 @@
             await asyncio.sleep(MAINTENANCE_MS / MS_PER_SECOND)
             self.owner.heat.drop_cold_keys(self.clock.now())
             self.ingress.forecasts.refresh()
+            self._intake_log.write()
             rounds += 1
             if rounds % FIGURES_ROUNDS == 0:
                 self._log_figures()
@@ -564,6 +583,14 @@
     return leave_ms(grace_ms) - slack
 
 
+def _limit_reports() -> CallerLimits:
+    return CallerLimits(body_bytes=MAX_REPORT_BYTES)
+
+
+def _limit_checks() -> CallerLimits:
+    return CallerLimits(body_bytes=MAX_CHECK_BYTES)
+
+
 def _format_frames(exc: BaseException | None) -> str:
     """Return file and line of an exception's last frames, innermost last."""
     if exc is None:
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -19,6 +19,7 @@
 from savoryhold.wire import (
     NOT_FORWARDED,
     ClientAnswer,
+    ClientPool,
     HeaderNames,
     encode_headers,
 )
@@ -29,6 +30,7 @@
 DOWN_RETRY_MS = 400
 SHED_RETRY_MS = 25
 SHED_SMOOTHING = 0.05
+COPIED_BYTES = 65_536  # smaller bodies are joined with their head
 FOREIGN_HEADER = b'content-encoding'  # not written by targets
 
 
@@ -71,15 +73,9 @@
         if pool is None or life is None:
             raise TargetDownError('no target has reported', DOWN_RETRY_MS)
         left = req.deadline - now
-        request = self._request_bytes(req, left, life)
-        request_id = req.request.encode()
-        answer_matches = partial(
-            _has_request_id, self._names.request_id.lower(), request_id
-        )
+        head = self._head_bytes(req, left, life)
         try:
-            answer = await pool.ask(
-                request, left, answer_matches, on_sent, request_id
-            )
+            answer = await self._ask(pool, head, req, left, on_sent)
         except LinkError as exc:
             full = exc.sent and self.on_reset(self._clock.now() - now)
             raise self.link_error(req, exc, full=full) from exc
@@ -90,6 +86,26 @@
             self.on_load(answer.header(self._names.load.lower()))
         return answer
 
+    async def _ask(
+        self,
+        pool: ClientPool,
+        head: bytes,
+        req: RelayedRequest,
+        left: int,
+        on_sent: Callable[[], None],
+    ) -> ClientAnswer:
+        request_id = req.request.encode()
+        answer_matches = partial(
+            _has_request_id, self._names.request_id.lower(), request_id
+        )
+        if len(req.body) < COPIED_BYTES:
+            return await pool.ask(
+                head + req.body, left, answer_matches, on_sent, request_id
+            )
+        return await pool.ask(
+            head, left, answer_matches, on_sent, request_id, req.body
+        )
+
     def link_error(
         self, req: RelayedRequest, exc: LinkError, *, full: bool = False
     ) -> RequestError:
@@ -141,7 +157,7 @@
         head = encode_headers(answer.headers, NOT_FORWARDED)
         return RelayedAnswer(answer.status, head, answer.body, ran_ms)
 
-    def _request_bytes(
+    def _head_bytes(
         self, req: RelayedRequest, left: int, life: TargetLife
     ) -> bytes:
         names = self._names
@@ -153,7 +169,7 @@
         ]
         if req.body or req.method not in {b'GET', b'HEAD'}:
             lines.append(b'content-length: %d\r\n' % len(req.body))
-        lines.extend((b'\r\n', req.body))
+        lines.append(b'\r\n')
         return b''.join(lines)
 
 
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -1,8 +1,6 @@
 """One multiplexed connection to another node."""
 
 import asyncio
-import hmac
-import secrets
 from functools import partial
 from typing import cast
 
@@ -10,7 +8,15 @@
 from savoryhold.core.transit import TransitDelay
 from savoryhold.peer import messages
 from savoryhold.peer.endpoint import Endpoint
-from savoryhold.peer.frames import Frame, FrameReader, pack_frame
+from savoryhold.peer.frames import (
+    LARGE_BYTES,
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameReader,
+    pack_parts,
+)
+from savoryhold.peer.handshake import MAX_HANDSHAKE_BYTES, Handshake
+from savoryhold.peer.link_memory import LinkMemory
 from savoryhold.peer.resumable import ResumableCalls
 from savoryhold.peer.served_calls import ProcessId
 from savoryhold.peer.stream import LinkStream
@@ -18,9 +24,6 @@
 
 __all__ = ['Link']
 
-NONCE_BYTES = 16
-MAX_HANDSHAKE_BYTES = 1024
-
 
 class Link(asyncio.Protocol):
     """A connection between two nodes, authenticated by a shared secret.
@@ -31,11 +34,6 @@
         State that the links of this process share.
     dialled : bool
         Whether this end opened the connection.
-
-    Notes
-    -----
-    In the handshake, each end proves that it knows the secret by an
-    HMAC-SHA256 over the other end's nonce.
     """
 
     def __init__(self, endpoint: Endpoint, *, dialled: bool) -> None:
@@ -58,15 +56,20 @@
         # Whether a newer link of the peer's process has replaced this one.
         self.retired = False
         self._endpoint = endpoint
-        self._nonce = secrets.token_hex(NONCE_BYTES)
-        self._reader = FrameReader()
+        self._handshake = Handshake(endpoint, dialled=dialled)
+        self._resumable_calls = ResumableCalls(self, endpoint)
+        self._memory = LinkMemory(self, endpoint, self._resumable_calls)
+        self._reader = FrameReader(self._memory.may_hold)
+        # A peer that is not authenticated yet fills no memory.
+        self._reader.max_bytes = 2 * MAX_HANDSHAKE_BYTES
+        self._is_paused = False
+        self._writes_pause = False
         self._transport: asyncio.Transport | None = None
         # Calls opened by this end, and by the peer, by number; resumable
         # calls of the peer are in `Endpoint.served` instead.
         self._calls: dict[int, LinkStream] = {}
         self._served: dict[int, LinkStream] = {}
         self._closed = False
-        self._resumable_calls = ResumableCalls(self, endpoint)
 
     @property
     def closed(self) -> bool:
@@ -81,6 +84,9 @@
     @property
     def silent_since(self) -> float:
         """Return since when calls have waited without any bytes arriving."""
+        if self._is_paused:
+            # This end does not read.
+            return _now()
         return max(self.last_received, self.waiting_since)
 
     @property
@@ -109,7 +115,7 @@
         """Start the handshake; the accepting end sends the challenge."""
         self._transport = cast(asyncio.Transport, transport)
         if not self.dialled:
-            self.send(messages.Challenge(nonce=self._nonce), 0)
+            self.send(self._handshake.challenge(), 0)
 
     def data_received(self, received: bytes) -> None:
         """Parse bytes; malformed data closes the link."""
@@ -123,6 +129,32 @@
             self._endpoint.on_malformed(str(exc))
             self.abort(exc)
 
+    def pause_writing(self) -> None:
+        """Count the large replies that are sent from now on."""
+        self._writes_pause = True
+
+    def resume_writing(self) -> None:
+        """Count no replies, as the peer has read them."""
+        self._writes_pause = False
+        self._memory.on_drained()
+
+    def pause_reading(self) -> None:
+        """Leave the bytes of the peer unread."""
+        if self._transport is not None and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        self._is_paused = False
+        self.last_received = _now()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def served_call(self, number: int) -> LinkStream | None:
+        """Return a call of the peer that is not resumable."""
+        return self._served.get(number)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Close the link and end its calls."""
         self.abort(exc or ConnectionError('connection closed'))
@@ -132,6 +164,7 @@
         if self._closed:
             return
         self._closed = True
+        self._memory.close()
         self.reason = str(exc)
         self._endpoint.on_closed(self)
         if self._transport is not None:
@@ -220,12 +253,18 @@
         """
         if self._closed or self._transport is None:
             raise LinkError(f'link to {self.peer} is closed', sent=False)
-        payload = messages.encode(message)
+        parts = messages.encode_parts(message)
         code = messages.code_of(message)
-        frame = Frame(code, correlation, is_reply, payload, resumable)
-        packed = pack_frame(frame)
-        self.bytes_sent += len(packed)
-        self._transport.write(packed)
+        frame = Frame(code, correlation, is_reply, b'', resumable)
+        packed = pack_parts(frame, parts)
+        size = sum(map(len, packed))
+        self.bytes_sent += size
+        if len(packed) == 1:
+            self._transport.write(packed[0])
+        else:
+            self._transport.writelines(packed)
+        if self._writes_pause and is_reply and size > LARGE_BYTES:
+            self._memory.on_reply_sent(size)
 
     def forget(self, correlation: int, *, is_initiator: bool) -> None:
         """Drop the state of a call."""
@@ -244,8 +283,16 @@
 
     def _on_frame(self, frame: Frame) -> None:
         if not self.ready.done():
-            self._check_handshake(frame)
-        message = messages.decode(frame.code, frame.payload)
+            self._handshake.check_frame(frame)
+        if frame.dropped:
+            self._memory.refuse(frame)
+            return
+        is_large = len(frame.payload) > LARGE_BYTES
+        self._dispatch(frame, messages.decode(frame.code, frame.payload))
+        if is_large:
+            self._memory.on_handled(frame)
+
+    def _dispatch(self, frame: Frame, message: messages.Message) -> None:
         if not self.ready.done():
             self._on_handshake(message)
         elif frame.is_reply:
@@ -278,48 +325,16 @@
         # no `finally`; a callback always runs.
         served.task.add_done_callback(partial(_close, served))
 
-    def _check_handshake(self, frame: Frame) -> None:
-        small = len(frame.payload) <= MAX_HANDSHAKE_BYTES
-        if not small or not messages.is_handshake(frame.code):
-            raise MalformedMessageError('link does not start with a handshake')
-
     def _on_handshake(self, message: messages.Message) -> None:
-        node, life = self._endpoint.node, self._endpoint.life
-        if isinstance(message, messages.Challenge) and self.dialled:
-            mac = self._mac(message.nonce, node)
-            hello = messages.Hello(
-                node=node, nonce=self._nonce, mac=mac, life=life
-            )
-            self.send(hello, 0)
-        elif isinstance(message, messages.Hello) and not self.dialled:
-            self._authenticate(message, self._nonce)
-            mac = self._mac(message.nonce, node)
-            self.send(messages.Welcome(node=node, mac=mac, life=life), 0)
-        elif isinstance(message, messages.Welcome) and self.dialled:
-            self._authenticate(message, self._nonce)
-        else:
-            name = type(message).__name__
-            raise MalformedMessageError(
-                f'{name} is out of order in the handshake'
-            )
-
-    def _authenticate(self, message: messages.Message, nonce: str) -> None:
-        node = message.node
-        expected = self._mac(nonce, node)
-        if not hmac.compare_digest(
-            str(message.mac).encode(), expected.encode()
-        ):
-            raise MalformedMessageError(
-                f'handshake of {node!r} does not prove the shared secret'
-            )
-        self.peer = node
-        self.life = message.life or ''
-        self.order = next(self._endpoint.link_orders)
-        self.ready.set_result(None)
-
-    def _mac(self, nonce: str, node: str) -> str:
-        text = f'{nonce}|{node}'.encode()
-        return hmac.new(self._endpoint.secret, text, 'sha256').hexdigest()
+        reply = self._handshake.reply_to(message)
+        if not isinstance(message, messages.Challenge):
+            self.peer = message.node
+            self.life = message.life or ''
+            self._reader.max_bytes = MAX_FRAME_BYTES
+            self.order = next(self._endpoint.link_orders)
+            self.ready.set_result(None)
+        if reply is not None:
+            self.send(reply, 0)
 
 
 def _close(call: LinkStream, task: 'asyncio.Task[None]') -> None:
