Requests stay in their region and leave scarce targets to confined ones

Change: a target in another region, or in a region that some routes are confined to, has to gain a part of the latency objective; old news tends to the mean more slowly; a nested call has the priority of its run and precedes requests of that priority; a waiting request that is expected to start too late is refused; registration and metrics of a node are modules of their own.

--- a/src/savoryhold/mesh/admission.py
+++ b/src/savoryhold/mesh/admission.py
@@ -59,16 +59,32 @@
             routes is not None and Feature.FAIR_ADMISSION in routes.cfg.features
         )
 
-    def begin(self, req: RelayedRequest, *, nested: bool) -> RelayedRequest:
+    def begin(
+        self, req: RelayedRequest, *, nested: bool, priority: int
+    ) -> RelayedRequest:
         """Return the request with its standing; `end` must follow.
 
+        Parameters
+        ----------
+        req : RelayedRequest
+            The request as read.
+        nested : bool
+            Whether a run at the local target makes it.
+        priority : int
+            Priority of that run.
+
         Raises
         ------
         EarlyReturnError
             If its caller was told to wait for longer; `end` must not follow.
         """
         if nested:
-            return dataclasses.replace(req, nested=True, origin=self._node)
+            return dataclasses.replace(
+                req,
+                nested=True,
+                origin=self._node,
+                priority=priority,
+            )
         now = self._clock.now()
         standing = self.returns.begin(req.fingerprint, now)
         if standing is Standing.EARLY:
--- a/src/savoryhold/mesh/forecasts.py
+++ b/src/savoryhold/mesh/forecasts.py
@@ -4,7 +4,7 @@
 import itertools
 
 from savoryhold.core.errors import RequestError
-from savoryhold.core.ids import NodeId
+from savoryhold.core.ids import NodeId, Region
 from savoryhold.mesh.members import Member
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.requests import RelayedAnswer, RelayedRequest
@@ -82,7 +82,20 @@
     def transfer(self, req: RelayedRequest, *, large: bool) -> Transfer:
         """Return what a request sends over links."""
         size = len(req.body) + self._answer_bytes.get(req.route, 0.0)
-        return Transfer(size, self._context.settings.link_mbps, large)
+        return Transfer(
+            size,
+            self._context.settings.link_mbps,
+            large,
+            max(0, req.aim_at - self._clock.now()),
+            self._scarce_regions(req),
+        )
+
+    def _scarce_regions(self, req: RelayedRequest) -> frozenset[Region]:
+        """Return the regions that other requests of a service cannot leave."""
+        routes = self._context.configs.routes
+        if routes is None or req.regions:
+            return frozenset()
+        return routes.confined_regions(req.service)
 
     # Targets ----------------------------------------------------------------
 
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -165,7 +165,10 @@
         if not self.admission.is_enabled():
             return await self._answer(state)
         nested = self._reader.is_nested_call(state.req.request)
-        state.req = self.admission.begin(state.req, nested=nested)
+        priority = self._reader.run_priority(state.req)
+        state.req = self.admission.begin(
+            state.req, nested=nested, priority=priority
+        )
         refusal: RequestError | None = None
         answer: RelayedAnswer | None = None
         try:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 import signal
 import traceback
 from collections.abc import Callable, Coroutine
@@ -11,9 +10,8 @@
 
 from savoryhold import __version__
 from savoryhold.core.clock import BootClock
-from savoryhold.core.decoding import UNREADABLE, host_port, plain_text
-from savoryhold.core.errors import ConfigurationError, PlatformError
-from savoryhold.core.ids import NodeId, Region, Zone
+from savoryhold.core.errors import ConfigurationError
+from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import LineBuffer, get_log
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.config_checks import ConfigCheckTask
@@ -21,19 +19,18 @@
 from savoryhold.mesh.evacuations import EvacuationTask
 from savoryhold.mesh.inbound_links import InboundLinks
 from savoryhold.mesh.ingress import IngressTask
-from savoryhold.mesh.intake_telemetry import IntakeLog, intake_gauges
 from savoryhold.mesh.interface import (
-    NODE_KIND,
     Adapter,
-    StoreConflictError,
 )
 from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.node_context import NodeContext
+from savoryhold.mesh.node_metrics import NodeMetrics
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.peers import PeerTask
 from savoryhold.mesh.place_rules import PlaceRules
 from savoryhold.mesh.placement import PlacementTask
 from savoryhold.mesh.places import Place
+from savoryhold.mesh.registration import RegistrationTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.settings import MeshSettings
 from savoryhold.mesh.table_proofs import TableProofTask
@@ -143,6 +140,9 @@
         self._evacuations = EvacuationTask(context, adapter)
         self._config_checks = ConfigCheckTask(context)
         self.departures = Departures(settings.node, adapter.store, self.log)
+        self._registration = RegistrationTask(
+            context, adapter.store, self.departures, self.peers
+        )
         self._proofs = TableProofTask(context)
         self.telemetry = Telemetry(clock, self.log)
         self.ingress = IngressTask(context, adapter.names, self.telemetry)
@@ -165,7 +165,7 @@
         self.metrics_server = HttpServer(
             self._on_metrics, clock.now, _limit_checks, settings.intake
         )
-        self._intake_log = IntakeLog(self.log, PROCESS_BUDGET)
+        self._metrics = NodeMetrics(context, self.caller_server)
         self._lines = lines
         self._reload = reload
         self.draining = False
@@ -256,7 +256,7 @@
             self.configs.run(),
             self._config_checks.run(),
             self._evacuations.run(),
-            self._register(),
+            self._registration.run(),
             self.peers.run(),
             self.peers.digests.run(),
             self.owner.tick(),
@@ -289,62 +289,6 @@
             except OSError as exc:
                 self.log.warning('metrics_unavailable', error=str(exc))
 
-    async def _register(self) -> None:
-        """Register this node in the store, and read the other nodes."""
-        while True:
-            try:
-                await self._register_once()
-            except PlatformError as exc:
-                self.log.info('register_failed', error=str(exc))
-                pause = REGISTER_RETRY_MS * (0.5 + random.random())
-                await asyncio.sleep(pause / MS_PER_SECOND)
-            else:
-                return
-
-    async def _register_once(self) -> None:
-        cfg = self.settings
-        spec = {
-            'address': cfg.advertised,
-            'zone': cfg.zone,
-            'region': cfg.region,
-        }
-        store = self.adapter.store
-        try:
-            await store.create(NODE_KIND, cfg.node, spec)
-        except StoreConflictError:
-            self.log.debug('already_registered')
-        # Read after the write, so that at least one of two nodes that start
-        # together finds the other.
-        specs = await self._read_registry()
-        stored = specs.get(cfg.node)
-        if stored is not None:
-            self.departures.restore(stored)
-        self.departures.loaded.set()
-        spec = self.departures.add_to(spec)
-        if stored != spec:
-            await store.replace(NODE_KIND, cfg.node, spec, None)
-        self.log.info('registered', members=len(self.members.addresses))
-        self.peers.introduce()
-        if self.members.by_zone:
-            await self.peers.digests.pull()
-
-    async def _read_registry(self) -> dict[str, Any]:
-        listing = await self.adapter.store.list(NODE_KIND)
-        if listing.unreadable:
-            self.log.warning('entries_unreadable', count=listing.unreadable)
-        for entry in listing.objects:
-            try:
-                address = host_port(entry.spec['address'])
-                place = _place_of(entry.spec)
-            except UNREADABLE as exc:
-                self.log.warning(
-                    'entry_unreadable', name=entry.name, error=repr(exc)
-                )
-            else:
-                self.members.add_address(NodeId(entry.name), address, place)
-        self.members.registry_loaded = True
-        return {node.name: node.spec for node in listing.objects}
-
     async def _on_peer(
         self, call: LinkStream, message: messages.Message
     ) -> None:
@@ -425,32 +369,10 @@
 
     def _on_metrics(self, exchange: Exchange) -> None:
         gauges = {
-            'keys_owned': float(self.tables.owned_key_count()),
-            'config_version': float(self.configs.version),
-            'routes_refused': float(self.configs.refused_count()),
-            'zones_evacuated': float(len(self._places.evacuated)),
-            'evacuations_at': float(self._places.evacuated_at),
-            'config_announced': float(self.configs.follower.announced),
-            'config_pulls_failed': float(self.configs.failed_pulls),
-            'target_connections_opened': float(
-                self.owner.target.pool.opened if self.owner.target.pool else 0
-            ),
-            'table_writes': float(self.tables.writer.writes),
-            'key_moves': float(self.tables.writer.moves),
-            'runs_stopped': float(self.owner.runs.stopped_count),
-            'queue_waiting': float(len(self.owner.queue.waiting)),
-            'queue_running': float(len(self.owner.queue.running)),
-            'members_heard': float(
-                len(self.members.live_members(self.clock.now()))
-            ),
-            'links_probed': float(self.pool.probed),
-            'links_replaced': float(self.pool.replaced),
-            'calls_moved': float(self.pool.moved),
+            **self._metrics.gauges(),
             'calls_cut': float(self._calls_cut),
             'log_lines_lost': float(self._lines.lost_count),
             'reports_refused': float(self._reports.refused_count),
-            **self.owner.capacity.gauges(),
-            **intake_gauges(PROCESS_BUDGET, self.caller_server),
         }
         exchange.reply(
             HTTPStatus.OK,
@@ -487,7 +409,7 @@
             await asyncio.sleep(MAINTENANCE_MS / MS_PER_SECOND)
             self.owner.heat.drop_cold_keys(self.clock.now())
             self.ingress.forecasts.refresh()
-            self._intake_log.write()
+            self._metrics.log_refusals()
             rounds += 1
             if rounds % FIGURES_ROUNDS == 0:
                 self._log_figures()
@@ -559,14 +481,6 @@
         )
 
 
-def _place_of(spec: dict[str, Any]) -> Place:
-    """Return the place that a node has registered."""
-    return Place(
-        Zone(plain_text(spec.get('zone', ''), least=0)),
-        Region(plain_text(spec.get('region', ''), least=0)),
-    )
-
-
 def linger_ms(grace_ms: int) -> int:
     """Return how long a leaving node waits for readiness checks."""
     return min(LINGER_MS, round(grace_ms * LINGER_SHARE))
--- a/src/savoryhold/mesh/run_tracker.py
+++ b/src/savoryhold/mesh/run_tracker.py
@@ -53,6 +53,11 @@
         """Return whether a request runs."""
         return run in self._running
 
+    def priority_of(self, run: RequestId, usual: int) -> int:
+        """Return the priority of a request that runs, else the usual one."""
+        req = self._running.get(run)
+        return usual if req is None else req.priority
+
     def record_call(self, run: RequestId, service: ServiceName) -> bool:
         """Record a nested call; return whether its run is a repeat."""
         req = self._running.get(run)
--- a/src/savoryhold/mesh/tests/test_departures.py
+++ b/src/savoryhold/mesh/tests/test_departures.py
@@ -6,12 +6,18 @@
 from unittest import mock
 
 from savoryhold.core.errors import PlatformError, VersionConflictError
-from savoryhold.core.ids import NodeId, ServiceName, Version
+from savoryhold.core.ids import NodeId, Region, ServiceName, Version
 from savoryhold.daemon.logs import get_log
 from savoryhold.mesh.departures import Departures
-from savoryhold.mesh.interface import StoredObject, TargetLeave, TargetReport
-from savoryhold.mesh.node import MeshNode
+from savoryhold.mesh.interface import (
+    Listing,
+    StoredObject,
+    TargetLeave,
+    TargetReport,
+)
+from savoryhold.mesh.members import MemberTable
 from savoryhold.mesh.owner import OwnerTask
+from savoryhold.mesh.registration import RegistrationTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.tests.fleet import LoopClock, mesh_settings
 from savoryhold.mesh.tests.virtual_time import VirtualTimeCase
@@ -218,22 +224,23 @@
         entry = self.registry.spec
         store = mock.AsyncMock()
         store.create.side_effect = VersionConflictError('exists')
-        node = SimpleNamespace(
+        entry = entry | {'zone': 'z', 'region': 'r'}
+        store.list.return_value = Listing(
+            1, (StoredObject(NODE, Version(1), entry),)
+        )
+        departures = Departures(NODE, store, get_log(node=NODE))
+        context = SimpleNamespace(
             settings=mesh_settings(NODE, FILES),
-            adapter=SimpleNamespace(store=store),
-            departures=Departures(NODE, store, get_log(node=NODE)),
             log=get_log(node=NODE),
-            members=SimpleNamespace(addresses={}, by_zone=False),
-            peers=mock.Mock(),
-            _read_registry=mock.AsyncMock(
-                return_value={
-                    NODE: entry | {'zone': 'z', 'region': 'r'},
-                }
-            ),
+            members=MemberTable(NODE, Region('r')),
+        )
+        task = RegistrationTask(
+            cast(Any, context), store, departures, mock.Mock()
         )
         with mock.patch(
-            'savoryhold.mesh.node.StoreConflictError', VersionConflictError
+            'savoryhold.mesh.registration.StoreConflictError',
+            VersionConflictError,
         ):
-            await MeshNode._register_once(cast(Any, node))
+            await task.register()
         store.replace.assert_not_called()
-        self.assertTrue(node.departures.is_stored(LIFE))
+        self.assertTrue(departures.is_stored(LIFE))
--- a/src/savoryhold/mesh/tests/test_odd_entries.py
+++ b/src/savoryhold/mesh/tests/test_odd_entries.py
@@ -18,7 +18,7 @@
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.interface import Listing, StoredObject
 from savoryhold.mesh.members import MemberTable
-from savoryhold.mesh.node import MeshNode
+from savoryhold.mesh.registration import RegistrationTask
 from savoryhold.mesh.tables import TableTask
 from savoryhold.mesh.tests.fleet import mesh_settings
 from savoryhold.mesh.tests.virtual_time import LoopClock, VirtualTimeCase
@@ -218,16 +218,15 @@
                 {'address': good[0][1], 'region': ['r']},
             )
         )
-        node = SimpleNamespace(
-            adapter=SimpleNamespace(
-                store=SimpleNamespace(
-                    list=mock.AsyncMock(return_value=Listing(1, tuple(entries)))
-                )
-            ),
-            members=members,
-            log=get_log(node='n'),
+        store = mock.AsyncMock()
+        store.list.return_value = Listing(1, tuple(entries))
+        context = SimpleNamespace(
+            settings=None, members=members, log=get_log(node='n')
+        )
+        task = RegistrationTask(
+            cast(Any, context), store, mock.Mock(), mock.Mock()
         )
-        await MeshNode._read_registry(cast(Any, node))
+        await task.read_registry()
         self.assertEqual(members.addresses, dict(good))
 
     async def test_port_out_of_range_is_a_failed_dial(self) -> None:
--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -18,6 +18,10 @@
 ]
 
 ZONE_MS = 4.0  # round trip between zones, plus the relay hop
+# Parts of the latency objective that a target has to gain: one in another
+# region, and one in a region that other requests cannot leave.
+REMOTE_SHARE = 0.25
+SCARCE_SHARE = 0.5
 REGION_MS = 22.0  # round trip between regions, plus the relay hop
 LARGE_ZONE_MS = 60.0  # a large answer fills the narrow links of a zone
 LARGE_REGION_MS = 600.0  # and even more the only link between regions
@@ -27,7 +31,7 @@
 REGION_BYTES_FACTOR = 10.0  # all hosts share the link between two regions
 MIN_ACCEPTANCE = 0.05
 RETRY_MS = 60.0  # pause and hops of the try after a refusal
-NEWS_MS = 1500.0  # over which reported work tends to the mean of the targets
+NEWS_MS = 6000.0  # over which reported work tends to the mean of the targets
 MIN_SPREAD_MS = 2.0  # differences below it are noise
 BACKLOG_SLOPE = 0.1  # wait for work that leaves slots free, by ms of work
 FREE_RUNS = 0.5  # runs in a slot of which the work makes nobody wait
@@ -83,15 +87,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Transfer:
-    """What a request sends over links.
+    """What a request sends over links, and where it should stay.
 
     ``size`` is that of its body and expected answer in bytes.  ``link_mbps`` is
-    the rate of the host's link, 0 if unknown.
+    the rate of the host's link, 0 if unknown.  ``aim_ms`` is what is left of
+    its latency objective.  Targets in the regions ``scarce`` are left to
+    requests that may not run elsewhere.
     """
 
     size: float = 0.0
     link_mbps: float = 0.0
     large: bool = False
+    aim_ms: float = 0.0
+    scarce: frozenset[Region] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -190,7 +198,9 @@
         if avoided:
             return Choice(rng.choice(avoided), (), explored=True)
     distances = [
-        _transfer_ms(outlook, origin, transfer) for outlook in outlooks
+        _transfer_ms(outlook, origin, transfer)
+        + _place_ms(outlook, origin, transfer)
+        for outlook in outlooks
     ]
     costs, rates = _costs_and_rates(outlooks, distances, usual_ms)
     level = _level(costs, rates, _arriving_ms(outlooks, distances, rates))
@@ -269,6 +279,22 @@
     return level
 
 
+def _place_ms(target: Outlook, origin: Origin, transfer: Transfer) -> float:
+    """Return the time that a target has to gain because of its region.
+
+    Notes
+    -----
+    The link between regions is narrow, and targets of a region that some
+    requests may not leave are scarce.
+    """
+    share = 0.0
+    if target.region != origin.region:
+        share += REMOTE_SHARE
+    if target.region in transfer.scarce:
+        share += SCARCE_SHARE
+    return share * transfer.aim_ms
+
+
 def _transfer_ms(target: Outlook, origin: Origin, transfer: Transfer) -> float:
     """Return the time that the network adds to a request."""
     if target.is_local:
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -315,12 +315,18 @@
             for ticket in missed
             if (full and not ticket.nested)
             or self._ends_after(ticket, ticket.deadline, now)
+            or (self.fair and self._starts_too_late(ticket, now))
         ]
         found.extend(self._find_unfit(missed, now))
         for refused in found:
             self.waiting.pop(refused.ticket.number)
         return found
 
+    def _starts_too_late(self, ticket: Ticket, now: int) -> bool:
+        """Return whether a ticket is expected to start too late to end."""
+        starts_at = now + round(self.wait_ms(ticket, now))
+        return self._ends_after(ticket, ticket.deadline, starts_at)
+
     def _find_unfit(self, missed: list[Ticket], now: int) -> list[QueueRefusal]:
         """Return the tickets that a cold target cannot start in time.
 
--- a/src/savoryhold/traffic/routes.py
+++ b/src/savoryhold/traffic/routes.py
@@ -158,6 +158,7 @@
         self._credit: dict[tuple[str, ServiceName], float] = {}
         self._allowed: dict[str, AllowedRegions] = {}
         self._key_regions: dict[ServiceName, AllowedRegions] = {}
+        self._confined: dict[ServiceName, frozenset[Region]] = {}
         for entry in _in_listed_order(cfg):
             if entry.prefix is not None:
                 entries = self._hosts.setdefault(entry.host.lower(), [])
@@ -195,6 +196,10 @@
         """
         return self._key_regions.get(service, ANYWHERE)
 
+    def confined_regions(self, service: ServiceName) -> frozenset[Region]:
+        """Return the regions that some routes of a service are confined to."""
+        return self._confined.get(service, frozenset())
+
     def select_service(self, route: Route) -> ServiceName:
         """Select the service for the next request of a route.
 
@@ -219,6 +224,8 @@
         named = self._allowed.get(route.name, allowed)
         self._allowed[route.name] = named | allowed
         for part in route.parts:
+            confined = self.confined_regions(part.service)
+            self._confined[part.service] = confined | route.regions
             known = self._key_regions.get(part.service, allowed)
             open_to_all = known.is_anywhere or allowed.is_anywhere
             self._key_regions[part.service] = (
--- a/src/savoryhold/traffic/tickets.py
+++ b/src/savoryhold/traffic/tickets.py
@@ -4,7 +4,7 @@
 
 __all__ = ['QueueRefusal', 'Ticket']
 
-NESTED_PRIORITY = -1  # their runs hold slots of other targets meanwhile
+NESTED_RANK = -1  # their runs hold slots of other targets meanwhile
 RETURNING_RANK = 0
 NEW_RANK = 1
 
@@ -14,13 +14,14 @@
     """A request that is queued or running; times in ms.
 
     ``aim_at`` is when it should have ended, ``deadline`` when it must have.
-    Run times are measured for each ``kind``.  ``nested`` calls precede all
-    callers' requests, and ``returning`` requests precede others of their
-    priority.  ``origin`` is the node that it comes from.  ``urgency`` is the
-    place in the order of service: by priority, by rank within the priority,
-    and by aim.  An ``abandoned`` run goes on though its caller has gone.
-    ``expected_ms`` is the forecast of its run time at a target of usual pace, 0
-    if there is none, and ``size`` that of the body in bytes.
+    Run times are measured for each ``kind``.  ``nested`` calls, which have the
+    priority of their runs, precede callers' requests of that priority, and
+    ``returning`` requests precede new ones.  ``origin`` is the node that it
+    comes from.  ``urgency`` is the place in the order of service: by priority,
+    by rank within the priority, and by aim.  An ``abandoned`` run goes on
+    though its caller has gone.  ``expected_ms`` is the forecast of its run time
+    at a target of usual pace, 0 if there is none, and ``size`` that of the body
+    in bytes.
     """
 
     number: int
@@ -41,12 +42,12 @@
 
     def __post_init__(self) -> None:
         """Derive the urgency, which does not change while it waits."""
-        self.rank(RETURNING_RANK if self.returning else NEW_RANK)
+        rank = RETURNING_RANK if self.returning else NEW_RANK
+        self.rank(NESTED_RANK if self.nested else rank)
 
     def rank(self, rank: int) -> None:
         """Set the rank within the priority."""
-        priority = NESTED_PRIORITY if self.nested else self.priority
-        self.urgency = (priority, rank, self.aim_at, self.number)
+        self.urgency = (self.priority, rank, self.aim_at, self.number)
 
     def demote(self) -> None:
         """Rank the ticket behind others, as its node exceeds its share."""
