Frames that share a read, and late answers, are given back to the budget

An answer to a caller that had left was counted for good. A connection with unread data took requests while the node drained.

--- a/src/savoryhold/peer/frames.py
+++ b/src/savoryhold/peer/frames.py
@@ -124,7 +124,8 @@
         head = _HEAD.unpack_from(self._buffer)
         size = _LENGTH_BYTES + head[0]
         self._check_size(head[0])
-        if size > LARGE_BYTES and not self._is_admitted and self._may_hold:
+        is_large = size - _HEAD.size > LARGE_BYTES
+        if is_large and not self._is_admitted and self._may_hold:
             self._is_admitted = self._may_hold(_frame(head, b''), size)
             if not self._is_admitted:
                 dropped = dataclasses.replace(_frame(head, b''), dropped=True)
@@ -138,7 +139,7 @@
 
     def _cut(self, head: tuple[int, ...], size: int) -> Frame:
         """Return the first frame, and keep the rest in the buffer."""
-        if size <= LARGE_BYTES:
+        if size - _HEAD.size <= LARGE_BYTES:
             payload = bytes(memoryview(self._buffer)[_HEAD.size : size])
             del self._buffer[:size]
         else:
--- a/src/savoryhold/peer/link_memory.py
+++ b/src/savoryhold/peer/link_memory.py
@@ -1,6 +1,7 @@
 """The memory of a link's large frames, counted in the process's budget."""
 
 import asyncio
+from collections import deque
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -41,8 +42,9 @@
         self._resumable = resumable
         self._link = link
         self._endpoint = endpoint
-        # Bytes counted for the frame that is arriving.
-        self._held = 0
+        # Sizes of the frames that arrive or wait for `on_handled`, in order:
+        # one read may complete a frame and begin the next.
+        self._held: deque[int] = deque()
         self._waiter: Waiter | None = None
         # Bytes of large replies in the buffer of a peer that does not read.
         self._unread = 0
@@ -64,12 +66,15 @@
             PROCESS_BUDGET.take(Part.RELAYS, size)
             if not has_room and self._waiter is None:
                 self._wait(size)
-        self._held = size
+        self._held.append(size)
         return True
 
     def on_handled(self, frame: Frame) -> None:
         """Release a frame with its call, if it began one, else at once."""
-        size, self._held = self._held, 0
+        if not self._held:
+            # The message closed the link.
+            return
+        size = self._held.popleft()
         task = None if frame.is_reply else self._task_of(frame)
         if task is None or task.done():
             PROCESS_BUDGET.give_later(Part.RELAYS, size)
@@ -106,8 +111,8 @@
     def close(self) -> None:
         """Release what the closed link holds."""
         self.on_drained()
-        PROCESS_BUDGET.give(Part.RELAYS, self._held)
-        self._held = 0
+        PROCESS_BUDGET.give(Part.RELAYS, sum(self._held))
+        self._held.clear()
         if self._waiter is not None:
             PROCESS_BUDGET.forget(self._waiter)
             self._waiter = None
--- a/src/savoryhold/peer/tests/test_large_frames.py
+++ b/src/savoryhold/peer/tests/test_large_frames.py
@@ -139,6 +139,16 @@
         await asyncio.sleep(0.01)
         self.assertEqual(self.budget.used, 0)
 
+    # One read completes a frame and begins the next; the first was counted on.
+    async def test_frames_that_share_a_read_are_all_given_back(self) -> None:
+        """The bytes of both frames are given back."""
+        self.may_end.set()
+        frame = packed(relay(), resumable=False)
+        await self.receive(frame + frame[:100])
+        await self.receive(frame[100:])
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.budget.used, 0)
+
     async def test_request_without_room_is_refused_and_never_runs(self) -> None:
         """It is refused as not run, also when it arrives once more."""
         self.budget.set_memory(60)
--- a/src/savoryhold/wire/exchange.py
+++ b/src/savoryhold/wire/exchange.py
@@ -51,11 +51,11 @@
         '_held',
         '_part',
         'conn',
+        'done',
         'last',
         'on_disconnect',
         'req',
         'size',
-        'written',
     )
 
     def __init__(self, conn: _Connection, req: HttpRequest) -> None:
@@ -63,8 +63,8 @@
         self.req = req
         self.size = size_of(req)
         self.on_disconnect: Callable[[], None] | None = None
-        # Whether the answer has been passed to the transport.
-        self.written = False
+        # Whether the answer has been written, or nobody waits for it.
+        self.done = False
         # Whether the connection closes after this answer.
         self.last = False
         self._answer: tuple[bytes, ...] | None = None
@@ -142,7 +142,7 @@
         self.req.body = b''
         self.release()
         self.conn.flush()
-        if not self.written:
+        if not self.done:
             self.hold(Part.ANSWERS, len(first) + len(body))
 
     def abort(self) -> None:
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -187,6 +187,7 @@
         self._waiting.clear()
         while self.open_exchanges:
             exchange = self.open_exchanges.popleft()
+            exchange.done = True
             exchange.release()
             if exchange.on_disconnect is not None and not exchange.answered:
                 exchange.on_disconnect()
@@ -210,7 +211,7 @@
             if exchange.answer is None:
                 break
             self.open_exchanges.popleft()
-            exchange.written = True
+            exchange.done = True
             if len(exchange.answer) == 1:
                 transport.write(exchange.answer[0])
             else:
@@ -235,7 +236,8 @@
             if now - self.progress_at > self.server.intake.max_unread_ms:
                 PROCESS_BUDGET.refusals['max_unread_ms'] += 1
                 self.abort()
-            return
+            if not self.server.closing:
+                return
         if self.started_at is not None:
             self._sweep_request(now, now - self.started_at)
             return
--- a/src/savoryhold/wire/tests/test_intake.py
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -177,6 +177,22 @@
         self.assertEqual(self.server.counts.open, 0)
         self.assertEqual(self.server.counts.unfinished, 0)
 
+    # An answer to a caller that had left was counted for good.
+    async def test_late_answer_counts_nothing(self) -> None:
+        """A handler that answers after the caller has left holds nothing."""
+        found: list[Exchange] = []
+        self.server.handler = found.append
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        writer.write(HEAD + b'\r\n')
+        async with asyncio.timeout(LIMIT_S):
+            while not found:
+                await asyncio.sleep(0.01)
+            writer.close()
+            while self.server.connections:
+                await asyncio.sleep(0.01)
+        found[0].reply(200, b'', bytes(LARGE_BYTES))
+        self.assertEqual(self.budget.used, 0)
+
     async def test_answers_are_granted_before_requests(self) -> None:
         """Room goes to an answer first: it will release its request."""
         self.budget.set_memory(75)
