The spread over stale news is bounded by the latency objective

Cause: under overload, targets refuse what exceeds a part of the objective, so that the work assumed to fill them during the age of the news never does; nodes then chose nearly at random.

--- a/src/savoryhold/traffic/choice.py
+++ b/src/savoryhold/traffic/choice.py
@@ -31,7 +31,8 @@
 REGION_BYTES_FACTOR = 10.0  # all hosts share the link between two regions
 MIN_ACCEPTANCE = 0.05
 RETRY_MS = 60.0  # pause and hops of the try after a refusal
-NEWS_MS = 6000.0  # over which reported work tends to the mean of the targets
+NEWS_MS = 3000.0  # over which reported work tends to the mean of the targets
+SPREAD_SHARE = 0.15  # of the latency objective, by which queues fill unseen
 MIN_SPREAD_MS = 2.0  # differences below it are noise
 BACKLOG_SLOPE = 0.1  # wait for work that leaves slots free, by ms of work
 FREE_RUNS = 0.5  # runs in a slot of which the work makes nobody wait
@@ -203,7 +204,8 @@
         for outlook in outlooks
     ]
     costs, rates = _costs_and_rates(outlooks, distances, usual_ms)
-    level = _level(costs, rates, _arriving_ms(outlooks, distances, rates))
+    arriving = _arriving_ms(outlooks, distances, rates, transfer)
+    level = _level(costs, rates, arriving)
     chances = [
         max(0.0, level - cost) * rate
         for cost, rate in zip(costs, rates, strict=True)
@@ -245,20 +247,24 @@
     outlooks: Sequence[Outlook],
     distances: Sequence[float],
     rates: Sequence[float],
+    transfer: Transfer,
 ) -> float:
     """Return the work that the targets are assumed to get unseen.
 
     Notes
     -----
+    Admission bounds the queues by a part of the latency objective, so that
+    beyond it more work is refused instead of filling a target.
     What arrives near a distant target stays there, so it does not fill the
     near ones.
     """
     demand = sum(outlook.demand for outlook in outlooks)
     load = min(1.0, demand / sum(rates))
     nearest = min(distances)
+    most = transfer.aim_ms * SPREAD_SHARE or math.inf
     arriving = 0.0
     for outlook, distance, rate in zip(outlooks, distances, rates, strict=True):
-        spread = outlook.age_ms * load**3 + MIN_SPREAD_MS
+        spread = min(most, outlook.age_ms * load**3 + MIN_SPREAD_MS)
         arriving += rate * spread * spread / (spread + distance - nearest)
     return arriving
 
