The end of an evacuation makes the local target count as cold

Cause: the hook of the evacuations looked for a method that the target's state does not have, so that a target taken back was not limited until its next report.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -229,9 +229,7 @@
         self._evacuations.should_watch = self._should_watch_config
         self._evacuations.pull_statuses = self.peers.digests.pull
         self._evacuations.on_announce = self.peers.broadcast_status
-        self._evacuations.on_ended = getattr(
-            self.owner.target, 'suspect_cold', self._evacuations.on_ended
-        )
+        self._evacuations.on_ended = self.owner.on_evacuation_ended
         self.members.on_status = self._evacuations.on_status
         self.tables.keyed_services = self.configs.keyed_services
         self.configs.should_watch = self._should_watch_config
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -108,6 +108,10 @@
         """Treat the target as cold until its next report."""
         self.capacity.suspect_cold(reason)
 
+    def on_evacuation_ended(self) -> None:
+        """Process the end of an evacuation, after which the target is cold."""
+        self.suspect_cold('evacuation ended')
+
     def wake_soon(self) -> None:
         """Recheck waiting requests once the target has read a reply."""
         loop = asyncio.get_running_loop()
