--- a/src/savoryhold/mesh/target_capacity.py
+++ b/src/savoryhold/mesh/target_capacity.py
@@ -177,6 +177,8 @@
         bool
             Whether the target may have been full.
         """
+        if not self._by_cost():
+            return False
         slots, now = self._slots(), self._clock.now()
         before = self.fullness.usable(slots, now)
         if not self.fullness.record_reset(ran_ms, running, slots, now):
@@ -202,8 +204,7 @@
         acceptance : float
             Share of the requests that the target does not refuse.
         """
-        routes = self.routes()
-        if routes is None or Feature.COST_ROUTING not in routes.cfg.features:
+        if not self._by_cost():
             return {}
         pace = self.load.mean_pace(self._clock.now())
         return {
@@ -211,6 +212,13 @@
             'acceptance': round(acceptance, FIGURE_DIGITS),
         }
 
+    def _by_cost(self) -> bool:
+        """Return whether the configuration asks for routing by cost."""
+        routes = self.routes()
+        return (
+            routes is not None and Feature.COST_ROUTING in routes.cfg.features
+        )
+
     def gauges(self) -> dict[str, float]:
         """Return figures for the metrics."""
         now = self._clock.now()
--- a/src/savoryhold/mesh/tests/test_target_capacity.py
+++ b/src/savoryhold/mesh/tests/test_target_capacity.py
@@ -180,6 +180,7 @@
         """It lowers the bound; it is a strike if the target has ended."""
         strikes: list[Strike] = []
         self.owner.target.on_strike = strikes.append
+        self.configure(frozenset(Feature))
         for survives in (True, False):
             await asyncio.sleep(1)
             self.report()
@@ -196,6 +197,16 @@
                 self.assertEqual(bool(strikes), not survives)
                 self.assertEqual(self.owner.queue.capacity().slots, 4)
 
+    # Lost answers of quick runs took slots of targets that never reset.
+    async def test_reset_without_the_feature(self) -> None:
+        """It changes nothing where the configuration does not ask for it."""
+        self.configure(frozenset())
+        self.report()
+        self.pool.error = LinkError('reset', sent=True)
+        runs = [self.submit(number) for number in range(3)]
+        await asyncio.gather(*runs, return_exceptions=True)
+        self.assertEqual(self.owner.queue.capacity().slots or 4, 4)
+
     # A handshake holds a slot of such a target, which reset the request behind
     # it; one that was reset at once waited for its whole deadline.
     async def test_connection_settles_before_its_first_request(self) -> None:
--- a/src/savoryhold/traffic/fullness.py
+++ b/src/savoryhold/traffic/fullness.py
@@ -9,8 +9,9 @@
 __all__ = ['FullnessBound', 'may_send_bytes']
 
 MS_PER_SECOND = 1000
-# A full target resets at once; later breaks are those of running requests.
-QUICK_RESET_MS = 50
+# A full target resets at once.  Later breaks are those of running requests,
+# such as lost answers; some runs take tens of ms only.
+QUICK_RESET_MS = 10
 MIN_BUSY = 2  # requests at the target; one alone does not fill it
 BUSY_SHARE = 0.5  # of the usable slots; runs unknown to the node may have more
 LOWER_FACTOR = 0.8
