Run times and arrival rates of a queue are modules of their own

Change: run_times (averages and forecasts, long kinds, when a slot is free) and arrival_rates; the queue orders, admits and refuses.

--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -7,28 +7,21 @@
 are refused if there are none.
 """
 
-import dataclasses
-import math
 from collections.abc import Callable
 from operator import attrgetter
 
+from savoryhold.traffic.arrival_rates import ArrivalRates, Level
 from savoryhold.traffic.capacity import Capacity, unlimited
 from savoryhold.traffic.fullness import may_send_bytes
-from savoryhold.traffic.remaining import MAX_EXPECTED_MS, WorkLeft
 from savoryhold.traffic.retry_schedule import RetrySchedule
 from savoryhold.traffic.returns import DUPLICATE_PENALTY
+from savoryhold.traffic.run_times import RunTimes
 from savoryhold.traffic.shares import KindTurns, NodeShares
 from savoryhold.traffic.tickets import QueueRefusal, Ticket
 
 __all__ = ['TargetQueue']
 
-MIN_LONG_MS = 100.0  # shorter requests do not hold a slot for long
-LONG_RATIO = 3.0  # a long kind exceeds another recent kind by this
-SHORT_RECENT_MS = 1000  # how long slots stay reserved after short work arrived
-INITIAL_SERVICE_MS = 60.0  # assumed until a kind is first measured
-SMOOTHING = 0.06  # weight of a new run time in the moving average
 AIM_SHARE = 0.8  # of the aim to plan for; the rest covers forecast errors
-RATE_DECAY_MS = 1000.0  # time constant of the average of arriving work
 QUICK_RUN = 0.5  # of the usual run time; few runs are faster
 MIN_SHARE = 0.2  # of the slots, at least, is assumed free of more urgent work
 # Urgent work that is refused itself counts in the rates, and in a brief wait
@@ -37,27 +30,9 @@
 BRIEF_WAIT_MS = 600
 MIN_RETRY_MS = 220  # bounds of the time after which to retry
 MAX_RETRY_MS = 1000
-MEAN_RUN_LEFT = 0.5  # average part of its run time that a run has left
 
 
-@dataclasses.dataclass(slots=True)
-class _Rate:
-    """Arrival rate of work, in slots, at a time in ms."""
-
-    slots: float = 0.0
-    at: int = 0
-
-    def current(self, now: int) -> float:
-        """Return the exponentially decayed rate."""
-        return self.slots * math.exp((self.at - now) / RATE_DECAY_MS)
-
-    def add(self, work_ms: float, now: int) -> None:
-        """Add work that has arrived."""
-        self.slots = self.current(now) + work_ms / RATE_DECAY_MS
-        self.at = now
-
-
-class TargetQueue:
+class TargetQueue(RunTimes):
     """Tickets that wait for, or occupy, the slots of one target.
 
     Parameters
@@ -69,58 +44,21 @@
     -----
     The rules of fair admission apply (`fair`) while tickets state the node that
     they come from, which ingress nodes do if the configuration asks for it.
-    With `work`, forecasts are those of the cost model; without, they are the
-    averages of the kinds.
     """
 
     def __init__(self, slots: int) -> None:
+        super().__init__()
         self.slots = slots
         self.capacity: Callable[[], Capacity] = unlimited
         self.fair = False
-        self.work: WorkLeft | None = None
         self.shares = NodeShares()
         self._turns = KindTurns()
         self.waiting: dict[int, Ticket] = {}
         self.running: dict[int, Ticket] = {}
-        self._service_times: dict[str, float] = {}
-        self._last_offered: dict[str, int] = {}
-        self._rates: dict[tuple[int, int], _Rate] = {}
+        self._arrivals = ArrivalRates()
         self._schedule = RetrySchedule()
         # The last forecast of a wait and its time, by level.
-        self._forecasts: dict[tuple[int, int], tuple[float, int]] = {}
-
-    def service_ms(self, kind: str) -> float:
-        """Return the average run time of a kind of request."""
-        return self._service_times.get(kind, INITIAL_SERVICE_MS)
-
-    def record_run_time(self, kind: str, took_ms: float) -> None:
-        """Update the average run time of a kind of request."""
-        known = self._service_times.get(kind)
-        if known is None:
-            self._service_times[kind] = took_ms
-        else:
-            self._service_times[kind] = known + SMOOTHING * (took_ms - known)
-
-    def record_run(self, ticket: Ticket, took_ms: float, now: int) -> None:
-        """Learn the cost of a ticket that the target has run."""
-        if self.work is not None:
-            self.work.record(ticket, took_ms, now)
-
-    def expected_ms(self, ticket: Ticket, now: int) -> float:
-        """Return the expected run time of a ticket."""
-        if self.work is None:
-            return self.service_ms(ticket.kind)
-        return self.work.expected_ms(ticket, now)
-
-    def usual_ms(self, kind: str, expected_ms: float) -> float:
-        """Return the work of a request, whatever the present pace."""
-        if self.work is None or not 0 < expected_ms < MAX_EXPECTED_MS:
-            return self.service_ms(kind)
-        return expected_ms
-
-    def steady_pace(self, now: int) -> float:
-        """Return by how much run times here exceed `usual_ms`."""
-        return 1.0 if self.work is None else self.work.steady_pace(now)
+        self._forecasts: dict[Level, tuple[float, int]] = {}
 
     def work_ms(self, now: int) -> float:
         """Return the expected work left in ms of one slot, 0 if unknown."""
@@ -159,29 +97,27 @@
     ) -> float:
         """Return after how many ms a slot is free for a ticket."""
         running = list(self.running.values())
-        long_ahead = [
-            other for other in ahead if self._is_long(other.kind, now)
-        ]
+        long_ahead = [other for other in ahead if self.is_long(other.kind, now)]
         long_running = [
-            other for other in running if self._is_long(other.kind, now)
+            other for other in running if self.is_long(other.kind, now)
         ]
         slots = self._usable_slots(limits)
         if self._is_held_back(ticket, now):
             return max(
-                self._slot_free_ms(ahead, running, slots, limits, now),
-                self._slot_free_ms(
+                self.slot_free_ms(ahead, running, slots, limits, now),
+                self.slot_free_ms(
                     long_ahead, long_running, self._long_slots(), limits, now
                 ),
             )
         if ticket.nested or len(long_running) < self._long_slots():
-            return self._slot_free_ms(ahead, running, slots, limits, now)
+            return self.slot_free_ms(ahead, running, slots, limits, now)
         # Long work fills all its slots, so none of it starts first.
         short_ahead = [other for other in ahead if other not in long_ahead]
         short_running = [
             other for other in running if other not in long_running
         ]
         short_slots = slots - len(long_running)
-        return self._slot_free_ms(
+        return self.slot_free_ms(
             short_ahead, short_running, short_slots, limits, now
         )
 
@@ -196,56 +132,27 @@
         left = self._capacity_left(ticket.urgency[:2], now, slots)
         return limits.start_ms + limits.gap_ms * ahead / left
 
-    def _slot_free_ms(
-        self,
-        ahead: list[Ticket],
-        running: list[Ticket],
-        slots: int,
-        limits: Capacity,
-        now: int,
-    ) -> float:
-        """Return after how many ms a slot is free for one more ticket."""
-        if self.work is not None:
-            # Requests that are not in the queue take slots of the target.
-            slots -= round(limits.occupied)
-            return self.work.slot_free_ms(ahead, running, max(1, slots), now)
-        if not ahead and len(running) + limits.occupied < slots:
-            return 0.0
-        work = sum(self.service_ms(ticket.kind) for ticket in ahead)
-        remaining = (
-            sum(self.service_ms(ticket.kind) for ticket in running)
-            * MEAN_RUN_LEFT
-        )
-        slow = limits.delay_ms(remaining / max(1, len(running)))
-        total = work + remaining + limits.occupied_ms
-        return total / max(1, slots) + slow
-
     def backlog_ms(self, now: int) -> float:
         """Return how many ms the target needs for all its tickets."""
         limits = self.capacity()
         if self.work is not None:
             wait = self.work_ms(now) / self._usable_slots(limits)
             return max(wait, limits.start_wait_ms(len(self.waiting)))
-        waiting = sum(
-            self.service_ms(ticket.kind) for ticket in self.waiting.values()
-        )
-        running = sum(
-            self.service_ms(ticket.kind) * MEAN_RUN_LEFT
-            for ticket in self.running.values()
+        work = self.mean_work_ms(
+            list(self.waiting.values()), list(self.running.values())
         )
-        total = waiting + running + limits.occupied_ms
+        total = work + limits.occupied_ms
         starts = limits.start_wait_ms(len(self.waiting))
         return max(total / self._usable_slots(limits), starts)
 
     def offer(self, ticket: Ticket, now: int) -> QueueRefusal | None:
         """Queue a ticket, or refuse it if it would miss its aim or deadline."""
-        self._last_offered[ticket.kind] = now
+        self.record_offer(ticket.kind, now)
         self.fair = bool(ticket.origin)
         if self.fair and not ticket.nested:
             self._rank_by_share(ticket, now)
-        rate = self._rates.setdefault(ticket.urgency[:2], _Rate())
         service = self.expected_ms(ticket, now)
-        rate.add(service, now)
+        self._arrivals.add(ticket.urgency[:2], service, now)
         wait = self.wait_ms(ticket, now)
         if self.fair:
             self._forecasts[ticket.urgency[:2]] = (wait, now)
@@ -417,20 +324,14 @@
         """Return whether even a fast run would end after a time."""
         return now + self.expected_ms(ticket, now) * QUICK_RUN > limit
 
-    def _capacity_left(
-        self, level: tuple[int, int], now: int, slots: float
-    ) -> float:
+    def _capacity_left(self, level: Level, now: int, slots: float) -> float:
         """Return the share of the slots that more urgent work leaves.
 
         Notes
         -----
         Work of callers that return precedes that of new ones of their kind.
         """
-        urgent = sum(
-            rate.current(now)
-            for other, rate in self._rates.items()
-            if other < level
-        )
+        urgent = self._arrivals.more_urgent(level, now)
         return max(MIN_SHARE, 1 - urgent / slots)
 
     def _may_start(self, ticket: Ticket, now: int) -> bool:
@@ -443,7 +344,7 @@
         running = sum(
             1
             for other in self.running.values()
-            if self._is_long(other.kind, now)
+            if self.is_long(other.kind, now)
         )
         return running < self._long_slots()
 
@@ -453,15 +354,4 @@
 
     def _is_held_back(self, ticket: Ticket, now: int) -> bool:
         """Return whether only the slots for long work may run a ticket."""
-        return not ticket.nested and self._is_long(ticket.kind, now)
-
-    def _is_long(self, kind: str, now: int) -> bool:
-        """Return whether a kind is long compared to one offered recently."""
-        service = self.service_ms(kind)
-        if service < MIN_LONG_MS:
-            return False
-        return any(
-            service > LONG_RATIO * self.service_ms(other)
-            for other, offered_at in self._last_offered.items()
-            if now - offered_at < SHORT_RECENT_MS
-        )
+        return not ticket.nested and self.is_long(ticket.kind, now)
