--- a/src/savoryhold/mesh/admission.py
+++ b/src/savoryhold/mesh/admission.py
@@ -60,7 +60,7 @@
         )
 
     def begin(
-        self, req: RelayedRequest, *, nested: bool, priority: int
+        self, req: RelayedRequest, run_priority: int | None
     ) -> RelayedRequest:
         """Return the request with its standing; `end` must follow.
 
@@ -68,22 +68,17 @@
         ----------
         req : RelayedRequest
             The request as read.
-        nested : bool
-            Whether a run at the local target makes it.
-        priority : int
-            Priority of that run.
+        run_priority : int or None
+            Priority of the run that makes it, None if it is no nested call.
 
         Raises
         ------
         EarlyReturnError
             If its caller was told to wait for longer; `end` must not follow.
         """
-        if nested:
+        if run_priority is not None:
             return dataclasses.replace(
-                req,
-                nested=True,
-                origin=self._node,
-                priority=priority,
+                req, nested=True, origin=self._node, priority=run_priority
             )
         now = self._clock.now()
         standing = self.returns.begin(req.fingerprint, now)
--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -164,11 +164,8 @@
         """Answer a request according to its standing among the callers."""
         if not self.admission.is_enabled():
             return await self._answer(state)
-        nested = self._reader.is_nested_call(state.req.request)
-        priority = self._reader.run_priority(state.req)
-        state.req = self.admission.begin(
-            state.req, nested=nested, priority=priority
-        )
+        run_priority = self._reader.run_priority(state.req.request)
+        state.req = self.admission.begin(state.req, run_priority)
         refusal: RequestError | None = None
         answer: RelayedAnswer | None = None
         try:
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -241,7 +241,7 @@
         self.owner.target.on_strike = self.peers.broadcast_strike
         self.owner.may_log = self.telemetry.may_log
         capacity = self.owner.capacity
-        capacity.routes = lambda: self.configs.routes
+        capacity.routes = self._routes
         capacity.warmup_over = self.settings.warmup_over
         capacity.warmup_slack = self.settings.warmup_slack
         self.owner.target.on_acquitted = self.peers.broadcast_acquittal
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -116,10 +116,9 @@
         """Return whether a run at the local target made the request."""
         return self._context.owner.runs.is_running(self._calling_run(request))
 
-    def run_priority(self, req: RelayedRequest) -> int:
-        """Return the priority of the run that makes a nested call."""
-        run = self._calling_run(req.request)
-        return self._context.owner.runs.priority_of(run, req.priority)
+    def run_priority(self, request: RequestId) -> int | None:
+        """Return the priority of the run that makes a call, None if none."""
+        return self._context.owner.runs.priority_of(self._calling_run(request))
 
     def _calling_run(self, request: RequestId) -> RequestId:
         """Return the id of the run that made the call, empty if none."""
--- a/src/savoryhold/mesh/run_tracker.py
+++ b/src/savoryhold/mesh/run_tracker.py
@@ -53,10 +53,10 @@
         """Return whether a request runs."""
         return run in self._running
 
-    def priority_of(self, run: RequestId, usual: int) -> int:
-        """Return the priority of a request that runs, else the usual one."""
+    def priority_of(self, run: RequestId) -> int | None:
+        """Return the priority of a request, None unless it runs."""
         req = self._running.get(run)
-        return usual if req is None else req.priority
+        return None if req is None else req.priority
 
     def record_call(self, run: RequestId, service: ServiceName) -> bool:
         """Record a nested call; return whether its run is a repeat."""
--- a/src/savoryhold/traffic/queue.py
+++ b/src/savoryhold/traffic/queue.py
@@ -208,8 +208,8 @@
         -----
         A ticket that has missed its aim runs only when no other waits.  If
         the others that wait fill all slots, it is refused at once rather
-        than at its deadline.  A nested call is refused only at its deadline,
-        since its run would fail.
+        than at its deadline.  A nested call, whose run would fail, is refused
+        only once it can no longer end by its deadline.
         """
         missed = [
             ticket
