--- a/review/rig2/poison.py
+++ b/review/rig2/poison.py
@@ -82,11 +82,14 @@
 
 
 async def send_poison(rig, crashes, hosts, gap_s, path=POISON_PATH):
-    """Send the poisoned request at one machine after the other, for ever."""
+    """Send the poisoned request at one machine after the other, for ever.
+
+    Only machines in touch are chosen, as no others count.
+    """
     number = 0
     pending = set()
     while True:
-        ready = [host for host in hosts if host.is_ready]
+        ready = [host for host in hosts if host.is_ready and host.in_touch()]
         if ready:
             host = ready[number % len(ready)]
             number += 1
