--- a/review/6/play.py
+++ b/review/6/play.py
@@ -40,7 +40,9 @@
                 host,
                 path,
                 method=method,
-                on_id=lambda request, host=host: ingress.update({request: host}),
+                on_id=lambda request, host=host: ingress.update(
+                    {request: host}
+                ),
             )
         )
         pending.add(task)
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -71,4 +71,3 @@
             f'later than {STABLE_S} s after its third crash'
         ]
     return []
-
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -50,4 +50,3 @@
             f'later than {STABLE_S} s after its third crash'
         ]
     return []
-
--- a/review/rig2/backend.py
+++ b/review/rig2/backend.py
@@ -254,7 +254,9 @@
         echo = {'X-Savoryhold-Attempt-Id': request}
         key = req.headers.get('x-savoryhold-shard-key')
         named = req.headers.get('x-savoryhold-target-instance', self.id)
-        held = not self.host.sharded or (key is not None and self.holds(int(key)))
+        held = not self.host.sharded or (
+            key is not None and self.holds(int(key))
+        )
         if named != self.id or not held:
             refusal = {**echo, 'X-Savoryhold-Not-Executed': '1'}
             return http1.encode('HTTP/1.1 421 x', refusal)
@@ -278,4 +280,6 @@
         finally:
             self._busy.pop(request, None)
         signed = {**echo, 'X-Savoryhold-Response-Signature': f'sig.{request}'}
-        return http1.encode('HTTP/1.1 200 OK', signed, self.make_body(req, request))
+        return http1.encode(
+            'HTTP/1.1 200 OK', signed, self.make_body(req, request)
+        )
--- a/review/rig2/poison.py
+++ b/review/rig2/poison.py
@@ -60,7 +60,9 @@
         now = time.monotonic()
         host = backend.host
         ingress = self.ingress.get(request)
-        in_touch = host.in_touch(now) and bool(ingress and ingress.in_touch(now))
+        in_touch = host.in_touch(now) and bool(
+            ingress and ingress.in_touch(now)
+        )
         self.crashed_at.append(now)
         self.reached.append((now, request, in_touch))
         self.rig.note(
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import json
 import os
 import pathlib
 import random
@@ -174,7 +173,11 @@
                 OSError, TimeoutError, asyncio.IncompleteReadError
             ):
                 answer = await http1.call(
-                    self.ready, 'GET /v1/ready HTTP/1.1', {'host': 'x'}, b'', 1.0
+                    self.ready,
+                    'GET /v1/ready HTTP/1.1',
+                    {'host': 'x'},
+                    b'',
+                    1.0,
                 )
                 ready = answer.first.split(' ')[1] == '200'
             if ready != self.is_ready:
@@ -314,9 +317,7 @@
         }
         if key is not None:
             headers['X-Savoryhold-Shard-Key'] = str(key)
-        self.note(
-            'sends', node=host.name, request=request, path=path, key=key
-        )
+        self.note('sends', node=host.name, request=request, path=path, key=key)
         status, reason = 0, ''
         try:
             answer = await http1.call(
--- a/review/rig2/store.py
+++ b/review/rig2/store.py
@@ -148,9 +148,11 @@
     async def _watch(self, kind, query):
         since = int(query['watch'])
         limit_s = int(query.get('wait_ms', '0')) / 1000
-        if self.events and since < self.events[0][0] - 1 and len(
+        if (
             self.events
-        ) >= HISTORY:
+            and since < self.events[0][0] - 1
+            and len(self.events) >= HISTORY
+        ):
             return 410, {}
         loop = asyncio.get_running_loop()
         until = loop.time() + limit_s
