--- a/review/rig2/backend.py
+++ b/review/rig2/backend.py
@@ -42,8 +42,8 @@
         # Called with (name, fields) of each call of this backend; what it
         # returns is sent in its place, None holds the call up.
         self.on_call = lambda name, fields: fields
-        # Called with (method, path, headers, body) before a run; may raise
-        # `Poisoned`.
+        # Called with (method, path, headers, body) as a run begins; may raise
+        # `Poisoned`, or return the status with which the run fails.
         self.check = lambda method, path, headers, body: None
         self.rows = []
         self.until = 0.0
@@ -269,7 +269,7 @@
             caller=req.headers.get('x-savoryhold-caller-service'),
         )
         try:
-            self.check(method, path, req.headers, req.body)
+            failure = self.check(method, path, req.headers, req.body)
         except Poisoned:
             self.rig.on_poisoned(self, request)
             raise asyncio.CancelledError from None
@@ -280,6 +280,8 @@
         finally:
             self._busy.pop(request, None)
         signed = {**echo, 'X-Savoryhold-Response-Signature': f'sig.{request}'}
+        if failure:
+            return http1.encode(f'HTTP/1.1 {failure} x', signed)
         return http1.encode(
             'HTTP/1.1 200 OK', signed, self.make_body(req, request)
         )
