Review: each script has a loopback address of its own

Scripts chose free ports of one address and bound them later, so that two could choose the same; the nodes' logs of these plays are not kept, so that this cause is suspected and not shown.

Change: the address is derived from the process id.

--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -23,7 +23,6 @@
 __all__ = ['Host', 'Poisoned', 'Rig', 'run_case', 'trouble']
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-LOOPBACK = '127.0.0.1'
 READY_S = 1.0
 START_LIMIT_S = 25.0
 VIRTUAL_HOST = 'ficu95.example'
@@ -59,6 +58,16 @@
 """
 
 
+def own_address():
+    """Return a loopback address that no other running script uses.
+
+    Ports are chosen some time before a node binds them, so that scripts side by
+    side on one address could choose the same.
+    """
+    number = os.getpid()
+    return f'127.{16 + number // 65024 % 200}.{number // 254 % 256}.{1 + number % 254}'
+
+
 def trouble():
     """Return whether the disruption is to be played."""
     return os.environ.get('TROUBLE', '1') != '0'
@@ -76,7 +85,7 @@
         self.sharded = sharded
         names = ('outbound', 'control', 'app', 'ready', 'peers', 'metrics')
         for each, port in zip(names, rig.free_ports(len(names)), strict=True):
-            setattr(self, each, f'{LOOPBACK}:{port}')
+            setattr(self, each, f'{rig.address}:{port}')
         self.backend = Backend(rig, self)
         self.process = None
         self.is_ready = False
@@ -207,7 +216,8 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         self.record = (self.case / 'record.txt').open('w')
         self.store = Store()
-        self.store_address = f'{LOOPBACK}:{self.free_ports(1)[0]}'
+        self.address = own_address()
+        self.store_address = f'{self.address}:{self.free_ports(1)[0]}'
         self.hosts = []
         self.version = 7
         self.runs = {}
@@ -217,7 +227,7 @@
         self._number = 0
 
     def free_ports(self, count):
-        """Return ports of the loopback address that are free now."""
+        """Return ports of the script's address that are free now."""
         found = []
         while len(found) < count:
             port = random.randrange(12_000, 30_000)
@@ -226,7 +236,7 @@
             with socket.socket() as sock:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 try:
-                    sock.bind((LOOPBACK, port))
+                    sock.bind((self.address, port))
                 except OSError:
                     continue
             self._ports.add(port)
