Failures that read as "not run" are not passed on to bookings

What callers saw: a booking that a target had begun and failed with a 503 of its own was answered 503, which promises that it has not run.

Cause: TargetCalls.check took any answer without the "not run" mark for the target's answer and passed its status on; 421 counted as a refusal even if it was signed.

Change: only the mark proves a refusal. An unmarked 408, 421, 429 or 503 to a request that may not be repeated is an error that may have run (502, code unproven-refusal). An unsigned 421 stays a refusal. The same rule on the ingress: a repeatable request that has run with a failure is answered with that failure if its retry is refused, and no longer with 503.

Ruled out: a second run under the same id (none in the record).

--- a/src/savoryhold/mesh/ingress.py
+++ b/src/savoryhold/mesh/ingress.py
@@ -68,6 +68,8 @@
         self.barred_zones: set[Zone] = set()
         self.chosen_again = False
         self.uncertain_error: RequestError | None = None
+        # A target's answer to an earlier try, which reports a failure.
+        self.failed_answer: RelayedAnswer | None = None
 
     def final_error(self, exc: RequestError) -> RequestError:
         """Return the error that is true of all tries together."""
@@ -185,6 +187,15 @@
     async def _answer(self, state: _RequestState) -> RelayedAnswer:
         self._count_in_budget(state.req)
         state.req = self.forecasts.prepare(state.req)
+        try:
+            return await self._try_until_answered(state)
+        except RequestError:
+            if state.failed_answer is None:
+                raise
+            # The request has run, so that it must not be refused any more.
+            return state.failed_answer
+
+    async def _try_until_answered(self, state: _RequestState) -> RelayedAnswer:
         for _ in range(MAX_TRIES):
             try:
                 answer = await self._try(state)
@@ -196,6 +207,7 @@
             cause = f'status-{answer.status}'
             if not again or not self._may_retry(state, cause):
                 return answer
+            state.failed_answer = answer
         raise state.final_error(
             TargetDownError('no node has accepted the request')
         )
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -22,6 +22,7 @@
     'RouteRefusedError',
     'ShedError',
     'TargetDownError',
+    'UnprovenRefusalError',
     'WrongPlaceError',
 ]
 
@@ -192,3 +193,14 @@
     verdict = Verdict.MAY_HAVE_RUN
     status = 502
     code = 'bad-answer'
+
+
+class UnprovenRefusalError(RequestError):
+    """The target's status reads as "not run", which the target does not state.
+
+    Callers repeat any request after such a status.
+    """
+
+    verdict = Verdict.MAY_HAVE_RUN
+    status = 502
+    code = 'unproven-refusal'
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -14,6 +14,7 @@
     RelayedRequest,
     ShedError,
     TargetDownError,
+    UnprovenRefusalError,
 )
 from savoryhold.ranges import TargetLife
 from savoryhold.wire import (
@@ -27,6 +28,15 @@
 __all__ = ['TargetCalls']
 
 STATUS_OK = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
+# To callers, these mean that the request has not run and never will.
+REFUSALS = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 DOWN_RETRY_MS = 400
 SHED_RETRY_MS = 25
 SHED_SMOOTHING = 0.05
@@ -134,22 +144,23 @@
         Raises
         ------
         RequestError
-            If the target refused the request, or did not write the answer.
+            If the target refused the request, or did not write the answer, or
+            if the answer only seems to be a refusal.
         """
         names = self._names
-        not_run = names.not_run.lower() in answer.fields
-        shed = not_run or answer.status == HTTPStatus.MISDIRECTED_REQUEST
+        shed = self._is_refused(req, answer)
         self.acceptance += SHED_SMOOTHING * ((not shed) - self.acceptance)
         if shed:
             raise ShedError(
                 f'the target refused the request with status {answer.status}',
                 SHED_RETRY_MS,
             )
+        if answer.status in REFUSALS and not req.repeatable:
+            raise UnprovenRefusalError(
+                f'status {answer.status}, but the request may have run'
+            )
         succeeded = answer.status in STATUS_OK
-        signed = (
-            not names.answer_signature
-            or names.answer_signature.lower() in answer.fields
-        )
+        signed = not names.answer_signature or self._is_signed(answer)
         if succeeded and (not signed or FOREIGN_HEADER in answer.fields):
             raise BadAnswerError(
                 'the answer was not written by the target itself'
@@ -157,6 +168,24 @@
         head = encode_headers(answer.headers, NOT_FORWARDED)
         return RelayedAnswer(answer.status, head, answer.body, ran_ms)
 
+    def _is_refused(self, req: RelayedRequest, answer: ClientAnswer) -> bool:
+        """Return whether the target has not run the request.
+
+        Notes
+        -----
+        Where another target is meant, 421 may come without the mark.  One with
+        a signature is the result of a run.
+        """
+        if self._names.not_run.lower() in answer.fields:
+            return True
+        if answer.status != HTTPStatus.MISDIRECTED_REQUEST:
+            return False
+        return req.repeatable or not self._is_signed(answer)
+
+    def _is_signed(self, answer: ClientAnswer) -> bool:
+        name = self._names.answer_signature.lower()
+        return bool(name) and name in answer.fields
+
     def _head_bytes(
         self, req: RelayedRequest, left: int, life: TargetLife
     ) -> bytes:
