A late report of a former incarnation does not undo a leave

What callers saw: a target that had left, and whose node had confirmed it, took requests again 5 s later, once a late report of its former life arrived.

Cause: a superseded incarnation was accepted again after 5 s of silence, and any other one as soon as the current target was leaving. Silence is what a target that has left shows, so that it proves nothing. The record of departures was asked for the reporting incarnation only, so that a restarted node accepted its predecessor as the first.

Change: mesh/succession.py takes these decisions out of the report handler. A notice is recorded for the incarnation that it names, a ninth departure is confirmed, and departures that are read late are applied.

Ruled out: a leave lost with its process (the node was not restarted).

--- a/src/savoryhold/mesh/local_target.py
+++ b/src/savoryhold/mesh/local_target.py
@@ -132,6 +132,12 @@
             self.leaving_since = self._clock.now() - ago_ms
             self._log.info('target_leaving', reason=reason)
 
+    def forget(self) -> None:
+        """Use no target until the next report that is accepted."""
+        self.report = None
+        if self.pool is not None:
+            self.pool.retire()
+
     def next_report_in(self, now: int) -> int:
         """Return the time until the target's next report, in ms."""
         return max(0, self.reported_at + self._report_ms - now)
--- a/src/savoryhold/mesh/registration.py
+++ b/src/savoryhold/mesh/registration.py
@@ -86,9 +86,7 @@
         # together finds the other.
         specs = await self.read_registry()
         stored = specs.get(cfg.node)
-        if stored is not None:
-            self._departures.restore(stored)
-        self._departures.loaded.set()
+        self._departures.load(stored)
         spec = self._departures.add_to(spec)
         if stored != spec:
             await self._store.replace(NODE_KIND, cfg.node, spec, None)
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-from collections import deque
 from collections.abc import Coroutine
 from http import HTTPStatus
 from typing import Any
@@ -11,6 +10,7 @@
 from savoryhold.mesh.departures import Departures
 from savoryhold.mesh.interface import Adapter, TargetLeave, TargetReport
 from savoryhold.mesh.node_context import NodeContext
+from savoryhold.mesh.succession import Standing, Succession
 from savoryhold.mesh.table_proofs import TableProofTask
 from savoryhold.ranges import GrantReply, TargetLife
 from savoryhold.wire import Exchange
@@ -20,13 +20,6 @@
 JSON_HEAD = b'content-type: application/json\r\n'
 MS_PER_SECOND = 1000
 START_WAIT_MS = 400  # the target ignores a reply after one second
-# The current incarnation counts as running for this long after its report, so
-# that neither a delayed report of an earlier one nor a report of another writer
-# replaces it.
-RECENT_REPORT_MS = 1500
-# The same, against an incarnation that it is known to have replaced.
-SUPERSEDED_SILENCE_MS = 5000
-MAX_SUPERSEDED = 16
 
 
 class ReportHandler:
@@ -59,11 +52,15 @@
         self._tables = context.tables
         self._proofs = proofs
         self._departures = departures
-        # First report of a target of which nothing is known, and its time.
-        self._unproved: tuple[TargetReport, int] | None = None
         self._clock = context.clock
+        self._succession = Succession(
+            context.owner.target,
+            departures,
+            context.clock,
+            context.settings.report_ms,
+        )
+        departures.on_loaded = self._on_departures_loaded
         self._log = context.log
-        self._superseded: deque[TargetLife] = deque(maxlen=MAX_SUPERSEDED)
         self._pending_replies: set[asyncio.Task[None]] = set()
 
     def handle(self, exchange: Exchange) -> None:
@@ -94,29 +91,11 @@
     ) -> None:
         """Process a report that arrives before departures are known."""
         await _wait_briefly(self._departures.loaded)
-        if self._departures.loaded.is_set() or self._goes_on(report):
+        if self._departures.loaded.is_set() or self._succession.goes_on(report):
             self._on_report(exchange, report)
         else:
             exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
 
-    def _goes_on(self, report: TargetReport) -> bool:
-        """Return whether a target has reported before, and goes on reporting.
-
-        Notes
-        -----
-        A target that has left sends no further reports, but a delayed one may
-        arrive.
-        """
-        now = self._clock.now()
-        if self._unproved is None or (
-            self._unproved[0].keys.life != report.keys.life
-        ):
-            self._unproved = (report, now)
-            return False
-        first, arrived_at = self._unproved
-        has_waited = now - arrived_at >= self._settings.report_ms // 2
-        return has_waited and report.sequence > first.sequence
-
     def _refuse(self, exchange: Exchange, event: str, reason: str) -> None:
         """Refuse a call of another writer; it changes nothing."""
         self.refused_count += 1
@@ -131,38 +110,58 @@
         )
 
     def _on_report(self, exchange: Exchange, report: TargetReport) -> None:
-        if self._is_outdated(report):
+        life = report.keys.life
+        standing = self._succession.standing(report)
+        if standing is not Standing.ACCEPTED:
             self._log.warning(
-                'report_old',
-                target=report.keys.life.target,
-                born=report.keys.life.born,
+                f'report_{standing.value}',
+                target=life.target,
+                born=life.born,
                 sequence=report.sequence,
-            )
-            self._reply(exchange, None)
-            return
-        if self._is_premature(report):
-            self._log.warning(
-                'report_early',
-                target=report.keys.life.target,
-                born=report.keys.life.born,
                 silent_ms=self._clock.now() - self._owner.target.reported_at,
             )
-            # The sender reports again, if it is the next target.
-            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._decline(exchange, report, standing)
             return
-        self._record_superseded(report)
+        self._succession.record(life)
         self._owner.on_report(report)
-        life = report.keys.life
-        if self._departures.has(life):
-            self._owner.target.begin_leave(
-                'departed', ago_ms=self._settings.drain_ms
-            )
+        self._apply_departure()
+        if report.draining:
+            self._departures.add(life)
         is_announced = report.draining and not self._departures.is_stored(life)
         if self._config_loaded.is_set() and not is_announced:
             self._answer_report(exchange, report)
             return
         self._spawn(self._answer_when_known(exchange, report))
 
+    def _decline(
+        self, exchange: Exchange, report: TargetReport, standing: Standing
+    ) -> None:
+        """Answer a report that changes nothing."""
+        if standing is not Standing.OLD:
+            # The sender reports again, if it is the next target.
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
+        elif report.draining:
+            self._spawn(self._confirm_leave(exchange, report.keys.life))
+        else:
+            self._reply(exchange, None)
+
+    def _on_departures_loaded(self) -> None:
+        """Apply what is known now to a target that was accepted before."""
+        life = self._owner.target.life()
+        if life is None:
+            return
+        self._apply_departure()
+        if self._departures.has_later(life) and not self._departures.has(life):
+            self._owner.target.forget()
+
+    def _apply_departure(self) -> None:
+        """Stop requests to a target that has left before it reported here."""
+        life = self._owner.target.life()
+        if life is not None and self._departures.has(life):
+            self._owner.target.begin_leave(
+                'departed', ago_ms=self._settings.drain_ms
+            )
+
     async def _answer_when_known(
         self, exchange: Exchange, report: TargetReport
     ) -> None:
@@ -219,19 +218,20 @@
         )
 
     def _on_leave(self, exchange: Exchange, call: TargetLeave) -> None:
-        life = self._owner.target.life()
-        if life is None and call.born is not None:
-            # The target may report to this process after its leave.
-            life = TargetLife(call.target, call.born)
-        if life is None or life.target != call.target:
+        current = self._owner.target.life()
+        leaving = _leaving_life(call, current)
+        if leaving is None:
             exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
             return
         # A notice of an earlier incarnation does not concern this one.
-        if call.born is None or call.born >= life.born:
+        if (
+            current is not None
+            and current.target == leaving.target
+            and current.born <= leaving.born
+        ):
             self._owner.target.begin_leave('left')
-            self._spawn(self._confirm_leave(exchange, life))
-        else:
-            exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
+        self._departures.add(leaving)
+        self._spawn(self._confirm_leave(exchange, leaving))
 
     async def _confirm_leave(
         self, exchange: Exchange, life: TargetLife
@@ -241,39 +241,15 @@
         else:
             exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
 
-    def _record_superseded(self, report: TargetReport) -> None:
-        """Remember the incarnation that the reporting one has replaced."""
-        known = self._owner.target.life()
-        if known is not None and known.born < report.keys.life.born:
-            self._superseded.append(known)
-
-    def _is_outdated(self, report: TargetReport) -> bool:
-        """Return whether a delayed report arrives after newer ones."""
-        known = self._owner.target.report
-        if known is None:
-            return False
-        life, newer = report.keys.life, known.keys.life
-        if life == newer:
-            return report.sequence < known.sequence
-        silent = self._clock.now() - self._owner.target.reported_at
-        if life in self._superseded:
-            return silent < SUPERSEDED_SILENCE_MS
-        return silent < RECENT_REPORT_MS and life.born < newer.born
 
-    def _is_premature(self, report: TargetReport) -> bool:
-        """Return whether the current incarnation seems to be still running.
-
-        Notes
-        -----
-        Otherwise one report of another writer would take its place.
-        """
-        life = self._owner.target.life()
-        if life in {None, report.keys.life} or self._owner.target.has_ended():
-            return False
-        if self._owner.target.leaving_since is not None:
-            return False
-        silent = self._clock.now() - self._owner.target.reported_at
-        return silent < RECENT_REPORT_MS
+def _leaving_life(
+    call: TargetLeave, current: TargetLife | None
+) -> TargetLife | None:
+    """Return the incarnation that a notice is of, None if it is unknown."""
+    if call.born is not None:
+        return TargetLife(call.target, call.born)
+    is_current = current is not None and current.target == call.target
+    return current if is_current else None
 
 
 async def _wait_briefly(event: asyncio.Event) -> None:
--- a/src/savoryhold/mesh/tests/test_departures.py
+++ b/src/savoryhold/mesh/tests/test_departures.py
@@ -1,6 +1,8 @@
 """Restarts of a node whose target has announced that it leaves."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
 from unittest import mock
@@ -8,7 +10,7 @@
 from savoryhold.core.errors import PlatformError, VersionConflictError
 from savoryhold.core.ids import NodeId, Region, ServiceName, Version
 from savoryhold.daemon.logs import get_log
-from savoryhold.mesh.departures import Departures
+from savoryhold.mesh.departures import MAX_DEPARTED, Departures
 from savoryhold.mesh.interface import (
     Listing,
     StoredObject,
@@ -19,6 +21,11 @@
 from savoryhold.mesh.owner import OwnerTask
 from savoryhold.mesh.registration import RegistrationTask
 from savoryhold.mesh.reports import ReportHandler
+from savoryhold.mesh.succession import (
+    DELAYED_REPORTS_MS,
+    RECENT_REPORT_MS,
+    SUPERSEDED_SILENCE_MS,
+)
 from savoryhold.mesh.tests.fleet import LoopClock, mesh_settings
 from savoryhold.mesh.tests.virtual_time import VirtualTimeCase
 from savoryhold.ranges import Report, TargetLife
@@ -30,6 +37,8 @@
 CALL_S = 1.0
 ANSWER_S = 0.9  # the target ignores later answers
 LIFE = TargetLife('t', 7)
+RECENT_S = RECENT_REPORT_MS / 1000
+SILENCE_S = SUPERSEDED_SILENCE_MS / 1000
 
 
 class Registry:
@@ -111,11 +120,17 @@
         await asyncio.sleep(ANSWER_S)
         return statuses[0] if statuses else 0
 
-    async def report(self, *, draining: bool = False, late: int = 0) -> int:
+    async def report(
+        self,
+        *,
+        draining: bool = False,
+        late: int = 0,
+        life: TargetLife = LIFE,
+    ) -> int:
         """Pass a report of the target, or a delayed one of before."""
         self.sequence += 1
         report = TargetReport(
-            Report(LIFE, (), ()),
+            Report(life, (), ()),
             FILES,
             ADDRESS,
             4,
@@ -124,9 +139,9 @@
         )
         return await self.handle(report)
 
-    async def leave(self) -> int:
+    async def leave(self, life: TargetLife = LIFE) -> int:
         """Pass the target's notice that it leaves."""
-        return await self.handle(TargetLeave(LIFE.target, LIFE.born))
+        return await self.handle(TargetLeave(life.target, life.born))
 
     def assert_unused(self) -> None:
         """Check that the target gets no request."""
@@ -174,13 +189,107 @@
         await self.leave()
         self.start()
         next_life = TargetLife(LIFE.target, LIFE.born + 1)
-        report = TargetReport(
-            Report(next_life, (), ()), FILES, ADDRESS, 4, False, 1
-        )
-        self.assertEqual(await self.handle(report), 200)
+        self.assertEqual(await self.report(life=next_life), 200)
         self.assertTrue(self.owner.target.may_send())
 
 
+class TestFormerIncarnations(DepartureCase):
+    """Delayed reports of incarnations that ended before a confirmed leave."""
+
+    # A target that had left took requests again once a report of a former
+    # incarnation arrived, 5 s after its own last one.
+    async def test_former_incarnation_does_not_undo_a_leave(self) -> None:
+        """Neither the last one nor one before it, however the leave is told."""
+        for target in ('t', 'another'):
+            for announce in (self.leave, partial(self.report, draining=True)):
+                with self.subTest(target=target, announce=announce):
+                    former = [TargetLife(target, born) for born in (1, 2)]
+                    await self.leave_after(former, announce)
+
+    async def leave_after(
+        self,
+        former: list[TargetLife],
+        announce: Callable[[], Awaitable[int]],
+    ) -> None:
+        """Let the last of several incarnations leave; then reports are late."""
+        await self.asyncSetUp()
+        for life in (*former, LIFE):
+            await self.report(life=life)
+            await asyncio.sleep(RECENT_S)
+        self.assertEqual(await announce(), 200)
+        for life in former:
+            await asyncio.sleep(SILENCE_S)
+            await self.report(life=life, late=1)
+            self.assert_unused()
+
+    # The same after a restart of the node, which knows departures only.
+    async def test_former_incarnation_is_refused_after_a_restart(self) -> None:
+        """It is not the first incarnation of a new process either."""
+        await self.report()
+        await self.leave()
+        for former in (TargetLife('t', 2), TargetLife('another', 3)):
+            self.start()
+            self.assertEqual(await self.report(life=former), 503)
+            self.assert_unused()
+
+    # The departure was recorded for the incarnation that had reported last.
+    async def test_leave_before_the_first_report(self) -> None:
+        """A notice is of the incarnation that it names."""
+        for target in ('t', 'another'):
+            with self.subTest(target=target):
+                await self.asyncSetUp()
+                await self.report(life=TargetLife(target, 1))
+                self.assertEqual(await self.leave(), 200)
+                self.start()
+                await self.report()
+                self.assert_unused()
+
+    async def test_incarnation_with_an_earlier_clock_is_used(self) -> None:
+        """Once the departed one has ended, or if its reports go on."""
+        successor = TargetLife('t', LIFE.born - 1)
+        await self.report()
+        await self.leave()
+        self.owner.target.dead = True
+        self.assertEqual(await self.report(life=successor), 200)
+        self.assertTrue(self.owner.target.may_send())
+        self.start()
+        until = self.clock.now() + DELAYED_REPORTS_MS
+        while self.clock.now() < until:
+            self.assertEqual(await self.report(life=successor), 503)
+        self.assertEqual(await self.report(life=successor), 200)
+        self.assertTrue(self.owner.target.may_send())
+
+    # The target was used for good if two delayed reports came before the
+    # registry was known.
+    async def test_departure_that_is_known_late_is_applied(self) -> None:
+        """A target that was accepted meanwhile gets no more requests."""
+        await self.report()
+        await self.leave()
+        self.registry.is_silent = True
+        for life in (LIFE, TargetLife('t', LIFE.born - 1)):
+            self.start()
+            for _ in range(2):
+                await self.report(life=life)
+            self.assertTrue(self.owner.target.may_send())
+            self.departures.load(self.registry.spec)
+            self.assert_unused()
+
+    # The ninth departure dropped out of the entry as it was written.
+    async def test_many_departures_are_confirmed(self) -> None:
+        """The entry keeps the latest ones."""
+        lives = [TargetLife('t', born) for born in range(1, 20)]
+        for life in lives:
+            self.assertEqual(await self.report(life=life), 200)
+            self.assertEqual(await self.leave(life), 200)
+        self.assertEqual(
+            self.registry.spec['departed'],
+            [[life.target, life.born] for life in lives[-MAX_DEPARTED:]],
+        )
+        earlier_clock = TargetLife('t', 0)
+        self.assertEqual(await self.leave(earlier_clock), 200)
+        self.assertIn(['t', 0], self.registry.spec['departed'])
+
+
 class TestStoreAway(DepartureCase):
     """Announcements and restarts while the store gives no answer."""
 
--- a/src/savoryhold/mesh/tests/test_target_restarts.py
+++ b/src/savoryhold/mesh/tests/test_target_restarts.py
@@ -20,11 +20,7 @@
 from savoryhold.mesh.interface import TargetLeave, TargetReport
 from savoryhold.mesh.local_target import MAX_REPORT_DELAY_MS
 from savoryhold.mesh.owner import OwnerTask
-from savoryhold.mesh.reports import (
-    RECENT_REPORT_MS,
-    SUPERSEDED_SILENCE_MS,
-    ReportHandler,
-)
+from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.requests import (
     NO_KEY,
     MovedError,
@@ -32,6 +28,7 @@
     RelayedRequest,
     TargetDownError,
 )
+from savoryhold.mesh.succession import RECENT_REPORT_MS, SUPERSEDED_SILENCE_MS
 from savoryhold.mesh.tests.fleet import mesh_settings
 from savoryhold.ranges import Report, TargetLife
 from savoryhold.wire import Exchange, HeaderNames, HttpServer
