A sound request of another caller does not acquit one that crashes targets

Conversely, sound requests that had run beside two crashes were refused for ten minutes.

Cause: the fingerprint left the calling service out, so that the completion of a sound request cleared the strikes of the other. Strikes knew no time, so that one that was told after the completion counted.

Change: the ingress makes the fingerprint of host, method, path, body and calling service and relays it; keyed requests count with and without their key. Only answers that the target has written acquit. A guard remembers completions: one after the crash voids its strike, one before it asks for one strike more.

Ruled out: strikes lost between nodes (each was there until it was cleared).

--- a/src/savoryhold/core/poison.py
+++ b/src/savoryhold/core/poison.py
@@ -1,28 +1,65 @@
 """Quarantine of requests that crash every target that runs them."""
 
 import dataclasses
+from collections import OrderedDict
 from typing import NewType
 
 import xxhash
 
-__all__ = ['Fingerprint', 'PoisonGuard', 'Strike', 'fingerprint_of']
+__all__ = [
+    'Fingerprint',
+    'PoisonGuard',
+    'Strike',
+    'fingerprint_of',
+    'fingerprint_with_key',
+]
 
 Fingerprint = NewType('Fingerprint', int)
 
 QUARANTINE_STRIKES = 2
 QUARANTINE_MS = 600_000
 MAX_FINGERPRINTS = 10_000
+MAX_COMPLETIONS = 4096
+MAX_INCIDENTS = 8  # of one fingerprint
 
 
 def fingerprint_of(
-    service: str, method: str, path: str, body: bytes, key: int = -1
+    host: str,
+    method: str,
+    path: str,
+    body: bytes,
+    key: int = -1,
+    caller: str = '',
 ) -> Fingerprint:
-    """Return a hash of a request's content, which leaves out its id."""
+    """Return a hash of a request's content, which leaves out its id.
+
+    Parameters
+    ----------
+    host : str
+        Virtual host or service that the request is for.
+    method, path : str
+        Method and target.
+    body : bytes
+        Complete body.
+    key : int
+        Key, -1 if it has none.
+    caller : str
+        Service of the caller.
+    """
     hasher = xxhash.xxh3_64()
-    for part in (service, method, path, str(key)):
+    for part in (host, method, path, str(key), caller):
         hasher.update(part.encode())
         hasher.update(b'\0')
     hasher.update(body)
+    return _signed(hasher)
+
+
+def fingerprint_with_key(fingerprint: Fingerprint, key: int) -> Fingerprint:
+    """Return the fingerprint of a request with one of several keys."""
+    return _signed(xxhash.xxh3_64(b'%d %d' % (fingerprint, key)))
+
+
+def _signed(hasher: xxhash.xxh3_64) -> Fingerprint:
     # Messages carry the fingerprint as a signed 64-bit integer.
     return Fingerprint(hasher.intdigest() >> 1)
 
@@ -32,65 +69,81 @@
     """A target crashed while a request was running there.
 
     ``incident`` identifies the crash, so that it counts only once if it is
-    reported twice.
+    reported twice.  ``ago_ms`` is how long before the report it happened.
     """
 
     fingerprint: Fingerprint
     incident: str
+    ago_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    incidents: set[str]
+    """Incidents with the times of their crashes."""
+
+    incidents: dict[str, int]
     last_at: int
 
 
 class PoisonGuard:
-    """Counts strikes and quarantines requests that have too many."""
+    """Counts strikes and quarantines requests that have too many.
+
+    Notes
+    -----
+    A request that is sent often is running on most targets that are killed for
+    another reason.  One that crashes its targets never completes, so that a
+    completion after a crash clears the request.  One before it does not, as
+    what the request refers to may have changed; it takes one more strike then.
+    """
 
     def __init__(self) -> None:
-        self._suspects: dict[Fingerprint, _Suspect] = {}
+        self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
+        # When requests completed last, the latest ones at the end.
+        self._completed: OrderedDict[Fingerprint, int] = OrderedDict()
 
     def strike(self, strike: Strike, now: int) -> bool:
         """Count a strike; return whether it is new."""
-        self._expire(now)
+        crashed_at = now - strike.ago_ms
+        fingerprint = strike.fingerprint
+        completed_at = self._completed.get(fingerprint)
+        if completed_at is not None and completed_at > crashed_at:
+            return False
         suspect = self._suspects.setdefault(
-            strike.fingerprint, _Suspect(set(), now)
+            fingerprint, _Suspect({}, crashed_at)
         )
-        if strike.incident in suspect.incidents:
+        known = len(suspect.incidents)
+        if strike.incident in suspect.incidents or known >= MAX_INCIDENTS:
             return False
-        suspect.incidents.add(strike.incident)
-        suspect.last_at = now
+        suspect.incidents[strike.incident] = crashed_at
+        suspect.last_at = max(suspect.last_at, crashed_at)
+        self._suspects.move_to_end(fingerprint)
+        if len(self._suspects) > MAX_FINGERPRINTS:
+            self._suspects.popitem(last=False)
         return True
 
-    def clear_strikes(self, fingerprint: Fingerprint) -> bool:
-        """Clear the strikes of a request that a target has completed.
+    def record_completion(self, fingerprint: Fingerprint, now: int) -> bool:
+        """Record that a target has completed a request just now.
 
         Returns
         -------
         bool
-            Whether there were any.
-
-        Notes
-        -----
-        A request that is sent often is running on most targets that are
-        killed for another reason.  One that crashes its targets never
-        completes.
+            Whether that clears strikes.
         """
+        self._completed[fingerprint] = now
+        self._completed.move_to_end(fingerprint)
+        if len(self._completed) > MAX_COMPLETIONS:
+            self._completed.popitem(last=False)
+        return self.clear_strikes(fingerprint)
+
+    def clear_strikes(self, fingerprint: Fingerprint) -> bool:
+        """Clear the strikes of a request; return whether there were any."""
         return self._suspects.pop(fingerprint, None) is not None
 
     def is_quarantined(self, fingerprint: Fingerprint, now: int) -> bool:
         """Return whether a request must not run now."""
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or len(suspect.incidents) < QUARANTINE_STRIKES:
+        if suspect is None or now - suspect.last_at >= QUARANTINE_MS:
             return False
-        return now - suspect.last_at < QUARANTINE_MS
-
-    def _expire(self, now: int) -> None:
-        if len(self._suspects) < MAX_FINGERPRINTS:
-            return
-        self._suspects = {
-            fingerprint: suspect
-            for fingerprint, suspect in self._suspects.items()
-            if now - suspect.last_at < QUARANTINE_MS
-        }
+        completed_at = self._completed.get(fingerprint, now - QUARANTINE_MS)
+        has_completed = now - completed_at < QUARANTINE_MS
+        return len(suspect.incidents) >= QUARANTINE_STRIKES + has_completed
--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -17,7 +17,7 @@
     Version,
     Zone,
 )
-from savoryhold.core.poison import fingerprint_of
+from savoryhold.core.poison import Fingerprint
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.members import NodeStatus
 from savoryhold.mesh.requests import (
@@ -178,6 +178,7 @@
         returning=req.returning,
         origin=req.origin,
         expected_ms=req.expected_ms,
+        fingerprint=req.fingerprint,
     )
 
 
@@ -206,13 +207,7 @@
         sent_at + message.aim_ms,
         message.priority,
         bool(message.repeatable),
-        fingerprint_of(
-            message.service_name,
-            as_bytes(message.method).decode('latin-1'),
-            as_bytes(message.path).decode('latin-1'),
-            as_bytes(message.body),
-            message.key,
-        ),
+        Fingerprint(message.fingerprint or 0),
         bool(message.repeat),
         frozenset(Region(name) for name in message.regions or ()),
         bool(message.nested),
--- a/src/savoryhold/mesh/local_target.py
+++ b/src/savoryhold/mesh/local_target.py
@@ -166,11 +166,21 @@
         while self._reset and now - self._reset[0][1] > CRASH_SPREAD_MS:
             self._reset.popleft()
 
+    def is_quarantined(self, req: RelayedRequest) -> bool:
+        """Return whether a request crashes its targets."""
+        now = self._clock.now()
+        return any(
+            self.poison.is_quarantined(fingerprint, now)
+            for fingerprint in req.fingerprints
+        )
+
     def acquit(self, req: RelayedRequest) -> None:
         """Clear the strikes of a request that has run to its end."""
-        if self.poison.clear_strikes(req.fingerprint):
-            self._log.info('acquitted', request=req.request)
-            self.on_acquitted(req.fingerprint)
+        now = self._clock.now()
+        for fingerprint in req.fingerprints:
+            if self.poison.record_completion(fingerprint, now):
+                self._log.info('acquitted', request=req.request)
+                self.on_acquitted(fingerprint)
 
     def declare_dead_if_silent(self) -> None:
         """Declare the target dead if it is silent and refuses connections."""
@@ -210,21 +220,32 @@
         ended_at = broken[-1][1]
         incident = f'{self._node}/{life.target}/{life.born}'
         for req, broken_at in broken:
-            if ended_at - broken_at > CRASH_SPREAD_MS:
-                continue
-            strike = Strike(req.fingerprint, incident)
-            if self.poison.strike(strike, self._clock.now()):
-                self._log.warning(
-                    'strike',
-                    request=req.request,
-                    path=req.path.decode('latin-1'),
-                    key=req.key,
-                    incident=incident,
-                )
-                self.on_strike(strike)
+            if ended_at - broken_at <= CRASH_SPREAD_MS:
+                self._strike(req, incident, ended_at)
         self._interrupted.clear()
         self._reset.clear()
 
+    def _strike(
+        self, req: RelayedRequest, incident: str, crashed_at: int
+    ) -> None:
+        """Record a strike against a request that a crash interrupted."""
+        now = self._clock.now()
+        ago_ms = now - crashed_at
+        for fingerprint in req.fingerprints:
+            strike = Strike(fingerprint, incident, ago_ms)
+            if not self.poison.strike(strike, now):
+                continue
+            self._log.warning(
+                'strike',
+                request=req.request,
+                path=req.path.decode('latin-1'),
+                key=req.key,
+                incident=incident,
+                fingerprint=f'{fingerprint:016x}',
+                ago_ms=ago_ms,
+            )
+            self.on_strike(strike)
+
     def _on_new_life(self, report: TargetReport) -> None:
         self._log.info(
             'target_up',
--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -175,7 +175,7 @@
                 'the target does not accept requests', DOWN_RETRY_MS
             )
         self.check_place(req)
-        if self.target.poison.is_quarantined(req.fingerprint, now):
+        if self.target.is_quarantined(req):
             raise PoisonedError('the request crashes its targets')
         if not self._runs.may_start(req):
             raise BusyError(
@@ -284,7 +284,8 @@
         if checked.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             # Failures are faster than runs, and say nothing of their cost.
             self.queue.record_run(ticket, took, self.clock.now())
-        self.target.acquit(req)
+        if self._calls.is_run(answer):
+            self.target.acquit(req)
         return checked
 
     def _on_load(self, text: bytes) -> None:
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -142,7 +142,9 @@
         """Report to all members that a request crashed a target."""
         self._send_all(
             messages.StrikeNotice(
-                fingerprint=strike.fingerprint, incident=strike.incident
+                fingerprint=strike.fingerprint,
+                incident=strike.incident,
+                age_ms=strike.ago_ms,
             )
         )
 
@@ -390,13 +392,13 @@
 
     @_receive_update.register(messages.StrikeNotice)
     def _(self, message: messages.Message) -> None:
+        poison, now = self._owner.target.poison, self._clock.now()
+        fingerprint = Fingerprint(message.fingerprint)
         if message.acquitted:
-            self._owner.target.poison.clear_strikes(
-                Fingerprint(message.fingerprint)
-            )
+            poison.record_completion(fingerprint, now)
             return
-        strike = Strike(Fingerprint(message.fingerprint), message.incident)
-        self._owner.target.poison.strike(strike, self._clock.now())
+        strike = Strike(fingerprint, message.incident, message.age_ms or 0)
+        poison.strike(strike, now)
 
     def _log_member_changes(self) -> None:
         now = self._clock.now()
--- a/src/savoryhold/mesh/request_reader.py
+++ b/src/savoryhold/mesh/request_reader.py
@@ -4,7 +4,7 @@
 
 from savoryhold.core.errors import BadRequestError, RequestError
 from savoryhold.core.ids import RequestId, ServiceName
-from savoryhold.core.poison import fingerprint_of
+from savoryhold.core.poison import Fingerprint, fingerprint_of
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.requests import (
     NO_KEY,
@@ -93,18 +93,27 @@
             http.read_at + route.aim_ms,
             route.priority,
             route.kind.repeatable,
-            fingerprint_of(
-                service,
-                http.method.decode('latin-1'),
-                http.target.decode('latin-1'),
-                http.body,
-                key,
-            ),
+            self._fingerprint(http, route),
             self._is_call_of_repeat(request, service),
             regions=route.regions,
         )
         return req, route
 
+    def _fingerprint(self, http: HttpRequest, route: Route) -> Fingerprint:
+        """Return what identifies the request when it comes again.
+
+        Notes
+        -----
+        The service is left out: it changes with the configuration.
+        """
+        return fingerprint_of(
+            route.host,
+            http.method.decode('latin-1'),
+            http.target.decode('latin-1'),
+            http.body,
+            caller=self._context.settings.service,
+        )
+
     def _is_call_of_repeat(
         self, request: RequestId, service: ServiceName
     ) -> bool:
--- a/src/savoryhold/mesh/requests.py
+++ b/src/savoryhold/mesh/requests.py
@@ -4,7 +4,7 @@
 
 from savoryhold.core.errors import RequestError
 from savoryhold.core.ids import NodeId, Region, RequestId, ServiceName
-from savoryhold.core.poison import Fingerprint
+from savoryhold.core.poison import Fingerprint, fingerprint_with_key
 from savoryhold.core.verdict import Verdict
 
 __all__ = [
@@ -60,7 +60,8 @@
     repeatable : bool
         Whether it may run more than once (it is idempotent).
     fingerprint : Fingerprint
-        Hash that is equal for requests with the same content.
+        Hash that is equal for requests with the same content from the same
+        calling service; it leaves the key out.
     repeat : bool
         Whether a target may have received it before, or whether it is a
         nested call of a run that is itself a repeat.
@@ -96,6 +97,20 @@
     origin: NodeId = NodeId('')
     expected_ms: float = 0.0
 
+    @property
+    def fingerprints(self) -> tuple[Fingerprint, ...]:
+        """Return what strikes and completions of the request count for.
+
+        Notes
+        -----
+        Requests that differ in their keys alone may crash their targets all, or
+        one of them only.
+        """
+        if self.key == NO_KEY:
+            return (self.fingerprint,)
+        with_key = fingerprint_with_key(self.fingerprint, self.key)
+        return (self.fingerprint, with_key)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayedAnswer:
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -147,7 +147,6 @@
             If the target refused the request, or did not write the answer, or
             if the answer only seems to be a refusal.
         """
-        names = self._names
         shed = self._is_refused(req, answer)
         self.acceptance += SHED_SMOOTHING * ((not shed) - self.acceptance)
         if shed:
@@ -160,14 +159,19 @@
                 f'status {answer.status}, but the request may have run'
             )
         succeeded = answer.status in STATUS_OK
-        signed = not names.answer_signature or self._is_signed(answer)
-        if succeeded and (not signed or FOREIGN_HEADER in answer.fields):
+        if succeeded and (
+            not self.is_run(answer) or FOREIGN_HEADER in answer.fields
+        ):
             raise BadAnswerError(
                 'the answer was not written by the target itself'
             )
         head = encode_headers(answer.headers, NOT_FORWARDED)
         return RelayedAnswer(answer.status, head, answer.body, ran_ms)
 
+    def is_run(self, answer: ClientAnswer) -> bool:
+        """Return whether the target itself wrote the answer, after a run."""
+        return not self._names.answer_signature or self._is_signed(answer)
+
     def _is_refused(self, req: RelayedRequest, answer: ClientAnswer) -> bool:
         """Return whether the target has not run the request.
 
--- a/src/savoryhold/mesh/tests/stub_links.py
+++ b/src/savoryhold/mesh/tests/stub_links.py
@@ -62,7 +62,7 @@
 
     def send(self, message: messages.Message) -> None:
         """Deliver a message of either end."""
-        if isinstance(message, messages.Relay):
+        if isinstance(message, (messages.Relay, messages.StrikeNotice)):
             self._task = asyncio.ensure_future(self._serve(message))
         elif isinstance(message, messages.Cancel):
             if self._task is not None:
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -109,6 +109,7 @@
   1: i64 fingerprint,
   2: string incident,
   3: bool acquitted,
+  4: i32 age_ms,
 }
 
 // Asks the receiver to hand over `wanted` shards of a service.
@@ -146,6 +147,7 @@
   17: bool returning,
   18: string origin,
   19: double expected_ms,
+  20: i64 fingerprint,
 }
 
 // The owner's reply: the target's answer, or an error with its verdict.
