The quarantine of a request that crashes its targets outlasts restarts

Cause: strikes were kept in the memory of each node and sent once, when they happened. A process that started knew none, and two crashes more were needed.

Change: a node whose target crashed on a quarantined request keeps the strikes in its own entry in the registry, which each process reads at its start. While a request is quarantined each node repeats its strikes to one other node about every 0.5 s, so that those that started while the store was away, or were cut off, learn of them; a node that has completed the request since answers with the acquittal. The entry is written on condition of its version, also at a start. Strike messages move from peers.py to strikes.py.

Ruled out: notices lost on their way (each node had them before its restart).

--- a/src/savoryhold/core/clock.py
+++ b/src/savoryhold/core/clock.py
@@ -3,7 +3,7 @@
 import time
 from typing import Protocol
 
-__all__ = ['BootClock', 'Clock', 'ManualClock', 'MonotonicClock']
+__all__ = ['BootClock', 'Clock', 'ManualClock', 'MonotonicClock', 'WallClock']
 
 NANOSECONDS_PER_MS = 1_000_000
 
@@ -34,6 +34,17 @@
         return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NANOSECONDS_PER_MS
 
 
+class WallClock:
+    """The time of day, which outlasts processes and may be set.
+
+    It is for what is stored; everything else uses a monotonic clock.
+    """
+
+    def now(self) -> int:
+        """Return the Unix time in milliseconds."""
+        return time.time_ns() // NANOSECONDS_PER_MS
+
+
 class ManualClock:
     """A clock that only `advance` moves, for tests.
 
--- a/src/savoryhold/core/poison.py
+++ b/src/savoryhold/core/poison.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import NewType
 
 import xxhash
 
 __all__ = [
+    'MAX_INCIDENTS',
+    'QUARANTINE_MS',
     'Fingerprint',
     'PoisonGuard',
     'Strike',
@@ -20,7 +23,7 @@
 QUARANTINE_MS = 600_000
 MAX_FINGERPRINTS = 10_000
 MAX_COMPLETIONS = 4096
-MAX_INCIDENTS = 8  # of one fingerprint
+MAX_INCIDENTS = 4  # of one fingerprint
 
 
 def fingerprint_of(
@@ -97,17 +100,17 @@
     """
 
     def __init__(self) -> None:
+        # Called if what `quarantined` returns may have changed.
+        self.on_change: Callable[[], None] = lambda: None
         self._suspects: OrderedDict[Fingerprint, _Suspect] = OrderedDict()
         # When requests completed last, the latest ones at the end.
         self._completed: OrderedDict[Fingerprint, int] = OrderedDict()
 
     def strike(self, strike: Strike, now: int) -> bool:
         """Count a strike; return whether it is new."""
-        crashed_at = now - strike.ago_ms
-        fingerprint = strike.fingerprint
-        completed_at = self._completed.get(fingerprint)
-        if completed_at is not None and completed_at > crashed_at:
+        if self.is_void(strike, now):
             return False
+        fingerprint, crashed_at = strike.fingerprint, now - strike.ago_ms
         suspect = self._suspects.setdefault(
             fingerprint, _Suspect({}, crashed_at)
         )
@@ -119,8 +122,15 @@
         self._suspects.move_to_end(fingerprint)
         if len(self._suspects) > MAX_FINGERPRINTS:
             self._suspects.popitem(last=False)
+        if len(suspect.incidents) >= QUARANTINE_STRIKES:
+            self.on_change()
         return True
 
+    def is_void(self, strike: Strike, now: int) -> bool:
+        """Return whether the request has completed since the crash."""
+        completed_at = self._completed.get(strike.fingerprint)
+        return completed_at is not None and completed_at > now - strike.ago_ms
+
     def record_completion(self, fingerprint: Fingerprint, now: int) -> bool:
         """Record that a target has completed a request just now.
 
@@ -137,7 +147,10 @@
 
     def clear_strikes(self, fingerprint: Fingerprint) -> bool:
         """Clear the strikes of a request; return whether there were any."""
-        return self._suspects.pop(fingerprint, None) is not None
+        suspect = self._suspects.pop(fingerprint, None)
+        if suspect is not None and len(suspect.incidents) >= QUARANTINE_STRIKES:
+            self.on_change()
+        return suspect is not None
 
     def is_quarantined(self, fingerprint: Fingerprint, now: int) -> bool:
         """Return whether a request must not run now."""
@@ -147,3 +160,21 @@
         completed_at = self._completed.get(fingerprint, now - QUARANTINE_MS)
         has_completed = now - completed_at < QUARANTINE_MS
         return len(suspect.incidents) >= QUARANTINE_STRIKES + has_completed
+
+    def quarantined(self, now: int) -> dict[Fingerprint, list[Strike]]:
+        """Return the strikes of quarantined requests, the latest at the end.
+
+        Notes
+        -----
+        Those that this node still runs, as it has completed them, are among
+        them: other nodes may not have.
+        """
+        return {
+            fingerprint: [
+                Strike(fingerprint, incident, now - crashed_at)
+                for incident, crashed_at in suspect.incidents.items()
+            ]
+            for fingerprint, suspect in self._suspects.items()
+            if len(suspect.incidents) >= QUARANTINE_STRIKES
+            and now - suspect.last_at < QUARANTINE_MS
+        }
--- a/src/savoryhold/daemon/logs.py
+++ b/src/savoryhold/daemon/logs.py
@@ -5,18 +5,20 @@
 
 import logging
 import os
+import traceback
 from collections import deque
 from functools import partial
 from typing import TextIO, cast
 
 import structlog
 
-__all__ = ['LineBuffer', 'Log', 'get_log', 'set_up_logs']
+__all__ = ['LineBuffer', 'Log', 'format_frames', 'get_log', 'set_up_logs']
 
 Log = structlog.typing.FilteringBoundLogger
 
 MAX_LINES = 2000  # buffered lines; further ones are dropped and counted
 MAX_VALUE_CHARS = 2000  # of one value; the rest is cut off
+TRACE_FRAMES = 4
 PLAIN_TYPES = (bool, int, float, type(None))
 
 
@@ -100,6 +102,17 @@
     return log
 
 
+def format_frames(exc: BaseException | None) -> str:
+    """Return file and line of an exception's last frames, innermost last."""
+    if exc is None:
+        return ''
+    frames = traceback.extract_tb(exc.__traceback__)
+    return ' '.join(
+        f'{frame.filename.rpartition("/")[2]}:{frame.lineno}'
+        for frame in frames[-TRACE_FRAMES:]
+    )
+
+
 def _make_logger(lines: LineBuffer, *names: str) -> structlog.WriteLogger:
     return structlog.WriteLogger(cast(TextIO, lines))
 
--- a/src/savoryhold/mesh/departures.py
+++ b/src/savoryhold/mesh/departures.py
@@ -9,10 +9,11 @@
 from typing import Any
 
 from savoryhold.core.decoding import UNREADABLE, plain_text, whole_number
-from savoryhold.core.errors import PlatformError, VersionConflictError
+from savoryhold.core.errors import PlatformError
 from savoryhold.core.ids import NodeId
 from savoryhold.daemon.logs import Log
-from savoryhold.mesh.interface import NODE_KIND, MeshStore
+from savoryhold.mesh.interface import MeshStore
+from savoryhold.mesh.node_entry import NodeEntry
 from savoryhold.ranges import TargetLife
 
 __all__ = ['Departures']
@@ -41,8 +42,7 @@
         # Set once the entry that an earlier process has left is known.
         self.loaded = asyncio.Event()
         self.on_loaded: Callable[[], None] = lambda: None
-        self._node = node
-        self._store = store
+        self._entry = NodeEntry(node, store)
         self._log = log
         self._lives: list[TargetLife] = []
         self._stored: frozenset[TargetLife] = frozenset()
@@ -114,27 +114,9 @@
         # The target repeats its announcement while this runs.
         async with self._lock:
             for _ in range(ATTEMPTS):
-                if self.is_stored(life) or await self._write():
+                if self.is_stored(life) or await self._entry.write(self):
                     return
 
-    async def _write(self) -> bool:
-        """Add the departures to the entry; return whether it has changed."""
-        stored = await self._store.read(NODE_KIND, self._node)
-        if stored is None or not isinstance(stored.spec, dict):
-            raise PlatformError(f'{self._node} is not registered')
-        self.restore(stored.spec)
-        entry = self.add_to(stored.spec)
-        if entry == stored.spec:
-            return True
-        try:
-            written = await self._store.replace(
-                NODE_KIND, self._node, entry, stored.version
-            )
-        except VersionConflictError:
-            return False
-        self.restore(written.spec)
-        return True
-
 
 def _decode(row: Any) -> TargetLife:
     target, born = row
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import signal
-import traceback
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
 from typing import Any
@@ -12,7 +11,7 @@
 from savoryhold.core.clock import BootClock
 from savoryhold.core.errors import ConfigurationError
 from savoryhold.core.ids import NodeId
-from savoryhold.daemon.logs import LineBuffer, get_log
+from savoryhold.daemon.logs import LineBuffer, format_frames, get_log
 from savoryhold.mesh.config import ConfigTask
 from savoryhold.mesh.config_checks import ConfigCheckTask
 from savoryhold.mesh.departures import Departures
@@ -30,6 +29,7 @@
 from savoryhold.mesh.place_rules import PlaceRules
 from savoryhold.mesh.placement import PlacementTask
 from savoryhold.mesh.places import Place
+from savoryhold.mesh.quarantine_record import QuarantineRecord
 from savoryhold.mesh.registration import RegistrationTask
 from savoryhold.mesh.reports import ReportHandler
 from savoryhold.mesh.settings import MeshSettings
@@ -71,7 +71,6 @@
 MAX_CHECK_BYTES = 65_536
 EXIT_OK = 0
 EXIT_FAILED = 1
-TRACE_FRAMES = 4
 
 
 class MeshNode:
@@ -140,8 +139,15 @@
         self._evacuations = EvacuationTask(context, adapter)
         self._config_checks = ConfigCheckTask(context)
         self.departures = Departures(settings.node, adapter.store, self.log)
+        self._quarantine = QuarantineRecord(
+            settings.node, adapter.store, self.owner.target, clock, self.log
+        )
         self._registration = RegistrationTask(
-            context, adapter.store, self.departures, self.peers
+            context,
+            adapter.store,
+            self.departures,
+            self.peers,
+            self._quarantine,
         )
         self._proofs = TableProofTask(context)
         self.telemetry = Telemetry(clock, self.log)
@@ -238,23 +244,31 @@
         self.tables.on_table_written = self.peers.broadcast_table
         self.owner.machine_of = self.tables.machines.get
         self.owner.is_peer_alive = self._is_alive
-        self.owner.target.on_strike = self.peers.broadcast_strike
+        strikes = self.peers.strikes
+        self.owner.target.on_strike = strikes.broadcast
+        self.owner.target.on_acquitted = strikes.broadcast_acquittal
+        self.owner.target.poison.on_change = self._on_quarantine
         self.owner.may_log = self.telemetry.may_log
         capacity = self.owner.capacity
         capacity.routes = self._routes
         capacity.warmup_over = self.settings.warmup_over
         capacity.warmup_slack = self.settings.warmup_slack
-        self.owner.target.on_acquitted = self.peers.broadcast_acquittal
         self.owner.on_target_dead = self.peers.broadcast_status
         self.pool.endpoint.on_closed = self._on_link_closed
         self.pool.on_moved = self._on_calls_moved
 
+    def _on_quarantine(self) -> None:
+        self.peers.strikes.wake()
+        self._quarantine.wake()
+
     def _background_tasks(self) -> list[Coroutine[Any, Any, None]]:
         return [
             self.configs.run(),
             self._config_checks.run(),
             self._evacuations.run(),
             self._registration.run(),
+            self._quarantine.run(),
+            self.peers.strikes.run(),
             self.peers.run(),
             self.peers.digests.run(),
             self.owner.tick(),
@@ -392,9 +406,9 @@
         if task.cancelled() or task.exception() is None:
             return
         exc = task.exception()
-        self._failure = f'{exc!r} at {_format_frames(exc)}'
+        self._failure = f'{exc!r} at {format_frames(exc)}'
         self._leave_requested.set()
-        self.log.error('task_failed', error=repr(exc), at=_format_frames(exc))
+        self.log.error('task_failed', error=repr(exc), at=format_frames(exc))
 
     async def _flush(self) -> None:
         while True:
@@ -501,14 +515,3 @@
 
 def _limit_checks() -> CallerLimits:
     return CallerLimits(body_bytes=MAX_CHECK_BYTES)
-
-
-def _format_frames(exc: BaseException | None) -> str:
-    """Return file and line of an exception's last frames, innermost last."""
-    if exc is None:
-        return ''
-    frames = traceback.extract_tb(exc.__traceback__)
-    return ' '.join(
-        f'{frame.filename.rpartition("/")[2]}:{frame.lineno}'
-        for frame in frames[-TRACE_FRAMES:]
-    )
--- a/src/savoryhold/mesh/peers.py
+++ b/src/savoryhold/mesh/peers.py
@@ -7,7 +7,6 @@
 
 from savoryhold.core.errors import LinkError, RequestError, release_frames
 from savoryhold.core.ids import Epoch, NodeId, ServiceName
-from savoryhold.core.poison import Fingerprint, Strike
 from savoryhold.mesh.codec import (
     as_bytes,
     confirmation_message,
@@ -22,6 +21,7 @@
 from savoryhold.mesh.members import NodeStatus
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.places import Place
+from savoryhold.mesh.strikes import StrikeTask
 from savoryhold.mesh.tickets import room_ms
 from savoryhold.peer import LinkStream, messages
 from savoryhold.ranges import RangeTable, Span
@@ -74,7 +74,9 @@
             messages.Relay: self._relay,
             messages.TableRequest: self._write_table,
         }
+        self.strikes = StrikeTask(context, self._send_soon, self._send_all)
         self._receiving: dict[type, _Receive] = {
+            messages.StrikeNotice: self.strikes.receive,
             messages.ConfigUpdate: self._receive_config,
             messages.ZoneBroadcast: self._receive_broadcast,
         }
@@ -138,22 +140,6 @@
         for member in self._members.live_members(self._clock.now()):
             self._send_soon(member.status.address, message)
 
-    def broadcast_strike(self, strike: Strike) -> None:
-        """Report to all members that a request crashed a target."""
-        self._send_all(
-            messages.StrikeNotice(
-                fingerprint=strike.fingerprint,
-                incident=strike.incident,
-                age_ms=strike.ago_ms,
-            )
-        )
-
-    def broadcast_acquittal(self, fingerprint: Fingerprint) -> None:
-        """Report to all members that a suspect request has completed."""
-        self._send_all(
-            messages.StrikeNotice(fingerprint=fingerprint, acquitted=True)
-        )
-
     def status_message(self) -> messages.Message:
         """Return this node's status."""
         now = self._clock.now()
@@ -390,16 +376,6 @@
     def _(self, message: messages.Message) -> None:
         self._tables.apply_update(message)
 
-    @_receive_update.register(messages.StrikeNotice)
-    def _(self, message: messages.Message) -> None:
-        poison, now = self._owner.target.poison, self._clock.now()
-        fingerprint = Fingerprint(message.fingerprint)
-        if message.acquitted:
-            poison.record_completion(fingerprint, now)
-            return
-        strike = Strike(fingerprint, message.incident, message.age_ms or 0)
-        poison.strike(strike, now)
-
     def _log_member_changes(self) -> None:
         now = self._clock.now()
         alive = frozenset(
--- a/src/savoryhold/mesh/registration.py
+++ b/src/savoryhold/mesh/registration.py
@@ -12,10 +12,12 @@
     NODE_KIND,
     MeshStore,
     StoreConflictError,
+    StoredObject,
 )
 from savoryhold.mesh.node_context import NodeContext
 from savoryhold.mesh.peers import PeerTask
 from savoryhold.mesh.places import Place
+from savoryhold.mesh.quarantine_record import QuarantineRecord
 
 __all__ = ['RegistrationTask']
 
@@ -36,6 +38,8 @@
         Incarnations of the target that have announced their leave.
     peers : PeerTask
         Introduces the node to the others.
+    quarantine : QuarantineRecord, optional
+        Quarantined requests in the entries of all nodes.
     """
 
     def __init__(
@@ -44,6 +48,7 @@
         store: MeshStore,
         departures: Departures,
         peers: PeerTask,
+        quarantine: QuarantineRecord | None = None,
     ) -> None:
         self._settings = context.settings
         self._members = context.members
@@ -51,6 +56,7 @@
         self._store = store
         self._departures = departures
         self._peers = peers
+        self._quarantine = quarantine
 
     async def run(self) -> None:
         """Try to register until the store has accepted it."""
@@ -84,18 +90,24 @@
             self._log.debug('already_registered')
         # Read after the write, so that at least one of two nodes that start
         # together finds the other.
-        specs = await self.read_registry()
-        stored = specs.get(cfg.node)
-        self._departures.load(stored)
+        registry = await self.read_registry()
+        stored = registry.get(cfg.node)
+        specs = {name: entry.spec for name, entry in registry.items()}
+        if self._quarantine is not None:
+            self._quarantine.load(specs)
+            spec = self._quarantine.add_to(spec)
+        self._departures.load(specs.get(cfg.node))
         spec = self._departures.add_to(spec)
-        if stored != spec:
-            await self._store.replace(NODE_KIND, cfg.node, spec, None)
+        if stored is None or stored.spec != spec:
+            # A departure may have been stored since the entries were read.
+            version = None if stored is None else stored.version
+            await self._store.replace(NODE_KIND, cfg.node, spec, version)
         self._log.info('registered', members=len(self._members.addresses))
         self._peers.introduce()
         if self._members.by_zone:
             await self._peers.digests.pull()
 
-    async def read_registry(self) -> dict[str, Any]:
+    async def read_registry(self) -> dict[str, StoredObject]:
         """Add the registered nodes to the members; return all entries."""
         listing = await self._store.list(NODE_KIND)
         if listing.unreadable:
@@ -111,7 +123,7 @@
             else:
                 self._members.add_address(NodeId(entry.name), address, place)
         self._members.registry_loaded = True
-        return {node.name: node.spec for node in listing.objects}
+        return {found.name: found for found in listing.objects}
 
 
 def _place_of(spec: dict[str, Any]) -> Place:
--- a/src/savoryhold/mesh/tests/fleet.py
+++ b/src/savoryhold/mesh/tests/fleet.py
@@ -296,7 +296,7 @@
 
     def _links(self) -> PeerPool:
         if not self.fleet.real_links:
-            return cast(PeerPool, StubLinkPool(self.fleet))
+            return cast(PeerPool, StubLinkPool(self.fleet, self.name))
         pool = PeerPool(self.name, SECRET, self.on_peer)
         self.fleet.network.listen(self.process, PEER_PORT, pool.accept)
         return pool
--- a/src/savoryhold/mesh/tests/stub_links.py
+++ b/src/savoryhold/mesh/tests/stub_links.py
@@ -25,10 +25,13 @@
     ----------
     fleet : Fleet
         Fleet whose nodes can be called.
+    node : NodeId
+        Name of the calling node.
     """
 
-    def __init__(self, fleet: 'Fleet') -> None:
+    def __init__(self, fleet: 'Fleet', node: NodeId) -> None:
         self._fleet = fleet
+        self._node = node
 
     def send_now(self, address: str, message: messages.Message) -> bool:
         """Have the node open a call instead."""
@@ -36,15 +39,14 @@
 
     async def open(self, address: str) -> '_Call':
         """Open a call to a node."""
-        return _Call(self._fleet.by_name[NodeId(address)])
+        return _Call(self._fleet.by_name[NodeId(address)], self._node)
 
 
 class _Call:
     """Both ends of one call."""
 
-    peer = 'peer'
-
-    def __init__(self, node: 'Node') -> None:
+    def __init__(self, node: 'Node', peer: NodeId) -> None:
+        self.peer = peer
         self._node = node
         self._task: asyncio.Task[None] | None = None
         self._reply: asyncio.Future[messages.Message] = (
--- a/src/savoryhold/mesh/tests/test_departures.py
+++ b/src/savoryhold/mesh/tests/test_departures.py
@@ -330,10 +330,24 @@
         """The entry is written only if it has changed."""
         await self.report()
         await self.leave()
-        entry = self.registry.spec
+        store, departures = await self.register({'zone': 'z', 'region': 'r'})
+        store.replace.assert_not_called()
+        self.assertTrue(departures.is_stored(LIFE))
+
+    # A leave that was confirmed between the reading and the writing of the
+    # entry was overwritten.
+    async def test_entry_is_replaced_on_condition_of_its_version(self) -> None:
+        """Another write in between makes the node read it again."""
+        store, _ = await self.register({'zone': 'former'})
+        self.assertEqual(store.replace.call_args.args[-1], Version(1))
+
+    async def register(
+        self, fields: dict[str, Any]
+    ) -> tuple[mock.AsyncMock, Departures]:
+        """Register the node, which has an entry with these fields."""
+        entry = self.registry.spec | fields
         store = mock.AsyncMock()
         store.create.side_effect = VersionConflictError('exists')
-        entry = entry | {'zone': 'z', 'region': 'r'}
         store.list.return_value = Listing(
             1, (StoredObject(NODE, Version(1), entry),)
         )
@@ -351,5 +365,4 @@
             VersionConflictError,
         ):
             await task.register()
-        store.replace.assert_not_called()
-        self.assertTrue(departures.is_stored(LIFE))
+        return store, departures
--- a/src/savoryhold/mesh/tests/test_poisoned_requests.py
+++ b/src/savoryhold/mesh/tests/test_poisoned_requests.py
@@ -60,7 +60,7 @@
         self._born = 1
         self._is_up = True
         assert target.node is not None
-        self._node = target.node
+        self.node = target.node
         cast(Any, target).ask = self.ask
         cast(Any, target).retire = target.close
 
@@ -89,17 +89,19 @@
         """Report the next incarnation."""
         self._born += 1
         self._is_up = True
-        report = target_report(self._node.name, self._node.target.service)
+        report = target_report(self.node.name, self.node.target.service)
         life = TargetLife(report.keys.life.target, self._born)
         keys = dataclasses.replace(report.keys, life=life)
-        self._node.owner.on_report(dataclasses.replace(report, keys=keys))
-        self._node.owner.target.pool = cast(Any, self._node.target)
+        self.node.owner.on_report(dataclasses.replace(report, keys=keys))
+        self.node.owner.target.pool = cast(Any, self.node.target)
 
 
 def connect(node: Node) -> None:
     """Have a node tell the others of strikes, as `MeshNode` does."""
-    node.owner.target.on_strike = node.peers.broadcast_strike
-    node.owner.target.on_acquitted = node.peers.broadcast_acquittal
+    node.owner.target.on_strike = node.peers.strikes.broadcast
+    node.owner.target.on_acquitted = node.peers.strikes.broadcast_acquittal
+    node.owner.target.poison.on_change = node.peers.strikes.wake
+    node.process.spawn(node.peers.strikes.run())
 
 
 class PoisonCase(VirtualTimeCase):
--- a/src/savoryhold/peer/messages.thrift
+++ b/src/savoryhold/peer/messages.thrift
@@ -110,6 +110,7 @@
   2: string incident,
   3: bool acquitted,
   4: i32 age_ms,
+  5: bool repeated,
 }
 
 // Asks the receiver to hand over `wanted` shards of a service.
