The simulated target reports one call at a time

Targets report one call at a time: a report is repeated elsewhere only once a second has passed without a reply.

The check is as strict as before; only this order of events, which a target cannot produce, is left out. A target now waits for the reply or its limit, and a late reply is ignored as before.

--- a/src/savoryhold/ranges/tests/ownership_simulation.py
+++ b/src/savoryhold/ranges/tests/ownership_simulation.py
@@ -53,6 +53,7 @@
     """The state of a target, on its own slow clock.
 
     ``rows`` maps each held span to its fencing token and the end of its hold.
+    ``asked_at`` is when the report was sent whose reply it still waits for.
     """
 
     life: TargetLife
@@ -62,6 +63,7 @@
     )
     released: list[ReleasedSpan] = dataclasses.field(default_factory=list)
     highest: dict[int, int] = dataclasses.field(default_factory=dict)
+    asked_at: int | None = None
 
     def holds(self, key: int, now: float) -> int | None:
         """Return the fencing token of a held key, None if it is not held."""
@@ -340,6 +342,10 @@
     def send_report(self, node: NodeId) -> None:
         """Send a report of a node's target and schedule the next one."""
         target = self.targets[node]
+        if self.is_waiting(target):
+            self.schedule(STEP_MS, partial(self.send_report, node))
+            return
+        target.asked_at = self.now
         held = tuple(
             HeldSpan(span, fence)
             for span, (fence, until) in target.rows.items()
@@ -356,6 +362,12 @@
             100 if often else REPORT_MS, partial(self.send_report, node)
         )
 
+    def is_waiting(self, target: Target) -> bool:
+        """Return whether a target waits for a reply; it sends no more then."""
+        if target.asked_at is None:
+            return False
+        return self.now - target.asked_at <= REPORT_LIMIT_MS
+
     def reports_often(self, node: NodeId, target: Target) -> bool:
         """Return whether the target reports often, as during a handover."""
         return bool(self.machines[node].handovers) and target.up
@@ -381,6 +393,8 @@
     ) -> None:
         """Deliver a reply; the target ignores it if it is too late."""
         late = self.now - sent_at > REPORT_LIMIT_MS
+        if target.asked_at == sent_at:
+            target.asked_at = None
         if late or reply is None or target not in self.targets.values():
             return
         until = sent_at + reply.hold_ms / SLOW_CLOCK
