A target that follows an adopted one gets no fence of the epoch before

Cause: a new process takes the number of incarnations from the fences in its first report. If that is a delayed one, later incarnations have used higher ones.

Change: what an earlier process has granted is granted on to the incarnation that reported first only; the next one needs a new epoch. This costs one write of the table when a target restarts after its node has.

--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -426,6 +426,7 @@
             self._adopt(report)
         else:
             self._life_number += 1
+            self._forget_adopted()
             if former_ended:
                 self.drop_holds()
             else:
@@ -453,6 +454,25 @@
         self._adopted = report.held
         self._mark_adopted_grantable()
 
+    def _forget_adopted(self) -> None:
+        """Grant the rows of an earlier process under a new epoch only.
+
+        Notes
+        -----
+        The adopted incarnation may not have been the last one that the earlier
+        process knew, as its report may have been delayed.  Fencing tokens that
+        follow from its own may therefore be in use.
+        """
+        self._adopted = ()
+        self._grantable = [
+            (span, epoch)
+            for span, epoch in self._grantable
+            if not any(
+                row.epoch == epoch and row.span.overlaps(span)
+                for row in self._inherited
+            )
+        ]
+
     def _mark_adopted_grantable(self) -> None:
         for held in self._adopted:
             epoch = held.fence // FENCES_PER_EPOCH
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -180,6 +180,27 @@
             self.machine.release_confirmation(LOW, Epoch(3), 25)
         )
 
+    # After a delayed report of a former incarnation two targets got the same
+    # fence, one after the other.
+    def test_incarnation_after_an_adopted_one_needs_a_new_epoch(self) -> None:
+        """The adopted one may not be the last one before the restart."""
+        inherited = row(ALL, ME, 3)
+        for report_first in (True, False):
+            with self.subTest(report_first=report_first):
+                self.setUp()
+                if report_first:
+                    self.machine.record_report(report(LIFE, (ALL, 3 * 1024)))
+                self.learn(table(1, inherited), 0)
+                self.machine.record_report(report(LIFE, (ALL, 3 * 1024)))
+                reply = self.machine.on_report(
+                    report(SECOND_LIFE), 20, former_ended=True
+                )
+                self.assertEqual(self.spans(reply), [])
+                self.assertEqual(self.machine.stale_rows(), [inherited])
+                self.learn(table(2, row(ALL, ME, 4)), 30)
+                reply = self.machine.on_report(report(SECOND_LIFE), 40)
+                self.assertEqual(self.spans(reply), [ALL])
+
     def test_new_life_gets_higher_fences(self) -> None:
         """Each new incarnation of the target gets a higher fence."""
         self.learn(table(1, row(LOW, OTHER, 1), row(HIGH, OTHER, 1)), 0)
