Rows gained before a restart are inherited although the first copy lacks them

Cause: rows of the first copy counted as inherited, all later ones as new. A row that the process before had gained since that copy was granted without a new epoch.

Change: rows are inherited until the copy is as new as a version that was stored after the start of the process.

Measured: test_rows_of_a_copy_that_was_behind_are_inherited failed before and passes.

--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -90,6 +90,10 @@
         self._first_seen: dict[Row, int] = {}
         # Own rows that an earlier process of this node may have granted.
         self._inherited: set[Row] = set()
+        self._started_at = now
+        # Version that was stored after the start: rows that are gained later
+        # are new to this node's processes, too.
+        self._version_at_start: int | None = None
         self._own_releases: list[ReleasedSpan] = []
         self._received_releases: list[ReleasedSpan] = []
         self._granted: list[Span] = []
@@ -117,13 +121,17 @@
         mine = table.rows_of(self.node)
         if first or set(mine) != set(self._first_seen):
             self._rows_same_since = table.version
+        may_inherit = not self._knows_start()
         self.table = table
-        if first:
-            self._inherited = {
-                row for row in mine if not fresh or row.epoch > FIRST_EPOCH
-            }
+        if may_inherit:
+            self._inherited.update(
+                row
+                for row in mine
+                if row not in self._first_seen
+                and (not fresh or row.epoch > FIRST_EPOCH)
+            )
         self._first_seen = {row: self._first_seen_at(row, now) for row in mine}
-        if first:
+        if may_inherit:
             self._mark_adopted_grantable()
         epochs = {row.epoch for row in mine}
         self._grantable = [
@@ -149,11 +157,24 @@
         """
         if at > self.proof[1]:
             self.proof = (version, at)
+        if self._version_at_start is None and at >= self._started_at:
+            self._version_at_start = version
         if self.table is None:
             return
         if self._rows_same_since <= version <= self.table.version:
             self.proved_at = max(self.proved_at, at)
 
+    def _knows_start(self) -> bool:
+        """Return whether the copy holds all rows of the earlier process.
+
+        Notes
+        -----
+        A copy of a peer may be older than what the earlier process has seen.
+        """
+        if self.table is None or self._version_at_start is None:
+            return False
+        return self.table.version >= self._version_at_start
+
     def apply_confirmation(self, confirmation: ReleaseConfirmation) -> None:
         """Make rows grantable whose previous owner has confirmed the release.
 
--- a/src/savoryhold/ranges/tests/ownership_simulation.py
+++ b/src/savoryhold/ranges/tests/ownership_simulation.py
@@ -41,6 +41,8 @@
 STEP_MS = 40
 HEAL_MS = 3 * LEASE_MS  # a claimed row waits for one lease, sometimes two
 MAX_PARTITION_MS = 3 * LEASE_MS  # enough for a claim and its lease wait
+MAX_COPY_AGE_MS = 3000
+MAX_LATE_REPORTS = 8
 PROBES = tuple(range(0, 65_536, 1024))
 
 
@@ -82,13 +84,19 @@
         Seed of all random decisions.
     create_machine : callable
         Creates the `GrantMachine` of a node, or a mutant of it.
+    stale_starts : bool
+        Whether a process that starts may first learn a copy of the table that
+        is some seconds old, and get a late report of a former target.
     """
 
     def __init__(
         self,
         seed: int,
         create_machine: Callable[[NodeId, int], GrantMachine] = GrantMachine,
+        *,
+        stale_starts: bool = False,
     ) -> None:
+        self.stale_starts = stale_starts
         self.rng = random.Random(seed)
         self.create_machine = create_machine
         self.now = 0
@@ -99,6 +107,9 @@
             Version(1),
             initial_rows([(node, 1.0) for node in NODES]),
         )
+        # Former tables, and until when they were stored.
+        self.history: list[tuple[int, RangeTable]] = []
+        self.former_reports: dict[NodeId, list[Report]] = {}
         self.store_up = True
         self.faults_enabled = True
         self.partitioned: set[NodeId] = set()
@@ -199,6 +210,22 @@
     def restart(self, node: NodeId) -> None:
         """Replace a node's process by a new one."""
         self.machines[node] = self.create_machine(node, self.now)
+        if self.stale_starts:
+            self.begin_with_old_news(node)
+
+    def begin_with_old_news(self, node: NodeId) -> None:
+        """Let a process learn an old copy, and get a late report."""
+        machine = self.machines[node]
+        copies = [
+            table
+            for at, table in self.history
+            if self.now - at < MAX_COPY_AGE_MS
+        ]
+        if copies and self.chance(0.5):
+            machine.learn(self.rng.choice(copies), self.now)
+        reports = self.former_reports.get(node)
+        if reports and self.chance(0.5):
+            machine.on_report(self.rng.choice(reports), self.now)
 
     def crash(self, node: NodeId) -> None:
         """Replace a node's target by a new incarnation."""
@@ -263,6 +290,7 @@
     def commit(self, version: int, rows: list[Row]) -> None:
         """Apply a write if the stored version still matches."""
         if self.table.version == version:
+            self.history.append((self.now, self.table))
             self.table = RangeTable(SERVICE, Version(version + 1), rows)
 
     def read(self, node: NodeId) -> None:
@@ -352,6 +380,8 @@
             if self.now < until
         )
         report = Report(target.life, held, tuple(target.released))
+        self.former_reports.setdefault(node, []).append(report)
+        del self.former_reports[node][:-MAX_LATE_REPORTS]
         late = self.faults_enabled and self.chance(0.1)
         delay = self.rng.randrange(900) if late else self.rng.randrange(1, 10)
         self.schedule(
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -201,6 +201,17 @@
                 reply = self.machine.on_report(report(SECOND_LIFE), 40)
                 self.assertEqual(self.spans(reply), [ALL])
 
+    # A process that learned an old copy of the table first granted rows that
+    # the process before had gained since, with the same fence.
+    def test_rows_of_a_copy_that_was_behind_are_inherited(self) -> None:
+        """Until the copy is as new as the table was after the start."""
+        self.machine.learn(table(1, row(ALL, OTHER, 1)), 0)
+        gained = row(ALL, ME, 2)
+        self.learn(table(3, gained), 10)
+        reply = self.machine.on_report(report(LIFE), 20)
+        self.assertEqual(self.spans(reply), [])
+        self.assertEqual(self.machine.stale_rows(), [gained])
+
     def test_new_life_gets_higher_fences(self) -> None:
         """Each new incarnation of the target gets a higher fence."""
         self.learn(table(1, row(LOW, OTHER, 1), row(HIGH, OTHER, 1)), 0)
--- a/src/savoryhold/ranges/tests/test_ownership_simulation.py
+++ b/src/savoryhold/ranges/tests/test_ownership_simulation.py
@@ -99,6 +99,16 @@
                 simulation.run(RUN_MS)
                 simulation.heal()
 
+    # A process that started with an old copy of the table, or with a late
+    # report of a former target, granted with a fence that was in use.
+    def test_one_holder_after_starts_with_old_news(self) -> None:
+        """The same where processes start with what is no longer true."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                simulation = OwnershipSimulation(seed, stale_starts=True)
+                simulation.run(RUN_MS)
+                simulation.heal()
+
     def test_each_rule_is_needed(self) -> None:
         """The oracle rejects each mutant, so that each rule is necessary."""
         for mutant in (
