A row is adopted as far as its target holds it

Cause: a claim may make a row longer under the same epoch. A restarted process took the whole row for granted by the process before if its target held a part of it.

Change: a row with a previous owner is adopted as far as it is held. The rest gets a new epoch and waits for its previous owner; the part is granted meanwhile.

--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -17,6 +17,7 @@
 granting it within `LEASE_MS` even if no message reaches it.
 """
 
+import dataclasses
 from collections.abc import Callable
 
 from savoryhold.core.ids import Epoch, NodeId
@@ -264,19 +265,23 @@
         if self.life is None:
             return []
         return [
-            row
+            dataclasses.replace(row, span=part)
             for row in self._first_seen
-            if row in self._inherited and not self.is_grantable(row)
+            if row in self._inherited
+            for part in self._parts_not_grantable(row)
         ]
 
     def is_grantable(self, row: Row) -> bool:
         """Return whether this node may grant all keys of a row it owns."""
+        return not self._parts_not_grantable(row)
+
+    def _parts_not_grantable(self, row: Row) -> list[Span]:
         parts = [row.span]
         for span, epoch in self._grantable:
             if epoch != row.epoch:
                 continue
             parts = [rest for part in parts for rest in part.without(span)]
-        return not parts
+        return parts
 
     def on_report(
         self, report: Report, now: int, *, former_ended: bool = False
@@ -499,7 +504,10 @@
             epoch = held.fence // FENCES_PER_EPOCH
             for row in self._inherited:
                 if row.epoch == epoch and held.span.overlaps(row.span):
-                    self._mark_grantable(row.span, row.epoch)
+                    # A claim with the same epoch may have made the row longer.
+                    whole = row.settled or held.span.contains(row.span)
+                    span = row.span.intersection(held.span)
+                    self._mark_grantable(row.span if whole else span, row.epoch)
 
     def _expire_waits(self, now: int) -> None:
         for row, first_seen in self._first_seen.items():
@@ -514,10 +522,8 @@
     def _grants(self) -> list[Grant]:
         found = []
         for row in self._first_seen:
-            if not self.is_grantable(row):
-                continue
             parts = [row.span]
-            for span in self.handovers:
+            for span in (*self._parts_not_grantable(row), *self.handovers):
                 parts = [rest for part in parts for rest in part.without(span)]
             fence = row.epoch * FENCES_PER_EPOCH + self._life_number
             for part in parts:
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -201,6 +201,15 @@
                 reply = self.machine.on_report(report(SECOND_LIFE), 40)
                 self.assertEqual(self.spans(reply), [ALL])
 
+    # A claim had made the row longer; the keys of the claimed part were granted
+    # while the target of the node before still held them.
+    def test_row_is_adopted_as_far_as_it_is_held(self) -> None:
+        """The rest waits for its previous owner, under a new epoch."""
+        self.learn(table(1, row(ALL, ME, 3, OTHER)), 0)
+        reply = self.machine.on_report(report(LIFE, (HIGH, 3 * 1024)), 10)
+        self.assertEqual(self.spans(reply), [HIGH])
+        self.assertEqual(self.machine.stale_rows(), [row(LOW, ME, 3, OTHER)])
+
     # A process that learned an old copy of the table first granted rows that
     # the process before had gained since, with the same fence.
     def test_rows_of_a_copy_that_was_behind_are_inherited(self) -> None:
