Leaves: clocks that were ahead, and notices of unknown incarnations

A former incarnation whose clock was ahead of its successor's was accepted as the next one after the successor had left. It counts as superseded now once the successor has reported twice; one late report must not outdate a running target.

A notice without `born`, before any report, was confirmed without a record, so that a report after it made the target one that takes requests. It is refused (503).

A relay of an older version carries no fingerprint; it is computed as before, so that such requests do not share one.

--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -17,7 +17,7 @@
     Version,
     Zone,
 )
-from savoryhold.core.poison import Fingerprint
+from savoryhold.core.poison import Fingerprint, fingerprint_of
 from savoryhold.core.verdict import Verdict
 from savoryhold.mesh.members import NodeStatus
 from savoryhold.mesh.requests import (
@@ -207,7 +207,7 @@
         sent_at + message.aim_ms,
         message.priority,
         bool(message.repeatable),
-        Fingerprint(message.fingerprint or 0),
+        _fingerprint(message),
         bool(message.repeat),
         frozenset(Region(name) for name in message.regions or ()),
         bool(message.nested),
@@ -217,6 +217,18 @@
     )
 
 
+def _fingerprint(message: messages.Message) -> Fingerprint:
+    """Return the fingerprint of a request, which older versions do not send."""
+    if message.fingerprint:
+        return Fingerprint(message.fingerprint)
+    return fingerprint_of(
+        message.service_name,
+        as_bytes(message.method).decode('latin-1'),
+        as_bytes(message.path).decode('latin-1'),
+        as_bytes(message.body),
+    )
+
+
 def answer_from_message(message: messages.Message) -> RelayedAnswer:
     """Decode an answer.
 
--- a/src/savoryhold/mesh/reports.py
+++ b/src/savoryhold/mesh/reports.py
@@ -122,7 +122,7 @@
             )
             self._decline(exchange, report, standing)
             return
-        self._succession.record(life)
+        self._succession.record(report)
         self._owner.on_report(report)
         self._apply_departure()
         if report.draining:
@@ -221,7 +221,8 @@
         current = self._owner.target.life()
         leaving = _leaving_life(call, current)
         if leaving is None:
-            exchange.reply(HTTPStatus.OK, JSON_HEAD, b'{}')
+            # A leave that cannot be recorded must not be confirmed.
+            exchange.reply(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         # A notice of an earlier incarnation does not concern this one.
         if (
--- a/src/savoryhold/mesh/succession.py
+++ b/src/savoryhold/mesh/succession.py
@@ -75,6 +75,8 @@
         self._clock = clock
         self._report_ms = report_ms
         self._superseded: deque[TargetLife] = deque(maxlen=MAX_SUPERSEDED)
+        # Replaced by one that seems older, which may not go on reporting.
+        self._replaced: TargetLife | None = None
         self._trial: _Trial | None = None
 
     def standing(self, report: TargetReport) -> Standing:
@@ -100,11 +102,20 @@
         """
         return self._reported_ms(report) >= self._report_ms // 2
 
-    def record(self, life: TargetLife) -> None:
-        """Remember the incarnation that the reporting one replaces."""
-        known = self._target.life()
-        if known is not None and known.born < life.born:
+    def record(self, report: TargetReport) -> None:
+        """Remember the incarnation that an accepted report replaces."""
+        known, life = self._target.life(), report.keys.life
+        if known is None:
+            return
+        if known == life:
+            if self._replaced is not None:
+                self._superseded.append(self._replaced)
+            self._replaced = None
+        elif known.born < life.born:
             self._superseded.append(known)
+            self._replaced = None
+        else:
+            self._replaced = known
 
     def _is_old(self, life: TargetLife, current: TargetLife) -> bool:
         """Return whether a delayed report arrives after newer ones."""
--- a/src/savoryhold/mesh/tests/test_departures.py
+++ b/src/savoryhold/mesh/tests/test_departures.py
@@ -259,6 +259,31 @@
         self.assertEqual(await self.report(life=successor), 200)
         self.assertTrue(self.owner.target.may_send())
 
+    # A former incarnation whose clock was ahead looked like the next one.
+    async def test_former_incarnation_with_a_later_clock(self) -> None:
+        """It does not undo the leave of the one that replaced it."""
+        former = TargetLife('t', LIFE.born + 1)
+        await self.report(life=former)
+        for _ in range(2):
+            await asyncio.sleep(RECENT_S)
+            self.assertEqual(await self.report(), 200)
+        self.assertEqual(await self.leave(), 200)
+        await asyncio.sleep(SILENCE_S)
+        await self.report(life=former)
+        self.assert_unused()
+
+    # It was confirmed, and the target was used once it reported.
+    async def test_leave_of_an_unknown_incarnation(self) -> None:
+        """A leave that cannot be recorded is not confirmed."""
+        notice = TargetLeave(LIFE.target)
+        self.assertEqual(await self.handle(notice), 503)
+        await self.report()
+        self.assertEqual(await self.handle(notice), 200)
+        self.assert_unused()
+        self.start()
+        await self.report(late=1)
+        self.assert_unused()
+
     # The target was used for good if two delayed reports came before the
     # registry was known.
     async def test_departure_that_is_known_late_is_applied(self) -> None:
--- a/src/savoryhold/mesh/tests/test_poisoned_requests.py
+++ b/src/savoryhold/mesh/tests/test_poisoned_requests.py
@@ -249,6 +249,11 @@
         )
         received = request_from_message(relay_message(req, 0), 0)
         self.assertEqual(received.fingerprint, REQUEST)
+        older = relay_message(req, 0)
+        older.fingerprint = None
+        self.assertNotIn(
+            request_from_message(older, 0).fingerprint, {None, 0, REQUEST}
+        )
         callers = {
             fingerprint_of('h', 'GET', '/x', b'', caller=caller)
             for caller in (DESK, FILES)
