--- a/src/savoryhold/mesh/owner.py
+++ b/src/savoryhold/mesh/owner.py
@@ -284,7 +284,7 @@
         if checked.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             # Failures are faster than runs, and say nothing of their cost.
             self.queue.record_run(ticket, took, self.clock.now())
-        if self._calls.is_run(answer):
+        if self._calls.has_run(answer):
             self.target.acquit(req)
         return checked
 
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -160,7 +160,7 @@
             )
         succeeded = answer.status in STATUS_OK
         if succeeded and (
-            not self.is_run(answer) or FOREIGN_HEADER in answer.fields
+            not self.has_run(answer) or FOREIGN_HEADER in answer.fields
         ):
             raise BadAnswerError(
                 'the answer was not written by the target itself'
@@ -168,7 +168,7 @@
         head = encode_headers(answer.headers, NOT_FORWARDED)
         return RelayedAnswer(answer.status, head, answer.body, ran_ms)
 
-    def is_run(self, answer: ClientAnswer) -> bool:
+    def has_run(self, answer: ClientAnswer) -> bool:
         """Return whether the target itself wrote the answer, after a run."""
         return not self._names.answer_signature or self._is_signed(answer)
 
