A single report to a new process releases no keys

It lists none of the keys that the running target got from the earlier process, so that the node confirmed their release, or completed a handover, while that target held them for up to 3 s more.

Change: what the first incarnation does not report as held counts as released only after a second report of it, or once the earlier process's grants have run out. A target that is known to have ended holds nothing, as before.

Cost: a handover or a claim from a node that has just been restarted waits for one report more, 0.9 s.

--- a/src/savoryhold/ranges/grants.py
+++ b/src/savoryhold/ranges/grants.py
@@ -79,6 +79,10 @@
         self.hold_until = (
             now + round(self._hold_limit_ms * CLOCK_DRIFT) + MARGIN_MS
         )
+        # The same, unless the target's process is known to have ended.
+        self._earlier_until = self.hold_until
+        # Reports of the present incarnation to this process.
+        self._report_count = 0
         # An earlier incarnation of the target may hold keys until then.
         self._former_until = 0
         self.no_target = False
@@ -311,6 +315,7 @@
         """
         self.no_target = False
         self._update_life(report, former_ended=former_ended)
+        self._report_count += 1
         self.held = report.held
         self._own_releases.extend(report.released)
         del self._own_releases[:-MAX_TOKENS]
@@ -344,6 +349,7 @@
         self.held = ()
         self._granted = []
         self.hold_until = 0
+        self._earlier_until = 0
         self._withheld = set(self.handovers)
 
     def may_send(self, key: int, now: int) -> bool:
@@ -394,7 +400,11 @@
             span: taker
             for span, taker in self.handovers.items()
             if now >= self.hold_until
-            or (span in self._withheld and not self._may_hold(span))
+            or (
+                span in self._withheld
+                and self._knows_holds(now)
+                and not self._may_hold(span)
+            )
         }
 
     def retain_handovers(self, is_eligible: Callable[[NodeId], bool]) -> None:
@@ -415,8 +425,7 @@
         The target must have reported to this process, so that grants of an
         earlier process of this node are known, too.
         """
-        holds_known = self.life is not None or self.no_target
-        if self.table is None or not holds_known:
+        if self.table is None or not self._knows_holds(now):
             return None
         rows = list(self.table.overlapping(span))
         if any(row.owner == self.node or row.epoch < epoch for row in rows):
@@ -432,6 +441,20 @@
         ]
         return ReleaseConfirmation(span, epoch, tuple(releases))
 
+    def _knows_holds(self, now: int) -> bool:
+        """Return whether the reports show all that the target may hold.
+
+        Notes
+        -----
+        A single first report may be a late one of an incarnation that has
+        ended, while another one holds what the earlier process granted.
+        """
+        if self.no_target:
+            return True
+        if self.life is None:
+            return False
+        return self._report_count > 1 or now >= self._earlier_until
+
     def _may_hold(self, span: Span) -> bool:
         held = any(other.span.overlaps(span) for other in self.held)
         return held or any(other.overlaps(span) for other in self._granted)
@@ -451,6 +474,7 @@
         if self.life is None:
             self._adopt(report)
         else:
+            self._report_count = 0
             self._life_number += 1
             self._forget_adopted()
             if former_ended:
--- a/src/savoryhold/ranges/tests/test_grants.py
+++ b/src/savoryhold/ranges/tests/test_grants.py
@@ -378,6 +378,35 @@
         fresh.learn(moved, 0)
         self.assertIsNone(fresh.release_confirmation(LOW, Epoch(3), 5))
 
+    # A late report of a target that had ended made a new process confirm keys
+    # that the running target held.
+    def test_single_report_after_a_restart_releases_nothing(self) -> None:
+        """It may be late; another one of the same target is not."""
+        moved = table(3, row(LOW, OTHER, 3, ME), row(HIGH, ME, 2))
+        for reports, at in ((1, 15), (2, 15), (1, LEASE_MS)):
+            with self.subTest(reports=reports, at=at):
+                fresh = GrantMachine(ME, 0)
+                fresh.learn(moved, 0)
+                for _ in range(reports):
+                    fresh.on_report(report(LIFE), 10)
+                confirmed = fresh.release_confirmation(LOW, Epoch(3), at)
+                self.assertEqual(confirmed is None, (reports, at) == (1, 15))
+
+    # The same for keys that a new process hands over.
+    def test_single_report_after_a_restart_completes_no_handover(self) -> None:
+        """The handover waits for another report, or for the former grants."""
+        fresh = GrantMachine(ME, 0)
+        fresh.learn(table(1, row(ALL, ME, 2)), 0)
+        fresh.record_proof(1, 0)
+        fresh.on_report(report(LIFE), 5)
+        fresh.learn(table(2, row(ALL, ME, 3)), 10)
+        fresh.record_proof(2, 10)
+        fresh.start_handover(LOW, OTHER)
+        fresh.reply(15)
+        self.assertEqual(fresh.completed_handovers(20), {})
+        fresh.on_report(report(LIFE), 25)
+        self.assertEqual(fresh.completed_handovers(30), {LOW: OTHER})
+
     def test_span_of_a_waiting_row_is_not_handed_over(self) -> None:
         """A span that may not be granted may not be handed over either."""
         self.learn(table(3, row(ALL, OTHER, 3, ME)), 10)
