Departures order incarnations by unequal times of start only

Reports without `born`, and those of one millisecond, have equal times: the next incarnation after a departure looked like an earlier one and waited for 10 s.

Measured: test_equal_times_of_start_order_nothing failed before (2 of 2 times) and passes; 18 of 18 of the module.

--- a/src/savoryhold/mesh/departures.py
+++ b/src/savoryhold/mesh/departures.py
@@ -54,7 +54,7 @@
 
     def has_later(self, life: TargetLife) -> bool:
         """Return whether one that has left was started after an incarnation."""
-        return any(other.born >= life.born for other in self._lives)
+        return any(other.born > life.born for other in self._lives)
 
     def is_stored(self, life: TargetLife) -> bool:
         """Return whether later processes of the node will know of a leave."""
--- a/src/savoryhold/mesh/tests/test_departures.py
+++ b/src/savoryhold/mesh/tests/test_departures.py
@@ -259,6 +259,19 @@
         self.assertEqual(await self.report(life=successor), 200)
         self.assertTrue(self.owner.target.may_send())
 
+    # Incarnations without a time of their start waited for 10 s.
+    async def test_equal_times_of_start_order_nothing(self) -> None:
+        """The next incarnation is used at once."""
+        for born in (0, LIFE.born):
+            with self.subTest(born=born):
+                await self.asyncSetUp()
+                departed = TargetLife('t', born)
+                await self.report(life=departed)
+                self.assertEqual(await self.leave(departed), 200)
+                await asyncio.sleep(RECENT_S)
+                await self.report(life=TargetLife('next', born))
+                self.assertTrue(self.owner.target.may_send())
+
     # A former incarnation whose clock was ahead looked like the next one.
     async def test_former_incarnation_with_a_later_clock(self) -> None:
         """It does not undo the leave of the one that replaced it."""
