One maker of acquittals, and names that mean one thing

Found by reading the change again. An acquittal was built in two places of strikes.py. REFUSALS of target_calls.py was another set than REFUSALS of ingress.py: it is NOT_RUN_STATUSES. _signed of poison.py had nothing to do with signatures: it is _digest. Behaviour is the same.

Checked: formatter, linter of mesh and core, types; test_poisoned_requests (8), test_quarantine (12), test_unproven_refusals (4), test_decisions (23) pass.

--- a/src/savoryhold/core/poison.py
+++ b/src/savoryhold/core/poison.py
@@ -54,15 +54,15 @@
         hasher.update(part.encode())
         hasher.update(b'\0')
     hasher.update(body)
-    return _signed(hasher)
+    return _digest(hasher)
 
 
 def fingerprint_with_key(fingerprint: Fingerprint, key: int) -> Fingerprint:
     """Return the fingerprint of a request with one of several keys."""
-    return _signed(xxhash.xxh3_64(b'%d %d' % (fingerprint, key)))
+    return _digest(xxhash.xxh3_64(b'%d %d' % (fingerprint, key)))
 
 
-def _signed(hasher: xxhash.xxh3_64) -> Fingerprint:
+def _digest(hasher: xxhash.xxh3_64) -> Fingerprint:
     # Messages carry the fingerprint as a signed 64-bit integer.
     return Fingerprint(hasher.intdigest() >> 1)
 
--- a/src/savoryhold/mesh/strikes.py
+++ b/src/savoryhold/mesh/strikes.py
@@ -86,9 +86,7 @@
 
     def broadcast_acquittal(self, fingerprint: Fingerprint) -> None:
         """Report to all members that a suspect request has completed."""
-        self._send_all(
-            messages.StrikeNotice(fingerprint=fingerprint, acquitted=True)
-        )
+        self._send_all(_acquittal(fingerprint))
 
     def receive(self, sender: NodeId, notice: messages.Message) -> None:
         """Process a strike or an acquittal."""
@@ -104,10 +102,7 @@
         address = self._members.addresses.get(sender)
         if notice.repeated and address and poison.is_void(strike, now):
             # The sender has missed the acquittal.
-            self._send(
-                address,
-                messages.StrikeNotice(fingerprint=fingerprint, acquitted=True),
-            )
+            self._send(address, _acquittal(fingerprint))
 
     def _peer_addresses(self, now: int) -> list[str]:
         """Return where live nodes are told; zones tell their own nodes."""
@@ -126,3 +121,7 @@
         age_ms=strike.ago_ms,
         repeated=repeated,
     )
+
+
+def _acquittal(fingerprint: Fingerprint) -> messages.Message:
+    return messages.StrikeNotice(fingerprint=fingerprint, acquitted=True)
--- a/src/savoryhold/mesh/target_calls.py
+++ b/src/savoryhold/mesh/target_calls.py
@@ -29,7 +29,7 @@
 
 STATUS_OK = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # To callers, these mean that the request has not run and never will.
-REFUSALS = frozenset(
+NOT_RUN_STATUSES = frozenset(
     {
         HTTPStatus.REQUEST_TIMEOUT,
         HTTPStatus.MISDIRECTED_REQUEST,
@@ -154,7 +154,7 @@
                 f'the target refused the request with status {answer.status}',
                 SHED_RETRY_MS,
             )
-        if answer.status in REFUSALS and not req.repeatable:
+        if answer.status in NOT_RUN_STATUSES and not req.repeatable:
             raise UnprovenRefusalError(
                 f'status {answer.status}, but the request may have run'
             )
