Reads of the store are not cut off while their answer arrives

What is at stake: a node behind a narrow or busy link gets no version from the store that takes over a second to arrive, however long it tries: each read was cut off after 1 s and begun anew.

Cause: the limit of a call counted from its start, whether the store was silent or half of its answer had arrived. The native daemon's client did the same (1.5 s).

Change: the limit of a call to the store is one on silence; an answer whose bytes keep arriving may take 4 s more. Requests to targets keep their deadlines.

--- a/src/savoryhold/store/client.py
+++ b/src/savoryhold/store/client.py
@@ -25,6 +25,7 @@
 
 MS_PER_SECOND = 1000
 CALL_LIMIT_MS = 1500
+ARRIVAL_MS = 4000  # more for a large answer on a busy or narrow link
 WATCH_GRACE_MS = 1000
 STATUS_CONFLICT = 412
 STATUS_MISSING = 404
@@ -166,7 +167,12 @@
         self, kind: str, path: str, query: dict[str, str], limit_ms: int
     ) -> Any:
         self.calls[kind] += 1
-        timeout = aiohttp.ClientTimeout(total=limit_ms / MS_PER_SECOND)
+        # `sock_read` limits each pause, also that before the first byte.
+        timeout = aiohttp.ClientTimeout(
+            total=(limit_ms + ARRIVAL_MS) / MS_PER_SECOND,
+            connect=limit_ms / MS_PER_SECOND,
+            sock_read=limit_ms / MS_PER_SECOND,
+        )
         try:
             async with self._session.get(
                 self._url + path, params=query, timeout=timeout
--- a/src/savoryhold/wire/client.py
+++ b/src/savoryhold/wire/client.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from savoryhold.core.errors import LinkError
+from savoryhold.wire.answer_timer import AnswerTimer
 from savoryhold.wire.client_answer import ClientAnswer
 from savoryhold.wire.client_connection import (
     COPIED_BYTES,
@@ -76,6 +77,9 @@
         Returns the time in ms.
     budget : AnswerBudget
         Bound on the answers of several pools; by default, of all.
+    arrival_ms : float
+        How much longer than asked an answer may take whose bytes keep
+        arriving; 0 for requests with a deadline.
     """
 
     def __init__(
@@ -83,9 +87,11 @@
         address: str,
         now: Callable[[], int],
         budget: AnswerBudget = _SHARED_BUDGET,
+        arrival_ms: float = 0,
     ) -> None:
         self.address = address
         self.budget = budget
+        self.arrival_ms = arrival_ms
         self.opened = 0
         self.stray_answers = 0
         self.refused = 0
@@ -132,7 +138,8 @@
             If there is no complete answer; its ``sent`` tells whether the
             request may have arrived.
         TimeoutError
-            If no answer arrives in time; the connection is closed.
+            If no answer arrives in time; the connection is closed.  An answer
+            that keeps arriving may take `arrival_ms` longer.
         """
         conn = await self._take(timeout_ms, request_id)
         if self._retired:
@@ -143,10 +150,7 @@
         conn.send(request, answer_matches, request_id, body)
         del body
         fut = cast('asyncio.Future[ClientAnswer]', conn.fut)
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(
-            max(timeout_ms, 1) / MS_PER_SECOND, _expire, fut
-        )
+        timer = AnswerTimer(conn, timeout_ms, self.arrival_ms)
         try:
             return await fut
         except BaseException:
@@ -239,8 +243,3 @@
             return
         conn.idle_since = self._now()
         self._idle.append(conn)
-
-
-def _expire(fut: 'asyncio.Future[ClientAnswer]') -> None:
-    if not fut.done():
-        fut.set_exception(TimeoutError('no answer in time'))
