Parts of a route get their shares whatever versions and names there are

What callers saw: nothing that was reported; found while the ways in which an added route may not be served were traced. With two hosts whose routes have one name, all requests of one host went to one part and all of the other host to the other. While versions followed one another, the part listed first or weighted most got too many: 0.73 in place of 0.50 with about one request a node and version.

Cause: each node counted the turns of a route by its name, which need not be unique, and began each version with the same part.

Change: turns are counted by host and prefix, and begin at a random place; steps of the golden ratio keep to the weights over few requests as well as over many.

Measured: test_routes_of_one_name (share off by 0.5) and test_versions_in_quick_succession (off by 0.226, 0.1 and 0.161) failed before and pass.

--- a/src/savoryhold/traffic/routes.py
+++ b/src/savoryhold/traffic/routes.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 import enum
+import math
+import random
+from operator import attrgetter
 
 from savoryhold.core.ids import Region, ServiceName
 from savoryhold.traffic.places import ANYWHERE, AllowedRegions
@@ -18,6 +21,8 @@
     'WeightedService',
 ]
 
+GOLDEN_RATIO = (math.sqrt(5) - 1) / 2  # its multiples spread most evenly
+
 
 class RouteKind(enum.Enum):
     """Kinds of routes, which differ in whether requests may be repeated."""
@@ -155,7 +160,8 @@
         self.cfg = cfg
         self.services = {service.name: service for service in cfg.services}
         self._hosts: dict[str, list[tuple[str, Route | RefusedRoute]]] = {}
-        self._credit: dict[tuple[str, ServiceName], float] = {}
+        # By host and prefix, which place of a split the last request had.
+        self._turns: dict[tuple[str, str], float] = {}
         self._allowed: dict[str, AllowedRegions] = {}
         self._key_regions: dict[ServiceName, AllowedRegions] = {}
         self._confined: dict[ServiceName, frozenset[Region]] = {}
@@ -205,19 +211,25 @@
 
         Notes
         -----
-        Smooth weighted round robin, as in nginx: each service gains its
-        weight as credit, the one with the most credit is selected and pays
-        the sum of all weights.
+        Steps of the golden ratio visit each part by its weight, also over few
+        requests.  They begin at random, since each node begins anew with each
+        version.
         """
         if len(route.parts) == 1:
             return route.parts[0].service
-        total = sum(part.weight for part in route.parts)
+        entry = (route.host, route.prefix)
+        turn = self._turns.get(entry)
+        if turn is None:
+            turn = random.random()
+        turn, _ = math.modf(turn + GOLDEN_RATIO)
+        self._turns[entry] = turn
+        place = turn * sum(part.weight for part in route.parts)
         for part in route.parts:
-            entry = (route.name, part.service)
-            self._credit[entry] = self._credit.get(entry, 0.0) + part.weight
-        best = max(route.parts, key=lambda each: self._credit_of(route, each))
-        self._credit[(route.name, best.service)] -= total
-        return best.service
+            place -= part.weight
+            if place < 0:
+                return part.service
+        # Only by rounding, or if all weights are 0.
+        return max(route.parts, key=attrgetter('weight')).service
 
     def _add_regions(self, route: Route) -> None:
         allowed = AllowedRegions.from_list(route.regions)
@@ -232,9 +244,6 @@
                 ANYWHERE if open_to_all else known & allowed
             )
 
-    def _credit_of(self, route: Route, part: WeightedService) -> float:
-        return self._credit[(route.name, part.service)]
-
 
 def _in_listed_order(cfg: MeshConfig) -> list[Route | RefusedRoute]:
     entries: list[Route | RefusedRoute] = list(cfg.routes)
