--- a/src/savoryhold/mesh/tests/hostile.py
+++ b/src/savoryhold/mesh/tests/hostile.py
@@ -194,9 +194,17 @@
             pool.close()
         return answer.status
 
-    async def withstand(self, members: Iterable[Member]) -> None:
-        """Run a crowd; check the nodes, then ask while the crowd stays."""
-        crowd = [asyncio.ensure_future(self._join(one)) for one in members]
+    async def withstand(
+        self, members: Iterable[Member], address: str = ''
+    ) -> None:
+        """Run a crowd; check the nodes, then ask while the crowd stays.
+
+        It connects to the callers' address of the first node, or another one.
+        """
+        address = address or self.hosts[0].callers
+        crowd = [
+            asyncio.ensure_future(self._join(one, address)) for one in members
+        ]
         self.tasks.extend(crowd)
         await asyncio.wait(crowd, timeout=CROWD_S)
         for path in (FREE_PATH, KEYED_PATH):
@@ -210,9 +218,9 @@
         self.assertLess(max(peaks), MEMORY_MB)
         self.assertLess(max(fds), MAX_FDS)
 
-    async def _join(self, member: Member) -> None:
+    async def _join(self, member: Member, address: str) -> None:
         """Run a member; its connection stays open until the test ends."""
-        host, _, port = self.hosts[0].callers.rpartition(':')
+        host, _, port = address.rpartition(':')
         sock = socket.socket()
         sock.setblocking(False)
         # A small buffer keeps unread answers in the node.
