Room goes to requests in their order, and stalled connections make it at once

What callers saw: beside a crowd whose bodies stop just short of their end, and which comes back when it is closed, a body of 2 MB was not accepted in 60 s.

Cause: connections without progress were closed one every 0.1 s, whatever others needed; of those that wait, the smallest was granted first and the largest refused first, so that an ordinary large body lost to a crowd of smaller ones both ways.

Change: as many stalled connections are closed as the waiting ones need (100 a turn at most); large bodies are granted in the order of their requests, and none overtakes one that lacks room; a quarter of the room for requests is for heads and small bodies; of the late readers an eighth is refused each 0.1 s, the oldest first.

--- a/src/savoryhold/wire/memory_budget.py
+++ b/src/savoryhold/wire/memory_budget.py
@@ -1,9 +1,9 @@
 """One budget of the bytes in flight of a process.
 
 Whoever holds bytes counts them here.  Above the budget, input stays unread:
-its reader waits until others release memory.  Holders without progress are
-closed first, the largest first; of the readers that have waited too long, the
-largest is refused.
+its reader waits until others release memory, in the order in which requests
+began.  Holders without progress are closed to make room, the largest first; of
+the readers that have waited too long, the oldest are refused.
 """
 
 import asyncio
@@ -11,6 +11,7 @@
 import ctypes
 import dataclasses
 import enum
+import math
 import sys
 from collections import Counter
 from collections.abc import Callable
@@ -20,17 +21,21 @@
 __all__ = ['PROCESS_BUDGET', 'Holder', 'MemoryBudget', 'Part', 'Waiter']
 
 BYTES_PER_MB = 1_000_000
+SMALL_BYTES = 65_536  # what needs more is large
 DEFAULT_MEMORY_MB = 256
 BASE_MB = 50  # of a process without traffic, tables of a large fleet included
 USABLE = 0.6  # of the rest; the allocator and buffers of reads take more
 INPUT_SHARE = 0.6  # of the budget; answers, which release it, get the rest
+LARGE_SHARE = 0.75  # of that; heads and small bodies get the rest
 FEW = 0.125  # of a limit; with less in use, one request beyond it is admitted
 TICK_S = 0.1
 HANDOVER_S = 0.02  # until the receiver of an answer has counted it
 M_MMAP_THRESHOLD = -3  # of malloc.h
 MMAP_BYTES = 131_072
 STALL_S = 1.0  # without progress for that long, a holder may be closed
-MAX_WAIT_S = 2.0  # afterwards the largest reader that waits is refused
+MAX_WAIT_S = 2.0  # afterwards a reader that waits may be refused
+MAX_EVICTED = 100  # in one turn of the loop
+REFUSED_SHARE = 0.125  # in one tick, of the readers that wait for too long
 
 
 class Part(enum.IntEnum):
@@ -60,7 +65,8 @@
     """A reader whose input stays unread until there is room.
 
     ``held`` is what it holds already, ``need`` what it waits for, ``since``
-    the time in seconds since when it waits.
+    the time in seconds since when it waits, ``begun`` that at which its
+    request began.
     """
 
     part: Part
@@ -69,11 +75,7 @@
     since: float
     grant: Callable[[], None]
     refuse: Callable[[], None]
-
-    @property
-    def size(self) -> int:
-        """Return what the reader holds and waits for."""
-        return self.held + self.need
+    begun: float = 0.0
 
 
 class MemoryBudget:
@@ -87,14 +89,22 @@
         # Refusals and closes, by the name of the limit.
         self.refusals: Counter[str] = Counter()
         self.holders: set[Holder] = set()
-        self._waiters: list[Waiter] = []
+        # In the order of their arrival.
+        self._waiters: dict[Waiter, None] = {}
         self._timer: asyncio.TimerHandle | None = None
+        # When to look for what can be closed or refused, in s.
+        self._next_tick = 0.0
 
     @property
     def waiting(self) -> int:
         """Return how many readers wait."""
         return len(self._waiters)
 
+    @property
+    def _input(self) -> int:
+        """Return the bytes of requests, those of relayed ones included."""
+        return self.parts[Part.REQUESTS] + self.parts[Part.RELAYS]
+
     def set_memory(self, memory_mb: int) -> None:
         """Derive the budget from the memory of the process, 0 if unknown."""
         _return_freed_memory()
@@ -133,7 +143,9 @@
         limit, used = self.limit, self.used
         if part in _INPUT:
             limit = round(limit * INPUT_SHARE)
-            used = self.parts[Part.REQUESTS] + self.parts[Part.RELAYS]
+            used = self._input
+            if part is Part.REQUESTS and count > SMALL_BYTES:
+                limit = round(limit * LARGE_SHARE)
         if self.used + count <= self.limit and used + count <= limit:
             return True
         # One that is large is served alone.
@@ -146,22 +158,23 @@
 
     def reserve(self, part: Part, count: int, own: int = 0) -> bool:
         """Take bytes if there is room; return whether there was."""
-        ahead = any(waiter.part in _INPUT for waiter in self._waiters)
-        if not self.fits(part, count, own) or (ahead and part in _INPUT):
+        ahead = part is Part.REQUESTS and any(
+            waiter.part is part for waiter in self._waiters
+        )
+        if ahead or not self.fits(part, count, own):
             return False
         self.take(part, count)
         return True
 
     def wait(self, waiter: Waiter) -> None:
         """Call `grant`, once its bytes have been taken, or `refuse` later."""
-        self._waiters.append(waiter)
+        self._waiters[waiter] = None
         if self._timer is None:
             self._schedule(0)
 
     def forget(self, waiter: Waiter) -> None:
         """Drop a waiter whose connection has ended."""
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        self._waiters.pop(waiter, None)
 
     def _schedule(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
@@ -174,40 +187,49 @@
         if not self._waiters:
             return
         now = asyncio.get_running_loop().time()
-        if not self._evict_largest(now):
-            self._refuse_largest(now)
-        self._grant_fitting()
+        if now >= self._next_tick:
+            self._next_tick = now + TICK_S
+            self._evict_stalled(now)
+            self._grant_fitting()
+            self._refuse_late(now)
         if self._waiters and self._timer is None:
             self._schedule(TICK_S)
 
     def _grant_fitting(self) -> None:
-        """Grant waiters, those for answers and small ones first."""
-        self._waiters.sort(key=_order)
-        for waiter in list(self._waiters):
-            if waiter not in self._waiters:
+        """Grant waiters in their order, each part up to one without room."""
+        has_room = dict.fromkeys(Part, True)
+        for waiter in sorted(self._waiters, key=_order):
+            # What is granted may change the other waiters.
+            if waiter not in self._waiters or not has_room[waiter.part]:
                 continue
             if self.fits(waiter.part, waiter.need, waiter.held):
-                self._waiters.remove(waiter)
+                self._waiters.pop(waiter)
                 self.take(waiter.part, waiter.need)
                 waiter.grant()
+            else:
+                has_room[waiter.part] = False
 
-    def _evict_largest(self, now: float) -> bool:
-        """Close the largest holder without progress, if there is one."""
+    def _evict_stalled(self, now: float) -> None:
+        """Close holders without progress, until what is needed is released."""
         sizes = [(one.stalled_bytes(now), one) for one in self.holders]
-        size, holder = max(sizes, key=_first, default=(0, None))
-        if not size or holder is None:
-            return False
-        self.refusals['memory_mb:closed'] += 1
-        holder.evict()
-        return True
-
-    def _refuse_largest(self, now: float) -> None:
+        stalled = sorted((entry for entry in sizes if entry[0]), key=_size)
+        needed = sum(waiter.need for waiter in self._waiters)
+        # Readers without a need wait until the budget is no longer exceeded.
+        needed += max(0, self._input - round(self.limit * INPUT_SHARE))
+        for size, holder in reversed(stalled[-MAX_EVICTED:]):
+            if needed <= 0:
+                break
+            self.refusals['memory_mb:closed'] += 1
+            needed -= size
+            holder.evict()
+
+    def _refuse_late(self, now: float) -> None:
         late = [one for one in self._waiters if now - one.since > MAX_WAIT_S]
-        if late:
-            largest = max(late, key=attrgetter('size'))
-            self._waiters.remove(largest)
+        late.sort(key=attrgetter('begun'))
+        for waiter in late[: math.ceil(len(late) * REFUSED_SHARE)]:
+            self._waiters.pop(waiter)
             self.refusals['memory_mb:refused'] += 1
-            largest.refuse()
+            waiter.refuse()
 
 
 def _return_freed_memory() -> None:
@@ -220,11 +242,11 @@
         ctypes.CDLL(None).mallopt(M_MMAP_THRESHOLD, MMAP_BYTES)
 
 
-def _order(waiter: Waiter) -> tuple[bool, int]:
-    return waiter.part in _INPUT, waiter.need
+def _order(waiter: Waiter) -> tuple[bool, bool, float]:
+    return waiter.part in _INPUT, waiter.need > SMALL_BYTES, waiter.begun
 
 
-def _first(entry: tuple[int, Holder]) -> int:
+def _size(entry: tuple[int, Holder]) -> int:
     return entry[0]
 
 
--- a/src/savoryhold/wire/tests/test_intake.py
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -207,3 +207,97 @@
             while not granted:
                 await asyncio.sleep(0)
         self.assertEqual(granted[0], Part.ANSWERS)
+
+
+class StalledHolder:
+    """A connection that makes no progress."""
+
+    def __init__(self, budget: MemoryBudget, size: int) -> None:
+        self.budget = budget
+        self.size = size
+        budget.take(Part.REQUESTS, size)
+        budget.holders.add(self)
+
+    def stalled_bytes(self, now: float) -> int:
+        """Return all bytes."""
+        return self.size
+
+    def evict(self) -> None:
+        """Release all bytes."""
+        self.budget.holders.discard(self)
+        self.budget.give(Part.REQUESTS, self.size)
+
+
+class TestCrowd(unittest.IsolatedAsyncioTestCase):
+    """Many readers that wait, and many holders without progress."""
+
+    async def asyncSetUp(self) -> None:
+        """Create a budget."""
+        self.budget = MemoryBudget()
+        self.budget.set_memory(100)
+        self.granted: list[str] = []
+        self.refused: list[str] = []
+
+    def wait(self, name: str, need: int, begun: float) -> None:
+        """Have a reader wait for room since its request began."""
+        self.budget.wait(
+            Waiter(
+                Part.REQUESTS,
+                need,
+                0,
+                begun,
+                partial(self.granted.append, name),
+                partial(self.refused.append, name),
+                begun,
+            )
+        )
+
+    # Holders were closed one every 0.1 s, whatever was needed.
+    async def test_as_many_stalled_holders_are_closed_as_is_needed(
+        self,
+    ) -> None:
+        """One turn makes room for all that wait, and closes no more."""
+        size = LARGE_BYTES // 5
+        while self.budget.fits(Part.REQUESTS, size):
+            StalledHolder(self.budget, size)
+        count = len(self.budget.holders)
+        self.wait('large', 10 * size, asyncio.get_running_loop().time())
+        self.budget._relieve()
+        self.assertEqual(self.granted, ['large'])
+        self.assertEqual(len(self.budget.holders), count - 10)
+
+    # The smallest were granted first, so that a crowd of small ones kept
+    # larger ones waiting until they were refused.
+    async def test_large_requests_are_granted_in_their_order(self) -> None:
+        """A later request waits although there is room for it."""
+        holder = StalledHolder(self.budget, self.budget.limit // 2)
+        now = asyncio.get_running_loop().time()
+        self.wait('second', LARGE_BYTES // 5, now)
+        self.wait('first', self.budget.limit // 3, now - 1)
+        self.budget._grant_fitting()
+        self.assertEqual(self.granted, [])
+        holder.evict()
+        self.budget._grant_fitting()
+        self.assertEqual(self.granted, ['first', 'second'])
+
+    # One was refused every 0.1 s, however many waited.
+    async def test_late_readers_are_refused_by_their_number(self) -> None:
+        """The oldest requests are refused first."""
+        StalledHolder(self.budget, self.budget.limit)
+        now = asyncio.get_running_loop().time()
+        for number in range(80):
+            self.wait(f'{number}', LARGE_BYTES, now - 90 + number)
+        self.budget._refuse_late(now)
+        self.assertEqual(self.refused, [f'{number}' for number in range(10)])
+
+    # Large bodies took all room, and heads had to wait.
+    async def test_large_bodies_leave_room_for_small_ones(self) -> None:
+        """A share of the budget is for heads and small bodies."""
+        while self.budget.reserve(Part.REQUESTS, LARGE_BYTES):
+            self.assertLess(self.budget.used, self.budget.limit)
+        self.assertTrue(self.budget.fits(Part.REQUESTS, LARGE_BYTES // 20))
+        self.assertTrue(self.budget.fits(Part.RELAYS, LARGE_BYTES))
+
+
+if __name__ == '__main__':
+    unittest.main()
