All bytes that were read of a request are counted, and few are read without room

Cause: one read may bring 256 KB. While its connection waited for room, what was not parsed was kept and in no count; so was what had been read of a chunked body before its room was granted, and bodies below 64 KiB were read whatever room there was.

Change: everything that has been read counts, also while its reader waits, and between requests; a small body waits while the budget is exceeded. All connections read into one buffer, and take at once what has room, or 64 KB, or 16 KB while any reader waits. A body of known length asks for no further room.

--- a/src/savoryhold/wire/connection_memory.py
+++ b/src/savoryhold/wire/connection_memory.py
@@ -13,12 +13,17 @@
     Part,
     Waiter,
 )
-from savoryhold.wire.request_parser import SMALL_BODY, RequestParser
+from savoryhold.wire.request_parser import (
+    SLICE_BYTES,
+    SMALL_BODY,
+    RequestParser,
+)
 
 __all__ = ['ConnectionMemory']
 
 GROW_BYTES = 262_144  # by which room for a body of unknown length grows
 PROGRESS_BYTES = 4096  # fewer bytes than that are no progress
+MS_PER_SECOND = 1000
 
 
 class ConnectionMemory(RequestParser, Holder):
@@ -112,18 +117,39 @@
             self._hold(0)
             return
         self._note_progress(self.body_bytes)
-        if count <= self._held or self._waiter is not None:
+        more = count - self._held
+        if more <= 0:
             return
         if self.in_head and self._lacks_room(count):
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, 'memory_mb')
             return
-        if self.in_head or count <= PROGRESS_BYTES:
-            self._hold(count)
-        if count > self._held:
-            self._ask_for_room(max(GROW_BYTES, count - self._held))
-        elif not PROCESS_BUDGET.fits(Part.REQUESTS, 0, count):
+        # These bytes are in memory, whether there is room for them or not.
+        self._hold(count)
+        if self._waiter is not None:
+            self._waiter.held = count
+            self._waiter.need = max(0, self._waiter.need - more)
+        elif self._grows and count > SMALL_BODY:
+            self._ask_for_room(GROW_BYTES)
+        else:
+            self._await_room_for_small(count)
+
+    def _await_room_for_small(self, count: int) -> None:
+        """Wait if the budget is exceeded, unless all room was reserved."""
+        reserved = (self.body_length or 0) > SMALL_BODY
+        if not reserved and not PROCESS_BUDGET.fits(Part.REQUESTS, 0, count):
             self._ask_for_room(0)
 
+    @property
+    def _grows(self) -> bool:
+        """Return whether the body that is being read has no known length."""
+        return not self.in_head and self.body_length is None
+
+    @property
+    def _read_limit(self) -> int:
+        """Return how much may be read at once: room for it may be missing."""
+        free = SLICE_BYTES if PROCESS_BUDGET.waiting else SMALL_BODY
+        return max(free, self._held - self.unfinished_bytes)
+
     def _lacks_room(self, count: int) -> bool:
         """Return whether a head of unusual size exceeds the budget."""
         more = count - self._held
@@ -139,14 +165,16 @@
         if self._held + count > PROCESS_BUDGET.largest():
             self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, 'memory_mb')
             return
-        loop = asyncio.get_running_loop()
+        now = asyncio.get_running_loop().time()
+        waited_ms = self.now() - (self.started_at or self.now())
         self._waiter = Waiter(
             Part.REQUESTS,
             count,
             self._held,
-            loop.time(),
+            now,
             self._on_room,
             self._on_no_room,
+            now - waited_ms / MS_PER_SECOND,
         )
         self._pause('memory')
         PROCESS_BUDGET.wait(self._waiter)
--- a/src/savoryhold/wire/request_parser.py
+++ b/src/savoryhold/wire/request_parser.py
@@ -45,6 +45,8 @@
         self.current_limits = limits
         self.started_at: int | None = None
         self.body_bytes = 0
+        # Of the request that is being read, None if it has not stated one.
+        self.body_length: int | None = None
         self.in_head = False
         self.limits = limits()
         self._intake = intake
@@ -92,21 +94,32 @@
 
     @property
     def unfinished_bytes(self) -> int:
-        """Return how much memory the request takes that is being read."""
+        """Return how much memory the request takes that is being read.
+
+        Notes
+        -----
+        Includes what has been read and not parsed, also between requests.
+        """
+        unparsed = len(self._unparsed)
         if self.started_at is None:
-            return 0
+            return unparsed
         lines = len(self._headers) * LINE_BYTES
-        return lines + self._head_bytes + len(self._body) + len(self._unparsed)
+        return lines + self._head_bytes + len(self._body) + unparsed
 
-    def feed(self, received: bytes) -> None:
-        """Parse bytes in slices."""
-        if len(received) <= SLICE_BYTES and not self._unparsed:
+    def feed(self, received: bytes | memoryview) -> None:
+        """Parse bytes in slices; what is not parsed at once is copied."""
+        if len(received) <= SLICE_BYTES and not (
+            self._unparsed or self.blocked
+        ):
             self._feed_slice(received)
             return
         if self._unparsed:
             received = b''.join((self._unparsed, received))
         self._unparsed = memoryview(received)
         self.feed_unparsed()
+        if self._unparsed:
+            # A part of the view would keep all of what was received.
+            self._unparsed = memoryview(bytes(self._unparsed))
 
     def feed_unparsed(self) -> None:
         """Parse what is left, until the connection blocks it.
@@ -195,6 +208,7 @@
         self._fields = {}
         self._body = b''
         self.body_bytes = 0
+        self.body_length = None
         self._framing_bytes = 0
         self._trailer_lines = 0
         self.in_head = True
@@ -237,8 +251,10 @@
             return
         if len(length) > len(str(most)) or int(length) > most:
             self._refuse_body()
-        elif int(length) > SMALL_BODY:
-            self.on_length(int(length))
+            return
+        self.body_length = int(length)
+        if self.body_length > SMALL_BODY:
+            self.on_length(self.body_length)
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -16,11 +16,16 @@
 MS_PER_SECOND = 1000
 MAX_PIPELINED = 32  # requests of a connection being handled; others wait
 MAX_WAITING_BYTES = 1_048_576  # of waiting requests; above, reading pauses
+MAX_READ_BYTES = 262_144  # at once, of a body for which there is room
 CLOSE_WAIT_MS = 200  # for the caller to read its answers and close its end
 RETRY_S = 1  # after which a refused caller may find room
 
 
-class ServerConnection(ConnectionMemory, asyncio.Protocol):
+# Of all connections: what they keep of a read is copied from it.
+_READ_BUFFER = memoryview(bytearray(MAX_READ_BYTES))
+
+
+class ServerConnection(ConnectionMemory, asyncio.BufferedProtocol):
     """One connection of a caller.
 
     Parameters
@@ -43,7 +48,7 @@
         self._waiting_bytes = 0
         self._is_scheduled = False
 
-    # asyncio.Protocol -------------------------------------------------
+    # asyncio.BufferedProtocol -------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
@@ -57,12 +62,16 @@
         self.address = address
         self._count = self.server.counts.open_connection(address)
 
-    def data_received(self, received: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer for as much as may be read at once."""
+        return _READ_BUFFER[: self._read_limit]
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse bytes; malformed HTTP/1.1 is answered with 400."""
         if self._closing:
             return
-        self.feed(received)
-        if self.started_at is not None or self._held:
+        self.feed(_READ_BUFFER[:nbytes])
+        if self.started_at is not None or self._held or self._unparsed:
             self._count_unfinished()
 
     def eof_received(self) -> bool:
--- a/src/savoryhold/wire/tests/test_intake.py
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -9,6 +9,7 @@
 from savoryhold.traffic import CallerLimits
 from savoryhold.wire import Exchange, HttpServer, IntakeLimits, MemoryBudget
 from savoryhold.wire.memory_budget import Part, Waiter
+from savoryhold.wire.request_parser import SMALL_BODY
 
 LIMIT_S = 10
 HEAD = b'POST /a HTTP/1.1\r\nhost: h\r\n'
@@ -164,6 +165,41 @@
         self.assertEqual(self.budget.refusals['memory_mb:closed'], 1)
         stalled.close()
 
+    # What the read had brought that began the wait was kept and not counted.
+    async def test_bytes_of_a_waiting_request_are_counted_and_few(self) -> None:
+        """A body that has no room is read no further."""
+        self.budget.set_memory(75)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(HEAD + b'content-length: %d\r\n\r\n' % LARGE_BYTES)
+        writer.write(bytes(LARGE_BYTES))
+        async with asyncio.timeout(LIMIT_S):
+            while not self.budget.waiting:
+                await asyncio.sleep(0.01)
+            # A read that was under way may still bring something.
+            await asyncio.sleep(0.1)
+        conn = next(iter(self.server.connections))
+        kept = conn.unfinished_bytes
+        self.assertLessEqual(kept, 2 * SMALL_BODY)
+        self.assertEqual(self.budget.used - self.budget.limit, kept)
+
+    # Bodies below 64 KiB were read whatever room there was.
+    async def test_small_body_without_room_waits_for_its_rest(self) -> None:
+        """What has been read of it is counted, above the budget."""
+        self.budget.set_memory(75)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(HEAD + b'content-length: 60000\r\n\r\n' + bytes(10_000))
+        async with asyncio.timeout(LIMIT_S):
+            while not self.budget.waiting:
+                await asyncio.sleep(0.01)
+        conn = next(iter(self.server.connections))
+        self.assertEqual(
+            self.budget.used - self.budget.limit, conn.unfinished_bytes
+        )
+
     async def test_all_memory_is_given_back(self) -> None:
         """Nothing is counted once all is answered and closed."""
         body = b'content-length: %d\r\n\r\n' % LARGE_BYTES
