Connections without a handshake are bounded in number and time

What could happen: connections to the port for other nodes that never prove to be one stayed for good; 2,000 of them take 2,024 descriptors of 1,600 allowed, after which a node accepts no callers and reaches no target.

Cause: the limits on callers' connections are those of the HTTP server; links of nodes had a limit on bytes before the handshake only.

--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -14,6 +14,7 @@
 from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
 from savoryhold.peer.endpoint import Endpoint
 from savoryhold.peer.link import Link
+from savoryhold.peer.strangers import MAX_STRANGERS
 from savoryhold.peer.stream import LinkStream
 from savoryhold.peer.packing import MAX_CHUNK_BYTES, pack, unpack
 from savoryhold.send_buffer import count_unacknowledged
@@ -25,11 +26,13 @@
     'TestLinks',
     'TestPacking',
     'TestSilence',
+    'TestStrangers',
     'TestUnacknowledged',
 ]
 
 SECRET = b'a secret for tests'
 LIMIT_MS = 10_000
+LIMIT_NAME = 'savoryhold.peer.strangers.HANDSHAKE_LIMIT_MS'
 MANY_BYTES = 30_000_000  # more than kernels take for a process
 
 
@@ -254,6 +257,49 @@
         client.close()
 
 
+class TestStrangers(unittest.IsolatedAsyncioTestCase):
+    """Connections whose other end does not prove that it is a node."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen on a free port."""
+        self.pool = PeerPool('server', SECRET, answer)
+        self.addCleanup(self.pool.close)
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(self.pool.accept, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def connect(self) -> asyncio.StreamReader:
+        """Open a connection, and read the challenge."""
+        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        await reader.read(1)
+        return reader
+
+    # Such connections were kept for good, whatever their number.
+    async def test_number_is_bounded_and_nodes_get_through(self) -> None:
+        """The oldest is closed for a new one, which may be a node's."""
+        first = await self.connect()
+        for _ in range(MAX_STRANGERS):
+            await self.connect()
+        strangers = self.pool.endpoint.strangers
+        self.assertEqual(len(strangers), MAX_STRANGERS)
+        # The end of the connection is read behind the challenge.
+        await first.read()
+        client = PeerPool('client', SECRET, answer)
+        self.addCleanup(client.close)
+        await client.call(f'127.0.0.1:{self.port}', messages.Probe(), LIMIT_MS)
+        self.assertEqual(len(strangers), MAX_STRANGERS - 1)
+
+    # A connection that sends nothing was kept for good.
+    async def test_time_for_the_handshake_is_limited(self) -> None:
+        """The connection is closed."""
+        with mock.patch(LIMIT_NAME, 1):
+            reader = await self.connect()
+        await reader.read()
+        self.assertEqual(len(self.pool.endpoint.strangers), 0)
+
+
 class TestLinkTakeover(unittest.IsolatedAsyncioTestCase):
     """A link that replaces an earlier one of the same process."""
 
