Pipelined requests neither fill the memory nor delay other callers

What callers saw: beside 200 connections that pipeline and read no answer a node was at the bound of its memory (here 123 of 100 MB), and ordinary requests waited for seconds behind 6,400 others.

Cause: 32 requests of each connection were handled at a time, whatever their number; up to 1 MB of further ones was parsed whatever room there was, and answers below 64 KiB a connection were in no count.

Change: one request of each connection is handled while 256 of all are. Without room, pipelined requests are parsed 1 KB at a time and reading pauses behind them; the time for a head that was left unread does not run. The loop holds 16 KB of unread answers a connection before they are counted and no further ones are written.

--- a/src/savoryhold/wire/connection_counts.py
+++ b/src/savoryhold/wire/connection_counts.py
@@ -60,6 +60,8 @@
     def __init__(self, intake: IntakeLimits) -> None:
         self.open = 0
         self.unfinished = 0
+        # Requests that the handler has got and that have no answer yet.
+        self.running = 0
         self.intake = intake
         self.by_address: dict[str, AddressCount] = {}
         self._max_open = intake.max_connections or MAX_CONNECTIONS
--- a/src/savoryhold/wire/connection_memory.py
+++ b/src/savoryhold/wire/connection_memory.py
@@ -216,6 +216,9 @@
         if reason not in self._pauses:
             return
         self._pauses.discard(reason)
+        if self.in_head and self.started_at is not None:
+            # The rest of the head may have arrived long ago.
+            self.started_at = self.now()
         if self._unparsed and not self._closing:
             self.feed_unparsed()
             self._count_unfinished()
--- a/src/savoryhold/wire/exchange.py
+++ b/src/savoryhold/wire/exchange.py
@@ -55,6 +55,7 @@
         'last',
         'on_disconnect',
         'req',
+        'running',
         'size',
     )
 
@@ -65,6 +66,8 @@
         self.on_disconnect: Callable[[], None] | None = None
         # Whether the answer has been written, or nobody waits for it.
         self.done = False
+        # Whether the handler has got the request and its answer is not written.
+        self.running = False
         # Whether the connection closes after this answer.
         self.last = False
         self._answer: tuple[bytes, ...] | None = None
--- a/src/savoryhold/wire/request_parser.py
+++ b/src/savoryhold/wire/request_parser.py
@@ -85,6 +85,11 @@
     def on_request(self, req: HttpRequest, *, keep_alive: bool) -> None:
         """Process a complete request."""
 
+    @property
+    @abc.abstractmethod
+    def slice_bytes(self) -> int:
+        """Return how much is parsed at once."""
+
     @property
     @abc.abstractmethod
     def blocked(self) -> bool:
@@ -108,18 +113,14 @@
 
     def feed(self, received: bytes | memoryview) -> None:
         """Parse bytes in slices; what is not parsed at once is copied."""
-        if len(received) <= SLICE_BYTES and not (
-            self._unparsed or self.blocked
-        ):
+        ready = not (self._unparsed or self.blocked)
+        if ready and len(received) <= self.slice_bytes:
             self._feed_slice(received)
             return
         if self._unparsed:
             received = b''.join((self._unparsed, received))
         self._unparsed = memoryview(received)
         self.feed_unparsed()
-        if self._unparsed:
-            # A part of the view would keep all of what was received.
-            self._unparsed = memoryview(bytes(self._unparsed))
 
     def feed_unparsed(self) -> None:
         """Parse what is left, until the connection blocks it.
@@ -129,14 +130,19 @@
         After a slice of mostly framing, such as thousands of chunks, the rest
         waits for the loop's next turn.
         """
-        while self._unparsed and not self.blocked and self._parser:
-            piece = self._unparsed[:SLICE_BYTES]
-            self._unparsed = self._unparsed[SLICE_BYTES:]
+        costly = False
+        while self._unparsed and not (costly or self.blocked):
+            size = self.slice_bytes
+            piece = self._unparsed[:size]
+            self._unparsed = self._unparsed[size:]
             framing = self._framing_bytes
             self._feed_slice(piece)
-            if self._framing_bytes - framing > len(piece) // FEW_FRAMING:
+            costly = self._framing_bytes - framing > len(piece) // FEW_FRAMING
+        if self._unparsed:
+            # A part of the view would keep all of what was received.
+            self._unparsed = memoryview(bytes(self._unparsed))
+            if costly:
                 self.on_costly_slice()
-                return
 
     @abc.abstractmethod
     def on_costly_slice(self) -> None:
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -8,14 +8,17 @@
 from savoryhold.wire.connection_memory import ConnectionMemory
 from savoryhold.wire.exchange import Exchange, HttpRequest
 from savoryhold.wire.memory_budget import PROCESS_BUDGET, STALL_S, Part
-from savoryhold.wire.request_parser import SMALL_BODY
+from savoryhold.wire.request_parser import SLICE_BYTES, SMALL_BODY
 from savoryhold.wire.server_interface import Server
 
 __all__ = ['ServerConnection']
 
 MS_PER_SECOND = 1000
 MAX_PIPELINED = 32  # requests of a connection being handled; others wait
+PIPELINED_SLICE = 1024  # bytes parsed at once while requests wait
+MAX_RUNNING = 256  # of all connections, beyond one of each
 MAX_WAITING_BYTES = 1_048_576  # of waiting requests; above, reading pauses
+UNCOUNTED_BYTES = 16_384  # of answers in the buffer of a connection
 MAX_READ_BYTES = 262_144  # at once, of a body for which there is room
 CLOSE_WAIT_MS = 200  # for the caller to read its answers and close its end
 RETRY_S = 1  # after which a refused caller may find room
@@ -53,6 +56,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=UNCOUNTED_BYTES)
         peer = transport.get_extra_info('peername')
         address = str(peer[0]) if peer else ''
         if not self.server.admit(self, address):
@@ -131,10 +135,27 @@
         self._waiting_bytes += exchange.size
         if self.server.closing:
             self.finish()
-        if self._waiting_bytes > MAX_WAITING_BYTES:
+        if self._must_wait():
             self._pause('waiting')
         self._schedule_take()
 
+    @property
+    def slice_bytes(self) -> int:
+        """Return how much is parsed at once: few requests that have to wait."""
+        if len(self._waiting) > 1 or self._lacks_room_for_more():
+            return PIPELINED_SLICE
+        return SLICE_BYTES
+
+    def _must_wait(self) -> bool:
+        """Return whether enough requests have been read for now."""
+        if self._waiting_bytes > MAX_WAITING_BYTES:
+            return True
+        return len(self._waiting) > 1 and self._lacks_room_for_more()
+
+    def _lacks_room_for_more(self) -> bool:
+        held = self._held + self._waiting_bytes
+        return not PROCESS_BUDGET.fits(Part.REQUESTS, 0, held)
+
     # Memory ------------------------------------------------------------
 
     @property
@@ -181,14 +202,32 @@
         self._is_scheduled = False
         while self._waiting:
             running = len(self.open_exchanges) - len(self._waiting)
-            # The answers of a caller that does not read take memory.
-            if running >= MAX_PIPELINED or (running and self._unread):
+            if running >= self._max_running:
                 return
             exchange = self._waiting.popleft()
             self._waiting_bytes -= exchange.size
+            exchange.running = True
+            self.server.counts.running += 1
             self.server.handler(exchange)
         self._unpause('waiting')
 
+    @property
+    def _max_running(self) -> int:
+        """Return how many requests of this connection may be handled."""
+        # The answers of a caller that does not read take memory; requests of
+        # other callers must not wait behind hundreds of pipelined ones.
+        if self._unread or self.server.counts.running >= MAX_RUNNING:
+            return 1
+        return MAX_PIPELINED
+
+    def _finish(self, exchange: Exchange) -> None:
+        """Count a request no longer."""
+        exchange.done = True
+        if exchange.running:
+            exchange.running = False
+            self.server.counts.running -= 1
+        exchange.release()
+
     def _end(self) -> None:
         """Drop all requests; notify the handlers that the caller is gone."""
         self._closing = True
@@ -196,8 +235,7 @@
         self._waiting.clear()
         while self.open_exchanges:
             exchange = self.open_exchanges.popleft()
-            exchange.done = True
-            exchange.release()
+            self._finish(exchange)
             if exchange.on_disconnect is not None and not exchange.answered:
                 exchange.on_disconnect()
 
@@ -229,7 +267,7 @@
                 unsent = transport.get_write_buffer_size()
                 if unsent > SMALL_BODY:
                     self._count_unread(unsent)
-            exchange.release()
+            self._finish(exchange)
             self.idle_since = self.now()
             self.progress_at = self.idle_since
             if exchange.last:
@@ -259,12 +297,13 @@
 
     def _sweep_request(self, now: int, took_ms: int) -> None:
         """Refuse a request that arrives too slowly."""
+        if self._pauses:
+            # This end does not read.
+            return
         if self.in_head:
             if took_ms > self.limits.header_ms:
                 self.refuse(HTTPStatus.REQUEST_TIMEOUT, 'header_timeout_ms')
             return
-        if self._waiter is not None:
-            return
         least = self.server.intake.min_body_rate * took_ms // MS_PER_SECOND
         if took_ms > self.limits.idle_ms and self.body_bytes < least:
             self.refuse(HTTPStatus.REQUEST_TIMEOUT, 'min_body_rate')
--- a/src/savoryhold/wire/tests/test_intake.py
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -10,6 +10,10 @@
 from savoryhold.wire import Exchange, HttpServer, IntakeLimits, MemoryBudget
 from savoryhold.wire.memory_budget import Part, Waiter
 from savoryhold.wire.request_parser import SMALL_BODY
+from savoryhold.wire.server_connection import (
+    PIPELINED_SLICE,
+    ServerConnection,
+)
 
 LIMIT_S = 10
 HEAD = b'POST /a HTTP/1.1\r\nhost: h\r\n'
@@ -245,6 +249,73 @@
         self.assertEqual(granted[0], Part.ANSWERS)
 
 
+class TestPipelines(IntakeCase):
+    """Requests that are sent behind others of their connection."""
+
+    async def asyncSetUp(self) -> None:
+        """Have the handler keep all requests."""
+        await super().asyncSetUp()
+        self.found: list[Exchange] = []
+        self.server.handler = self.found.append
+
+    async def pipeline(self, sent: bytes) -> ServerConnection:
+        """Open a connection, send bytes and return the server's end."""
+        before = set(self.server.connections)
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(sent)
+        async with asyncio.timeout(LIMIT_S):
+            while not self.server.connections - before:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        return (self.server.connections - before).pop()
+
+    # Each connection had 32 requests handled at a time, whatever their number.
+    async def test_one_request_of_each_connection_beyond_a_number(
+        self,
+    ) -> None:
+        """Answers admit the next requests of their connections."""
+        request = HEAD + b'content-length: 0\r\n\r\n'
+        with mock.patch('savoryhold.wire.server_connection.MAX_RUNNING', 4):
+            for _ in range(3):
+                await self.pipeline(request * 4)
+            self.assertEqual(len(self.found), 4 + 1 + 1)
+            for exchange in self.found[:4]:
+                exchange.reply(200)
+            self.assertEqual(self.server.counts.running, 2)
+            self.found[4].reply(200)
+            await asyncio.sleep(0.1)
+            self.assertEqual(len(self.found), 4 + 1 + 1 + 3)
+        self.assertEqual(self.server.counts.running, 4)
+
+    # Waiting requests were read up to 1 MB a connection.
+    async def test_few_requests_are_parsed_without_room(self) -> None:
+        """The others stay bytes, and most stay unread."""
+        self.budget.set_memory(75)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        request = HEAD + b'content-length: 0\r\n\r\n'
+        conn = await self.pipeline(request * 10_000)
+        most = 2 * PIPELINED_SLICE // len(request)
+        self.assertLess(len(conn.open_exchanges), most)
+        self.assertLess(conn.unfinished_bytes, 2 * SMALL_BODY)
+
+    # A head was refused as too slow while the server did not read it.
+    async def test_head_that_is_left_unread_is_not_late(self) -> None:
+        """Its time begins when the server reads on."""
+        request = HEAD + b'content-length: 0\r\n\r\n'
+        conn = await self.pipeline(request + HEAD)
+        conn._pause('waiting')
+        later = self.server.now() + 60_000
+        conn.sweep(later)
+        self.assertFalse(conn._closing)
+        with mock.patch.object(conn, 'now', lambda: later):
+            conn._unpause('waiting')
+        conn.sweep(later)
+        self.assertFalse(conn._closing)
+        conn.sweep(later + 60_000)
+        self.assertTrue(conn._closing)
+
+
 class StalledHolder:
     """A connection that makes no progress."""
 
