A read takes little once the budget is exceeded, whether others wait or not

What was seen: beside 800 whole bodies of 60,000 bytes for one target, 48.8 MB of a budget of 30 were held: each came in one read of 64 KB, so that no reader ever waited, and reads became smaller only when one did.

Change: a read takes 16 KB if 64 KB have no room; the rest of such a body waits.

--- a/src/savoryhold/wire/connection_memory.py
+++ b/src/savoryhold/wire/connection_memory.py
@@ -147,7 +147,8 @@
     @property
     def _read_limit(self) -> int:
         """Return how much may be read at once: room for it may be missing."""
-        free = SLICE_BYTES if PROCESS_BUDGET.waiting else SMALL_BODY
+        fits = PROCESS_BUDGET.fits(Part.REQUESTS, SMALL_BODY, self._held)
+        free = SLICE_BYTES if PROCESS_BUDGET.waiting or not fits else SMALL_BODY
         return max(free, self._held - self.unfinished_bytes)
 
     def _lacks_room(self, count: int) -> bool:
