Relayed requests above 8 KiB count at the node that owns the key

What was seen: beside 800 bodies of 60,000 bytes for another node's keys, the owner took 92 of 100 MB, and the ingress 106; many such ingress nodes would end the owner.

Cause: frames below 64 KiB counted nowhere, and were copied three times on their way.

Change: the bound is 8 KiB. Without room, a link pauses before answers above 64 KiB only, as before; statuses and tables are read.

--- a/src/savoryhold/peer/frames.py
+++ b/src/savoryhold/peer/frames.py
@@ -19,7 +19,7 @@
 ]
 
 MAX_FRAME_BYTES = 70_000_000  # a body of 64 MiB with its head
-LARGE_BYTES = 65_536  # larger payloads are counted, and copied nowhere
+LARGE_BYTES = 8192  # larger payloads are counted, and copied nowhere
 REPLY_FLAG = 0x80
 RESUMABLE_FLAG = 0x40  # message codes must stay below this bit
 _HEAD = struct.Struct('!IBQI')
--- a/src/savoryhold/peer/link_memory.py
+++ b/src/savoryhold/peer/link_memory.py
@@ -20,6 +20,7 @@
 __all__ = ['LinkMemory']
 
 RETRY_MS = 500
+PAUSE_BYTES = 65_536  # of an answer; without room, larger ones stay unread
 RELAY = messages.code_of(messages.Relay())
 
 
@@ -54,8 +55,9 @@
 
         Notes
         -----
-        Only a request may be dropped: it is refused as not run.  Before an
-        answer without room, the link pauses.
+        Only a request may be dropped: it is refused as not run.  Before a very
+        large answer without room, the link pauses; smaller ones, such as
+        tables, are read all the same.
         """
         if frame.code == RELAY and not frame.is_reply:
             if not PROCESS_BUDGET.reserve(Part.RELAYS, size):
@@ -64,7 +66,7 @@
         else:
             has_room = PROCESS_BUDGET.fits(Part.RELAYS, size)
             PROCESS_BUDGET.take(Part.RELAYS, size)
-            if not has_room and self._waiter is None:
+            if not has_room and size > PAUSE_BYTES and self._waiter is None:
                 self._wait(size)
         self._held.append(size)
         return True
--- a/src/savoryhold/peer/tests/test_large_frames.py
+++ b/src/savoryhold/peer/tests/test_large_frames.py
@@ -18,6 +18,7 @@
 
 BODY = bytes(range(256)) * 1000
 DECODER = TCyBinaryProtocolFactory()  # type: ignore[no-untyped-call]
+MEDIUM_BYTES = 20_000
 SEGMENT_BYTES = 1400
 NUMBER = 7
 
@@ -139,6 +140,29 @@
         await asyncio.sleep(0.01)
         self.assertEqual(self.budget.used, 0)
 
+    # Only relayed requests above 64 KiB counted, of which a node held hundreds.
+    async def test_relayed_request_of_some_kilobytes_counts(self) -> None:
+        """It is refused without room, too."""
+        small = relay()
+        small.body = BODY[:MEDIUM_BYTES]
+        await self.receive(packed(small))
+        self.assertGreaterEqual(self.budget.parts[Part.RELAYS], MEDIUM_BYTES)
+        self.budget.set_memory(60)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        await self.receive(packed(small, resumable=False))
+        self.assertEqual(len(self.sent), 1)
+
+    async def test_table_without_room_pauses_nothing(self) -> None:
+        """The messages of the link behind it are read."""
+        self.budget.set_memory(60)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        table = messages.TableUpdate(
+            service_name='desk', version=5, rows=BODY[:MEDIUM_BYTES]
+        )
+        await self.receive(packed(table, resumable=False))
+        self.assertEqual(self.begun, [NUMBER])
+        self.assertEqual(self.budget.waiting, 0)
+
     # One read completes a frame and begins the next; the first was counted on.
     async def test_frames_that_share_a_read_are_all_given_back(self) -> None:
         """The bytes of both frames are given back."""
