Configurations and tables of the largest size are unpacked

What is at stake: with a configuration near the largest size that the store allows (1 MiB), a node that has just started, or is versions behind, gets it from no peer: what it receives expands to more than 1 MiB and is refused as unreadable (config_unreadable), at each try. Only the store is left, which a node that is turned away cannot read.

Cause: packing has no limit, unpacking had that of a chunk of a relayed body. Several differences together, and non-ASCII text, which JSON escapes, make 1 MiB more.

Chunks of bodies keep their limit.

Measured: test_configuration_of_the_largest_size, test_differences_that_expand_to_more_than_the_whole and test_table_of_the_largest_size failed before and pass; 64 of 64 tests of the modules around them pass.

--- a/src/savoryhold/mesh/codec.py
+++ b/src/savoryhold/mesh/codec.py
@@ -26,7 +26,7 @@
     RelayedRequest,
 )
 from savoryhold.peer import messages
-from savoryhold.peer.packing import pack, unpack
+from savoryhold.peer.packing import MAX_STATE_BYTES, pack, unpack
 from savoryhold.ranges import (
     RangeTable,
     ReleaseConfirmation,
@@ -142,9 +142,12 @@
 ) -> RangeTable | None:
     service = ServiceName(message.service_name)
     version = Version(message.version)
-    fields = parse_json(
-        unpack(as_bytes(message.rows), packed=bool(message.packed))
+    text = unpack(
+        as_bytes(message.rows),
+        packed=bool(message.packed),
+        most=MAX_STATE_BYTES,
     )
+    fields = parse_json(text)
     if not message.base:
         return RangeTable.from_fields(service, version, fields, message.lives)
     if local_copy is None or local_copy.version != message.base:
--- a/src/savoryhold/mesh/config.py
+++ b/src/savoryhold/mesh/config.py
@@ -33,7 +33,7 @@
 from savoryhold.mesh.config_follower import ConfigFollower, ConfigSources
 from savoryhold.mesh.interface import Adapter, Listing
 from savoryhold.peer import PeerPool, messages
-from savoryhold.peer.packing import pack, unpack
+from savoryhold.peer.packing import MAX_STATE_BYTES, pack, unpack
 from savoryhold.traffic import CallerLimits, RouteTable
 
 __all__ = ['ConfigCheck', 'ConfigTask']
@@ -238,7 +238,10 @@
         if update.base and update.base != self.version:
             return False
         try:
-            spec = parse_json(unpack(update.text, packed=bool(update.packed)))
+            text = unpack(
+                update.text, packed=bool(update.packed), most=MAX_STATE_BYTES
+            )
+            spec = parse_json(text)
             if update.base:
                 spec = functools.reduce(apply_delta, spec, self._spec)
         except (TypeError, MalformedMessageError) as exc:
@@ -251,7 +254,10 @@
         deltas = self._history.since(base) if base else None
         if deltas is None:
             return None
-        text, packed = pack(_to_json(deltas))
+        encoded = _to_json(deltas)
+        if len(encoded) > MAX_STATE_BYTES:
+            return None
+        text, packed = pack(encoded)
         is_large = len(text) > MAX_PUSH_BYTES
         if is_large and len(text) >= len(self._whole_message().text):
             return None
--- a/src/savoryhold/mesh/digests.py
+++ b/src/savoryhold/mesh/digests.py
@@ -15,7 +15,7 @@
 from savoryhold.core.ids import ServiceName, Version
 from savoryhold.mesh.members import Member, NodeStatus
 from savoryhold.peer import messages
-from savoryhold.peer.packing import pack, unpack
+from savoryhold.peer.packing import MAX_STATE_BYTES, pack, unpack
 
 __all__ = ['digest_message', 'statuses_from_digest']
 
@@ -71,7 +71,9 @@
     try:
         body = digest.entries or b''
         text = body if isinstance(body, bytes) else body.encode()
-        entries = parse_json(unpack(text, packed=bool(digest.packed)))
+        entries = parse_json(
+            unpack(text, packed=bool(digest.packed), most=MAX_STATE_BYTES)
+        )
     except UNREADABLE:
         # The next digest replaces this one.
         return []
--- a/src/savoryhold/mesh/tests/test_config_delivery.py
+++ b/src/savoryhold/mesh/tests/test_config_delivery.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import copy
+import json
 import random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -31,10 +33,13 @@
 FAST = 1e9  # bytes a second
 NARROW = 40_000  # bytes a second that traffic leaves on a busy link
 ROUTES = 1400
+SOME_ROUTES = 9000
+MANY_ROUTES = 20_000
 HOSTS = 20
 SILENT_PEERS = 12
 STORM_VERSIONS = range(3, 28)
 STORM_GAP_S = 0.11
+MANY_VERSIONS = range(3, 60)
 
 
 def make_spec(version: int, routes: int = 3) -> dict[str, Any]:
@@ -283,6 +288,37 @@
             await asyncio.sleep(STORM_GAP_S)
         await self.check_in_force(STORM_VERSIONS[-1])
 
+    # A configuration above 1 MiB, or differences that expand to more, could
+    # not be unpacked: it came from the store, or not at all.
+    async def test_configuration_of_the_largest_size(self) -> None:
+        """A node that has just started fetches all of it from a peer."""
+        for one in (self.first, self.second):
+            one.store.routes = MANY_ROUTES
+            one.put_in_force(2)
+        self.assertGreater(len(json.dumps(self.first.configs._spec)), 2**20)
+        self.node = StubNode('node')
+        self.node.links.peers = {self.first.name: self.first}
+        self.node.store.is_silent = True
+        await self.run_node()
+        self.node.hear(self.first)
+        await self.check_in_force(2)
+
+    async def test_differences_that_expand_to_more_than_the_whole(self) -> None:
+        """Versions that each change many routes are fetched all the same."""
+        self.start(2, SOME_ROUTES)
+        await self.run_node()
+        self.node.store.is_silent = True
+        spec = make_spec(2, SOME_ROUTES)
+        for version in MANY_VERSIONS:
+            spec = copy.deepcopy(spec)
+            spec['version'] = version
+            for host in spec['virtual_hosts']:
+                for path in host['paths'][: ROUTES // HOSTS]:
+                    path['timeout_ms'] = version
+            self.first.configs.accept(spec, 'test')
+        self.node.hear(self.first)
+        await self.check_in_force(MANY_VERSIONS[-1])
+
 
 class TestPushes(DeliveryCase):
     """Differences that the watching nodes send to all."""
--- a/src/savoryhold/mesh/tests/test_table_pulls.py
+++ b/src/savoryhold/mesh/tests/test_table_pulls.py
@@ -19,7 +19,7 @@
 from savoryhold.mesh.tests.fleet import mesh_settings
 from savoryhold.mesh.tests.virtual_time import LoopClock, VirtualTimeCase
 from savoryhold.peer import PeerPool, messages
-from savoryhold.ranges import RangeTable, initial_rows
+from savoryhold.ranges import KEY_COUNT, RangeTable, initial_rows
 
 DESK = ServiceName('desk')
 FAST_S = 0.01
@@ -138,3 +138,11 @@
             self.hear(f'peer-{number}', 5)
         await self.check_learned(5)
         self.assertEqual(len(self.links.calls), 1)
+
+    # A table above 1 MiB could be packed and not unpacked.
+    async def test_table_of_the_largest_size(self) -> None:
+        """Each key has a row of its own."""
+        rows = [[key, key, f'owner-{key}', 1, ''] for key in range(KEY_COUNT)]
+        table = RangeTable.from_fields(DESK, Version(5), rows, [])
+        self.tables.apply_update(table_message(table))
+        self.assertEqual(len(self.tables.tables[DESK].rows), KEY_COUNT)
