Texts that describe far more data than their size are refused

What could happen: one report of legal size, 4 MB of empty lists, takes 90 MB when it is decoded, and more with the objects around it; 8 of them in a row took a node to 153 of 100 MB. The same text from the store or another node would do so too.

Cause: what is read is limited by the bytes of its text; a list or a short number takes ten to thirty times as much.

--- a/src/savoryhold/core/decoding.py
+++ b/src/savoryhold/core/decoding.py
@@ -31,6 +31,12 @@
     TypeError,
     ValueError,
 )
+# Of decoded data in memory.  An empty list takes thirty times its text.
+MAX_DECODED_BYTES = 128_000_000
+SMALL_TEXT = 65_536  # bytes, which never decode to much
+LIST_BYTES = 88
+DICT_BYTES = 200
+VALUE_BYTES = 64  # of a number or a short text
 MAX_NUMBER = 0x7FFFFFFFFFFFFFFF  # numbers travel in 64 bits
 MAX_PORT = 65_535
 MAX_TEXT = 256  # characters; names and tokens are far shorter
@@ -41,14 +47,25 @@
 CLOSING = frozenset(']}')
 
 
-def parse_json(text: bytes | str) -> Any:
+def parse_json(text: bytes | str, max_decoded: int = MAX_DECODED_BYTES) -> Any:
     """Return the data that a JSON text describes.
 
+    Parameters
+    ----------
+    text : bytes or str
+        The text.
+    max_decoded : int
+        How much memory the data may take, in bytes, by an estimate.
+
     Raises
     ------
     MalformedMessageError
-        If the text is not JSON, or is nested too deeply.
+        If the text is not JSON, is nested too deeply or describes too much.
     """
+    if len(text) > SMALL_TEXT and _decoded_bytes(text) > max_decoded:
+        raise MalformedMessageError(
+            f'JSON of {len(text)} bytes describes too much data'
+        )
     try:
         return json.loads(text)
     except UNREADABLE as exc:
@@ -127,6 +144,16 @@
     return field
 
 
+def _decoded_bytes(text: bytes | str) -> int:
+    """Estimate how much memory the data of a JSON text takes."""
+    marks: tuple[Any, Any, Any] = ('[', '{', ',')
+    if not isinstance(text, str):
+        marks = (b'[', b'{', b',')
+    lists, dicts, commas = map(text.count, marks)
+    containers = lists * LIST_BYTES + dicts * DICT_BYTES
+    return len(text) + containers + commas * VALUE_BYTES
+
+
 def _without_deep_values(text: str) -> str:
     """Replace the values of a JSON text below `MAX_DEPTH` by null."""
     parts: list[str] = []
