Ports for reports, checks and metrics take few connections

What was seen: 400 connections to each of the five ports of a node took 1,881 descriptors of 1,600 allowed (1,600 fit with the callers' alone).

Cause: each of its servers allowed as many connections as that for callers, 0.6 of the descriptors.

Change: 64 each for the ports that only the local target and the platform call; as before, the idlest is closed for a new one.

Measured: test_connections_to_all_ports failed before (1,881) and passes.

--- a/src/savoryhold/core/tests/test_decoding.py
+++ b/src/savoryhold/core/tests/test_decoding.py
@@ -10,7 +10,7 @@
 LIMIT_BYTES = 32_000_000
 TEXT_BYTES = 4_000_000
 KEYS = 65_536  # a report may have a row for each
-SOME = 40_000  # values, in a text that is long enough to be checked
+COUNT = 40_000  # values, in a text that is long enough to be checked
 PIECES = (b'[],', b'{},', b'{"a":1},', b'300,', b'1.5,', b'"ab",', b'[1,2],')
 
 
@@ -43,12 +43,12 @@
         """Data that are not refused take less than the limit."""
         for piece in PIECES:
             with self.subTest(piece=piece):
-                text = b'[' + piece * SOME + b'0]'
+                text = b'[' + piece * COUNT + b'0]'
                 tracemalloc.start()
                 found = parse_json(text)
                 taken = tracemalloc.get_traced_memory()[0]
                 tracemalloc.stop()
-                self.assertEqual(len(found), SOME + 1)
+                self.assertEqual(len(found), COUNT + 1)
                 with self.assertRaises(MalformedMessageError):
                     parse_json(text, taken)
 
--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -162,14 +162,15 @@
             self.configs.limits,
             settings.intake,
         )
+        intake = settings.intake.for_few()
         self.report_server = HttpServer(
-            self._reports.handle, clock.now, _limit_reports, settings.intake
+            self._reports.handle, clock.now, _limit_reports, intake
         )
         self.ready_server = HttpServer(
-            self._on_ready, clock.now, _limit_checks, settings.intake
+            self._on_ready, clock.now, _limit_checks, intake
         )
         self.metrics_server = HttpServer(
-            self._on_metrics, clock.now, _limit_checks, settings.intake
+            self._on_metrics, clock.now, _limit_checks, intake
         )
         self._metrics = NodeMetrics(context, self.caller_server)
         self._lines = lines
--- a/src/savoryhold/mesh/tests/test_hostile_waiting.py
+++ b/src/savoryhold/mesh/tests/test_hostile_waiting.py
@@ -91,6 +91,12 @@
         await writer.drain()
 
 
+async def stay(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send nothing."""
+
+
 def unfinished(path: str) -> bytes:
     """Return a request that lacks the last byte of its body."""
     start = head(path, f'Content-Length: {BODY_BYTES}')
@@ -213,6 +219,16 @@
             self.hosts[0].addresses[PEERS],
         )
 
+    # Each port allowed as many connections as the one for callers.
+    async def test_connections_to_all_ports(self) -> None:
+        """Connections to each port of the node send nothing."""
+        for address in self.hosts[0].addresses[REPORTS:]:
+            for _ in range(LINKS // 5):
+                self.tasks.append(
+                    asyncio.ensure_future(self._join(stay, address))
+                )
+        await self.withstand((stay,))
+
     # Reports are read by the same code as requests.
     async def test_reports_that_lack_their_last_byte(self) -> None:
         """All but the last byte of large reports is sent."""
--- a/src/savoryhold/wire/intake_limits.py
+++ b/src/savoryhold/wire/intake_limits.py
@@ -6,6 +6,7 @@
 
 FD_SHARE = 0.6  # of the descriptors; targets, links and the store need others
 MAX_CONNECTIONS = 10_000
+MAX_CLIENTS = 64  # of a port that only the target or the platform calls
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,3 +51,8 @@
             return self
         count = round(max_fds * FD_SHARE) or MAX_CONNECTIONS
         return dataclasses.replace(self, max_connections=count)
+
+    def for_few(self) -> 'IntakeLimits':
+        """Return these limits for a port with few connections."""
+        most = self.max_connections or MAX_CLIENTS
+        return dataclasses.replace(self, max_connections=min(most, MAX_CLIENTS))
