--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -8,16 +8,13 @@
 from savoryhold.wire.connection_memory import ConnectionMemory
 from savoryhold.wire.exchange import Exchange, HttpRequest
 from savoryhold.wire.memory_budget import PROCESS_BUDGET, STALL_S, Part
-from savoryhold.wire.request_parser import SLICE_BYTES, SMALL_BODY
+from savoryhold.wire.pipeline import Pipeline
+from savoryhold.wire.request_parser import SMALL_BODY
 from savoryhold.wire.server_interface import Server
 
 __all__ = ['ServerConnection']
 
 MS_PER_SECOND = 1000
-MAX_PIPELINED = 32  # requests of a connection being handled; others wait
-PIPELINED_SLICE = 1024  # bytes parsed at once while requests wait
-MAX_RUNNING = 256  # of all connections, beyond one of each
-MAX_WAITING_BYTES = 1_048_576  # of waiting requests; above, reading pauses
 UNCOUNTED_BYTES = 16_384  # of answers in the buffer of a connection
 MAX_READ_BYTES = 262_144  # at once, of a body for which there is room
 CLOSE_WAIT_MS = 200  # for the caller to read its answers and close its end
@@ -47,8 +44,7 @@
         self.idle_since = server.now()
         self._caller_closes = False
         self._close_timer: asyncio.TimerHandle | None = None
-        self._waiting: deque[Exchange] = deque()
-        self._waiting_bytes = 0
+        self._pipeline = Pipeline(server.counts)
         self._is_scheduled = False
 
     # asyncio.BufferedProtocol -------------------------------------------
@@ -131,30 +127,17 @@
         self._caller_closes = not keep_alive
         exchange.last = self._caller_closes
         self.open_exchanges.append(exchange)
-        self._waiting.append(exchange)
-        self._waiting_bytes += exchange.size
+        self._pipeline.add(exchange)
         if self.server.closing:
             self.finish()
-        if self._must_wait():
+        if self._pipeline.is_full(self._held):
             self._pause('waiting')
         self._schedule_take()
 
     @property
     def slice_bytes(self) -> int:
-        """Return how much is parsed at once: few requests that have to wait."""
-        if len(self._waiting) > 1 or self._lacks_room_for_more():
-            return PIPELINED_SLICE
-        return SLICE_BYTES
-
-    def _must_wait(self) -> bool:
-        """Return whether enough requests have been read for now."""
-        if self._waiting_bytes > MAX_WAITING_BYTES:
-            return True
-        return len(self._waiting) > 1 and self._lacks_room_for_more()
-
-    def _lacks_room_for_more(self) -> bool:
-        held = self._held + self._waiting_bytes
-        return not PROCESS_BUDGET.fits(Part.REQUESTS, 0, held)
+        """Return how much is parsed at once."""
+        return self._pipeline.slice_bytes(self._held)
 
     # Memory ------------------------------------------------------------
 
@@ -200,42 +183,22 @@
     def _take(self) -> None:
         """Pass waiting requests to the handler, up to the limit."""
         self._is_scheduled = False
-        while self._waiting:
-            running = len(self.open_exchanges) - len(self._waiting)
-            if running >= self._max_running:
+        waiting = self._pipeline.waiting
+        while waiting:
+            running = len(self.open_exchanges) - len(waiting)
+            if running >= self._pipeline.max_running(unread=self._unread > 0):
                 return
-            exchange = self._waiting.popleft()
-            self._waiting_bytes -= exchange.size
-            exchange.running = True
-            self.server.counts.running += 1
-            self.server.handler(exchange)
+            self.server.handler(self._pipeline.take())
         self._unpause('waiting')
 
-    @property
-    def _max_running(self) -> int:
-        """Return how many requests of this connection may be handled."""
-        # The answers of a caller that does not read take memory; requests of
-        # other callers must not wait behind hundreds of pipelined ones.
-        if self._unread or self.server.counts.running >= MAX_RUNNING:
-            return 1
-        return MAX_PIPELINED
-
-    def _finish(self, exchange: Exchange) -> None:
-        """Count a request no longer."""
-        exchange.done = True
-        if exchange.running:
-            exchange.running = False
-            self.server.counts.running -= 1
-        exchange.release()
-
     def _end(self) -> None:
         """Drop all requests; notify the handlers that the caller is gone."""
         self._closing = True
         self._release()
-        self._waiting.clear()
+        self._pipeline.clear()
         while self.open_exchanges:
             exchange = self.open_exchanges.popleft()
-            self._finish(exchange)
+            self._pipeline.finish(exchange)
             if exchange.on_disconnect is not None and not exchange.answered:
                 exchange.on_disconnect()
 
@@ -267,13 +230,13 @@
                 unsent = transport.get_write_buffer_size()
                 if unsent > SMALL_BODY:
                     self._count_unread(unsent)
-            self._finish(exchange)
+            self._pipeline.finish(exchange)
             self.idle_since = self.now()
             self.progress_at = self.idle_since
             if exchange.last:
                 self._close()
                 return
-        if self._waiting:
+        if self._pipeline.waiting:
             self._schedule_take()
 
     def sweep(self, now: int) -> None:
@@ -323,7 +286,7 @@
         yet (RFC 9112, section 9.6).
         """
         self._closing = True
-        self._waiting.clear()
+        self._pipeline.clear()
         transport = self._transport
         if transport is None or transport.is_closing() or self._close_timer:
             return
--- a/src/savoryhold/wire/tests/test_intake.py
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -9,17 +9,21 @@
 from savoryhold.traffic import CallerLimits
 from savoryhold.wire import Exchange, HttpServer, IntakeLimits, MemoryBudget
 from savoryhold.wire.memory_budget import Part, Waiter
+from savoryhold.wire.pipeline import PIPELINED_SLICE
 from savoryhold.wire.request_parser import SMALL_BODY
-from savoryhold.wire.server_connection import (
-    PIPELINED_SLICE,
-    ServerConnection,
-)
+from savoryhold.wire.server_connection import ServerConnection
 
 LIMIT_S = 10
 HEAD = b'POST /a HTTP/1.1\r\nhost: h\r\n'
 CHUNKED = HEAD + b'transfer-encoding: chunked\r\n\r\n'
 LARGE_BYTES = 1_000_000
-COUNTING = ('connection_memory', 'exchange', 'server', 'server_connection')
+COUNTING = (
+    'connection_memory',
+    'exchange',
+    'pipeline',
+    'server',
+    'server_connection',
+)
 INTAKE = IntakeLimits(
     max_header_lines=20,
     max_trailer_lines=5,
@@ -276,7 +280,7 @@
     ) -> None:
         """Answers admit the next requests of their connections."""
         request = HEAD + b'content-length: 0\r\n\r\n'
-        with mock.patch('savoryhold.wire.server_connection.MAX_RUNNING', 4):
+        with mock.patch('savoryhold.wire.pipeline.MAX_RUNNING', 4):
             for _ in range(3):
                 await self.pipeline(request * 4)
             self.assertEqual(len(self.found), 4 + 1 + 1)
