Bounds on descriptors follow those of the process; names of the field

With few descriptors (200, say), 256 connections without a handshake, or 64 on each of three ports, are more than there are: both are a tenth of what is allowed at most. Renames: PendingHandshakes, for_control_port.

--- a/src/savoryhold/mesh/node.py
+++ b/src/savoryhold/mesh/node.py
@@ -156,13 +156,14 @@
             adapter, context, self._proofs, self.departures
         )
         PROCESS_BUDGET.set_memory(settings.memory_mb)
+        self.pool.endpoint.pending_handshakes.set_fds(settings.max_fds)
         self.caller_server = HttpServer(
             self.ingress.handle,
             clock.now,
             self.configs.limits,
             settings.intake,
         )
-        intake = settings.intake.for_few()
+        intake = settings.intake.for_control_port()
         self.report_server = HttpServer(
             self._reports.handle, clock.now, _limit_reports, intake
         )
--- a/src/savoryhold/peer/endpoint.py
+++ b/src/savoryhold/peer/endpoint.py
@@ -8,7 +8,7 @@
 from savoryhold.core.errors import LinkError
 from savoryhold.peer import messages
 from savoryhold.peer.served_calls import ProcessId, ServedCalls
-from savoryhold.peer.strangers import Strangers
+from savoryhold.peer.pending_handshakes import PendingHandshakes
 from savoryhold.peer.stream import LinkStream
 
 if TYPE_CHECKING:
@@ -43,7 +43,7 @@
         self.call_numbers = itertools.count(1)
         self.link_orders = itertools.count(1)
         self.served = ServedCalls()
-        self.strangers = Strangers()
+        self.pending_handshakes = PendingHandshakes()
         self.newest_links: dict[ProcessId, 'Link'] = {}
         # Called if a link received malformed data, with the reason.
         self.on_malformed: Callable[[str], None] = lambda reason: None
--- a/src/savoryhold/peer/link.py
+++ b/src/savoryhold/peer/link.py
@@ -115,7 +115,7 @@
         """Start the handshake; the accepting end sends the challenge."""
         self._transport = cast(asyncio.Transport, transport)
         if not self.dialled:
-            self._endpoint.strangers.add(self)
+            self._endpoint.pending_handshakes.add(self)
             self.send(self._handshake.challenge(), 0)
 
     def data_received(self, received: bytes) -> None:
@@ -165,7 +165,7 @@
         if self._closed:
             return
         self._closed = True
-        self._endpoint.strangers.discard(self)
+        self._endpoint.pending_handshakes.discard(self)
         self._memory.close()
         self.reason = str(exc)
         self._endpoint.on_closed(self)
@@ -333,7 +333,7 @@
             self.peer = message.node
             self.life = message.life or ''
             self._reader.max_bytes = MAX_FRAME_BYTES
-            self._endpoint.strangers.discard(self)
+            self._endpoint.pending_handshakes.discard(self)
             self.order = next(self._endpoint.link_orders)
             self.ready.set_result(None)
         if reply is not None:
--- a/src/savoryhold/peer/strangers.py
+++ b/src/savoryhold/peer/pending_handshakes.py
@@ -1,4 +1,4 @@
-"""Accepted connections whose other end has not proved that it is a node."""
+"""Accepted connections whose handshake is not complete."""
 
 import asyncio
 from typing import TYPE_CHECKING
@@ -8,33 +8,39 @@
 if TYPE_CHECKING:
     from savoryhold.peer.link import Link
 
-__all__ = ['Strangers']
+__all__ = ['PendingHandshakes']
 
 MS_PER_SECOND = 1000
 HANDSHAKE_LIMIT_MS = 2000  # a node that dials gives up sooner
-MAX_STRANGERS = 256  # more than the nodes of a zone that start at once
+FD_SHARE = 0.1  # of the descriptors, for incomplete handshakes
+MAX_PENDING = 256  # more than the nodes of a zone that start at once
 
 
-class Strangers:
-    """Bounds the connections without a handshake, in number and time.
+class PendingHandshakes:
+    """Bounds the number of incomplete handshakes and their time.
 
     Notes
     -----
-    Beyond the number, the oldest is closed: a node proves itself within
+    Beyond the number, the oldest is closed: a node completes it within
     milliseconds, so that it is rarely the one.
     """
 
     def __init__(self) -> None:
+        self._most = MAX_PENDING
         # In the order of their arrival.
         self._timers: dict['Link', asyncio.TimerHandle] = {}
 
     def __len__(self) -> int:
-        """Return the number of the connections."""
+        """Return how many handshakes are not complete."""
         return len(self._timers)
 
+    def set_fds(self, max_fds: int) -> None:
+        """Keep to a share of the descriptors of the process, 0 if unknown."""
+        self._most = min(MAX_PENDING, round(max_fds * FD_SHARE) or MAX_PENDING)
+
     def add(self, link: 'Link') -> None:
         """Add a connection that has been accepted."""
-        if len(self._timers) >= MAX_STRANGERS:
+        if len(self._timers) >= self._most:
             self._close(next(iter(self._timers)), 'max_handshakes')
         self._timers[link] = asyncio.get_running_loop().call_later(
             HANDSHAKE_LIMIT_MS / MS_PER_SECOND,
@@ -44,7 +50,7 @@
         )
 
     def discard(self, link: 'Link') -> None:
-        """Remove a connection that has proved itself, or is closed."""
+        """Remove a connection that is closed, or whose handshake is done."""
         timer = self._timers.pop(link, None)
         if timer is not None:
             timer.cancel()
--- a/src/savoryhold/peer/tests/test_links.py
+++ b/src/savoryhold/peer/tests/test_links.py
@@ -14,7 +14,7 @@
 from savoryhold.peer import Frame, FrameReader, PeerPool, messages, pack_frame
 from savoryhold.peer.endpoint import Endpoint
 from savoryhold.peer.link import Link
-from savoryhold.peer.strangers import MAX_STRANGERS
+from savoryhold.peer.pending_handshakes import MAX_PENDING
 from savoryhold.peer.stream import LinkStream
 from savoryhold.peer.packing import MAX_CHUNK_BYTES, pack, unpack
 from savoryhold.send_buffer import count_unacknowledged
@@ -26,13 +26,13 @@
     'TestLinks',
     'TestPacking',
     'TestSilence',
-    'TestStrangers',
+    'TestPendingHandshakes',
     'TestUnacknowledged',
 ]
 
 SECRET = b'a secret for tests'
 LIMIT_MS = 10_000
-LIMIT_NAME = 'savoryhold.peer.strangers.HANDSHAKE_LIMIT_MS'
+LIMIT_NAME = 'savoryhold.peer.pending_handshakes.HANDSHAKE_LIMIT_MS'
 MANY_BYTES = 30_000_000  # more than kernels take for a process
 
 
@@ -257,7 +257,7 @@
         client.close()
 
 
-class TestStrangers(unittest.IsolatedAsyncioTestCase):
+class TestPendingHandshakes(unittest.IsolatedAsyncioTestCase):
     """Connections whose other end does not prove that it is a node."""
 
     async def asyncSetUp(self) -> None:
@@ -280,16 +280,16 @@
     async def test_number_is_bounded_and_nodes_get_through(self) -> None:
         """The oldest is closed for a new one, which may be a node's."""
         first = await self.connect()
-        for _ in range(MAX_STRANGERS):
+        for _ in range(MAX_PENDING):
             await self.connect()
-        strangers = self.pool.endpoint.strangers
-        self.assertEqual(len(strangers), MAX_STRANGERS)
+        pending = self.pool.endpoint.pending_handshakes
+        self.assertEqual(len(pending), MAX_PENDING)
         # The end of the connection is read behind the challenge.
         await first.read()
         client = PeerPool('client', SECRET, answer)
         self.addCleanup(client.close)
         await client.call(f'127.0.0.1:{self.port}', messages.Probe(), LIMIT_MS)
-        self.assertEqual(len(strangers), MAX_STRANGERS - 1)
+        self.assertEqual(len(pending), MAX_PENDING - 1)
 
     # A connection that sends nothing was kept for good.
     async def test_time_for_the_handshake_is_limited(self) -> None:
@@ -297,7 +297,7 @@
         with mock.patch(LIMIT_NAME, 1):
             reader = await self.connect()
         await reader.read()
-        self.assertEqual(len(self.pool.endpoint.strangers), 0)
+        self.assertEqual(len(self.pool.endpoint.pending_handshakes), 0)
 
 
 class TestLinkTakeover(unittest.IsolatedAsyncioTestCase):
--- a/src/savoryhold/wire/intake_limits.py
+++ b/src/savoryhold/wire/intake_limits.py
@@ -6,7 +6,8 @@
 
 FD_SHARE = 0.6  # of the descriptors; targets, links and the store need others
 MAX_CONNECTIONS = 10_000
-MAX_CLIENTS = 64  # of a port that only the target or the platform calls
+CONTROL_SHARE = 0.1  # of the connections of callers
+MAX_CONTROL_CONNECTIONS = 64  # of a port that callers do not use
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +53,8 @@
         count = round(max_fds * FD_SHARE) or MAX_CONNECTIONS
         return dataclasses.replace(self, max_connections=count)
 
-    def for_few(self) -> 'IntakeLimits':
-        """Return these limits for a port with few connections."""
-        most = self.max_connections or MAX_CLIENTS
-        return dataclasses.replace(self, max_connections=min(most, MAX_CLIENTS))
+    def for_control_port(self) -> 'IntakeLimits':
+        """Return these limits for a port that callers do not use."""
+        share = round(self.max_connections * CONTROL_SHARE)
+        most = min(MAX_CONTROL_CONNECTIONS, share or MAX_CONTROL_CONNECTIONS)
+        return dataclasses.replace(self, max_connections=most)
