A test for small reads without room; one sender of crowds, one name of a bound

No behaviour changes.

The bound on small bodies had two names with one value, SMALL_BYTES and SMALL_BODY.

--- a/src/savoryhold/mesh/tests/hostile.py
+++ b/src/savoryhold/mesh/tests/hostile.py
@@ -23,7 +23,14 @@
 
 from standins import ObjectApi, Target, make_config  # noqa: E402
 
-__all__ = ['FREE_PATH', 'KEYED_PATH', 'HostileCase', 'Member', 'head']
+__all__ = [
+    'FREE_PATH',
+    'KEYED_PATH',
+    'HostileCase',
+    'Member',
+    'head',
+    'send_parts',
+]
 
 # The bounds that the settings of the nodes name.
 MEMORY_MB = 100
@@ -56,6 +63,15 @@
     return '\r\n'.join([*first, '', '']).encode()
 
 
+async def send_parts(
+    sent: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Send bytes piece by piece."""
+    for start in range(0, len(sent), PIECE_BYTES):
+        writer.write(sent[start : start + PIECE_BYTES])
+        await writer.drain()
+
+
 def _route(prefix: str, service: str) -> dict[str, Any]:
     return {
         'path_prefix': prefix,
--- a/src/savoryhold/mesh/tests/test_hostile_heads.py
+++ b/src/savoryhold/mesh/tests/test_hostile_heads.py
@@ -1,15 +1,14 @@
 """Crowds whose heads, trailers and chunks cost more than their bytes."""
 
-import asyncio
 import unittest
 from functools import partial
 
 from savoryhold.mesh.tests.hostile import (
     FREE_PATH,
-    PIECE_BYTES,
     HostileCase,
     Member,
     head,
+    send_parts,
 )
 
 HEADS = 300
@@ -22,15 +21,6 @@
 CHUNKED = 'Transfer-Encoding: chunked'
 
 
-async def send_parts(
-    sent: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Send bytes piece by piece."""
-    for start in range(0, len(sent), PIECE_BYTES):
-        writer.write(sent[start : start + PIECE_BYTES])
-        await writer.drain()
-
-
 def send(*parts: bytes) -> Member:
     """Return a member that sends bytes."""
     return partial(send_parts, b''.join(parts))
--- a/src/savoryhold/mesh/tests/test_hostile_waiting.py
+++ b/src/savoryhold/mesh/tests/test_hostile_waiting.py
@@ -18,9 +18,9 @@
 from savoryhold.mesh.tests.hostile import (
     FREE_PATH,
     KEYED_PATH,
-    PIECE_BYTES,
     HostileCase,
     head,
+    send_parts,
 )
 from savoryhold.wire import ClientPool
 
@@ -56,15 +56,6 @@
 ]
 
 
-async def send_start(
-    sent: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Send the start of a request piece by piece, as fast as possible."""
-    for start in range(0, len(sent), PIECE_BYTES):
-        writer.write(sent[start : start + PIECE_BYTES])
-        await writer.drain()
-
-
 async def return_forever(
     sent: bytes,
     connect: Connect,
@@ -74,7 +65,7 @@
     """Send the start of a request again each time the node has closed."""
     while True:
         with contextlib.suppress(OSError):
-            await send_start(sent, reader, writer)
+            await send_parts(sent, reader, writer)
             await reader.read()
         writer.transport.abort()
         await asyncio.sleep(POLL_S)
@@ -149,7 +140,7 @@
         """All but the last byte is sent, and the connections stay open."""
         sent = unfinished(FREE_PATH)
         await self.withstand(
-            partial(send_start, sent) for number in range(SENDERS)
+            partial(send_parts, sent) for number in range(SENDERS)
         )
 
     # The same for a body whose length is not known.
@@ -157,7 +148,7 @@
         """All but the last chunk is sent."""
         sent = unfinished_chunks(FREE_PATH)
         await self.withstand(
-            partial(send_start, sent) for number in range(SENDERS)
+            partial(send_parts, sent) for number in range(SENDERS)
         )
 
     # Bodies below 64 KiB were read, and passed on, whatever room there was.
@@ -166,7 +157,7 @@
         start = head(FREE_PATH, f'Content-Length: {MEDIUM_BYTES}')
         sent = start + bytes(MEDIUM_BYTES - 1)
         await self.withstand(
-            partial(send_start, sent) for number in range(SENDERS)
+            partial(send_parts, sent) for number in range(SENDERS)
         )
 
     # The node that owns the keys counted relayed bodies above 64 KiB only.
@@ -176,7 +167,7 @@
         start = head(KEYED_PATH, f'Content-Length: {MEDIUM_BYTES}')
         sent = start + bytes(MEDIUM_BYTES)
         await self.withstand(
-            partial(send_start, sent) for number in range(SENDERS)
+            partial(send_parts, sent) for number in range(SENDERS)
         )
 
     # Connections without progress were closed one at a time, so that ordinary
@@ -213,7 +204,7 @@
         """Connections send a part of a handshake, or nothing."""
         await self.withstand(
             (
-                partial(send_start, HANDSHAKE_PART * (number % 2))
+                partial(send_parts, HANDSHAKE_PART * (number % 2))
                 for number in range(LINKS)
             ),
             self.hosts[0].addresses[PEERS],
@@ -235,7 +226,7 @@
         start = REPORT_HEAD.format(REPORT_BYTES).encode()
         sent = start + bytes(REPORT_BYTES - 1)
         await self.withstand(
-            (partial(send_start, sent) for number in range(REPORTERS)),
+            (partial(send_parts, sent) for number in range(REPORTERS)),
             self.hosts[0].addresses[REPORTS],
         )
 
@@ -245,7 +236,7 @@
         text = b'[' + b'[],' * (DEEP_REPORT_BYTES // 3) + b'[]]'
         sent = REPORT_HEAD.format(len(text)).encode() + text
         await self.withstand(
-            (partial(send_start, sent) for number in range(DEEP_REPORTERS)),
+            (partial(send_parts, sent) for number in range(DEEP_REPORTERS)),
             self.hosts[0].addresses[REPORTS],
         )
 
--- a/src/savoryhold/wire/connection_memory.py
+++ b/src/savoryhold/wire/connection_memory.py
@@ -9,15 +9,12 @@
 from savoryhold.wire.intake_limits import IntakeLimits
 from savoryhold.wire.memory_budget import (
     PROCESS_BUDGET,
+    SMALL_BODY,
     Holder,
     Part,
     Waiter,
 )
-from savoryhold.wire.request_parser import (
-    SLICE_BYTES,
-    SMALL_BODY,
-    RequestParser,
-)
+from savoryhold.wire.request_parser import SLICE_BYTES, RequestParser
 
 __all__ = ['ConnectionMemory']
 
--- a/src/savoryhold/wire/memory_budget.py
+++ b/src/savoryhold/wire/memory_budget.py
@@ -18,10 +18,17 @@
 from operator import attrgetter
 from typing import Protocol
 
-__all__ = ['PROCESS_BUDGET', 'Holder', 'MemoryBudget', 'Part', 'Waiter']
+__all__ = [
+    'PROCESS_BUDGET',
+    'Holder',
+    'MemoryBudget',
+    'Part',
+    'SMALL_BODY',
+    'Waiter',
+]
 
 BYTES_PER_MB = 1_000_000
-SMALL_BYTES = 65_536  # what needs more is large
+SMALL_BODY = 65_536  # larger ones need room before they arrive
 DEFAULT_MEMORY_MB = 256
 BASE_MB = 50  # of a process without traffic, tables of a large fleet included
 USABLE = 0.6  # of the rest; the allocator and buffers of reads take more
@@ -144,7 +151,7 @@
         if part in _INPUT:
             limit = round(limit * INPUT_SHARE)
             used = self._input
-            if part is Part.REQUESTS and count > SMALL_BYTES:
+            if part is Part.REQUESTS and count > SMALL_BODY:
                 limit = round(limit * LARGE_SHARE)
         if self.used + count <= self.limit and used + count <= limit:
             return True
@@ -243,7 +250,7 @@
 
 
 def _order(waiter: Waiter) -> tuple[bool, bool, float]:
-    return waiter.part in _INPUT, waiter.need > SMALL_BYTES, waiter.begun
+    return waiter.part in _INPUT, waiter.need > SMALL_BODY, waiter.begun
 
 
 def _size(entry: tuple[int, Holder]) -> int:
--- a/src/savoryhold/wire/request_parser.py
+++ b/src/savoryhold/wire/request_parser.py
@@ -14,12 +14,12 @@
 from savoryhold.traffic.routes import CallerLimits
 from savoryhold.wire.exchange import LINE_BYTES, HttpRequest
 from savoryhold.wire.intake_limits import IntakeLimits
+from savoryhold.wire.memory_budget import SMALL_BODY
 
 __all__ = ['RequestParser']
 
 SLICE_BYTES = 16_384  # parsed at once; a parser's events cost more than bytes
 FEW_FRAMING = 2  # a slice with more than its half in framing ends the turn
-SMALL_BODY = 65_536  # larger ones need room in the budget before they arrive
 
 
 class RequestParser(abc.ABC):
--- a/src/savoryhold/wire/server_connection.py
+++ b/src/savoryhold/wire/server_connection.py
@@ -7,9 +7,13 @@
 
 from savoryhold.wire.connection_memory import ConnectionMemory
 from savoryhold.wire.exchange import Exchange, HttpRequest
-from savoryhold.wire.memory_budget import PROCESS_BUDGET, STALL_S, Part
+from savoryhold.wire.memory_budget import (
+    PROCESS_BUDGET,
+    SMALL_BODY,
+    STALL_S,
+    Part,
+)
 from savoryhold.wire.pipeline import Pipeline
-from savoryhold.wire.request_parser import SMALL_BODY
 from savoryhold.wire.server_interface import Server
 
 __all__ = ['ServerConnection']
--- a/src/savoryhold/wire/tests/test_intake.py
+++ b/src/savoryhold/wire/tests/test_intake.py
@@ -8,9 +8,9 @@
 from savoryhold.core.clock import MonotonicClock
 from savoryhold.traffic import CallerLimits
 from savoryhold.wire import Exchange, HttpServer, IntakeLimits, MemoryBudget
-from savoryhold.wire.memory_budget import Part, Waiter
+from savoryhold.wire.memory_budget import SMALL_BODY, Part, Waiter
 from savoryhold.wire.pipeline import PIPELINED_SLICE
-from savoryhold.wire.request_parser import SMALL_BODY
+from savoryhold.wire.request_parser import SLICE_BYTES
 from savoryhold.wire.server_connection import ServerConnection
 
 LIMIT_S = 10
@@ -208,6 +208,23 @@
             self.budget.used - self.budget.limit, conn.unfinished_bytes
         )
 
+    # Whole bodies that came in one read never waited, so that reads stayed
+    # large and 48.8 of 30 MB were held.
+    async def test_read_is_small_without_room_though_nobody_waits(
+        self,
+    ) -> None:
+        """The rest of a small body that has been sent whole stays unread."""
+        self.budget.set_memory(75)
+        self.budget.take(Part.REQUESTS, self.budget.limit)
+        _, writer = await asyncio.open_connection('127.0.0.1', self.port)
+        self.addCleanup(writer.close)
+        writer.write(HEAD + b'content-length: 60000\r\n\r\n' + bytes(60_000))
+        async with asyncio.timeout(LIMIT_S):
+            while not self.budget.waiting:
+                await asyncio.sleep(0.01)
+        conn = next(iter(self.server.connections))
+        self.assertLess(conn.body_bytes, 2 * SLICE_BYTES)
+
     async def test_all_memory_is_given_back(self) -> None:
         """Nothing is counted once all is answered and closed."""
         body = b'content-length: %d\r\n\r\n' % LARGE_BYTES
